--- /dev/null
+++ b/modules/by_cell/AppendBatch.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "by_cell/RunId.h"
+#include "by_cell/Waiter.h"
+#include "by_core/Time.h"
+#include "by_schema/KeyedRecord.h"
+
+namespace by {
+
+/// Records that are appended in one call, and what waits for it.
+struct AppendBatch
+{
+  std::uint64_t mSequence{ 0 };
+  std::vector<KeyedRecord> mRecords;
+  /// Jobs whose record is in the batch.
+  std::vector<std::string> mJobs;
+  /// Jobs whose outcome is in the batch.
+  std::vector<std::string> mOutcomes;
+  /// Runs to order, by worker.
+  std::vector<std::pair<std::string, RunId>> mStarts;
+  /// Ends that may be acknowledged, by worker.
+  std::vector<std::pair<std::string, std::uint64_t>> mEnds;
+  /// When it was first sent.
+  Time mFirstSent{};
+  /// When it was last sent.
+  Time mLastSent{};
+  /// Whether a call with it is on its way.
+  bool mOpen{ false };
+  /// Whether a call with it went without an answer.
+  bool mUncertain{ false };
+  /// Whether the callers that wait for it were told so.
+  bool mToldUncertain{ false };
+
+  friend bool operator==(const AppendBatch&, const AppendBatch&) = default;
+  friend auto operator<=>(const AppendBatch&, const AppendBatch&) = default;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/HandleRequests.cpp
@@ -0,0 +1,184 @@
+#include "by_cell/HandleRequests.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Advice.h"
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Tables.h"
+#include "by_jobs/by_jobs.h"
+
+namespace by {
+
+namespace {
+
+/// Callers that are refused while the store is out of reach come back after this long.
+constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
+/// An append that takes longer than this shows that the store is not working as it should.
+constexpr Time kStoreDoubt = Time::FromMilliseconds(300);
+
+void
+Refuse(const CellState& aState,
+       const Waiter& aWaiter,
+       const CellRequest& aRequest,
+       const char* aReason,
+       Effects& aOut)
+{
+  detail::Log(aOut, "job.refused", aRequest.Job(), absl::StrCat("reason=", aReason));
+  detail::Reply(
+    aState,
+    aWaiter,
+    { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry },
+    aOut);
+}
+
+void
+Submit(CellState& aState,
+       const Waiter& aWaiter,
+       const CellRequest& aRequest,
+       Time aNow,
+       Effects& aOut)
+{
+  if (const auto ended = aState.mOutcomes.find(aRequest.Job()); ended != aState.mOutcomes.end()) {
+    if (ended->second.mStored) {
+      detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Accepted }, aOut);
+    } else {
+      ended->second.mSubmitters.push_back(aWaiter);
+    }
+    return;
+  }
+  if (auto* known = detail::FindJob(aState, aRequest.Job())) {
+    detail::Log(aOut, "job.repeated", aRequest.Job(), absl::StrCat("stored=", known->mStored));
+    if (known->mStored) {
+      detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Accepted }, aOut);
+    } else {
+      known->mSubmitters.push_back(aWaiter);
+    }
+    return;
+  }
+  Findings findings;
+  if (aRequest.Definition()) {
+    CheckDefinition(*aRequest.Definition(), findings);
+  }
+  if (!aRequest.Definition() || !findings.IsEmpty()) {
+    detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Malformed }, aOut);
+    return;
+  }
+  if (aState.mStoreLostAt + kStoreDoubt < aNow) {
+    Refuse(aState, aWaiter, aRequest, "store out of reach", aOut);
+    return;
+  }
+  if (aState.mJobs.size() >= aState.mSettings.JobLimit()) {
+    Refuse(aState, aWaiter, aRequest, "too many open jobs", aOut);
+    return;
+  }
+  auto& job = aState.mJobs[aRequest.Job()];
+  job.mJob = Job::Create({ .mId = aRequest.Job(),
+                           .mQueue = aRequest.Queue(),
+                           .mDefinition = *aRequest.Definition(),
+                           .mAccepted = aNow })
+               .value();
+  job.mObjective = aNow + ObjectiveOf(*aRequest.Definition(), aRequest.Queue());
+  job.mSubmitters.push_back(aWaiter);
+  aState.mNewJobs.push_back(aRequest.Job());
+  detail::OpenDueOccurrences(aState, job, aNow);
+  detail::AskForFirstSteps(aState, job, aNow, aOut);
+  detail::Log(aOut,
+              "job.received",
+              aRequest.Job(),
+              absl::StrCat("queue=",
+                           aRequest.Queue().PathPrefix(),
+                           " priority=",
+                           aRequest.Queue().Priority(),
+                           " tasks=",
+                           CountTasks(*aRequest.Definition()),
+                           " objective_ms=",
+                           (job.mObjective - aNow).Milliseconds()));
+}
+
+void
+Show(const CellState& aState, const Waiter& aWaiter, const CellRequest& aRequest, Effects& aOut)
+{
+  if (const auto ended = aState.mOutcomes.find(aRequest.Job()); ended != aState.mOutcomes.end()) {
+    const auto state = ended->second.mStored ? ended->second.mState : JobState::Running;
+    detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Shown, .mState = state }, aOut);
+    return;
+  }
+  const auto open = aState.mJobs.find(aRequest.Job());
+  if (open == aState.mJobs.end()) {
+    detail::Log(aOut, "job.unknown", aRequest.Job(), absl::StrCat("epoch=", aState.mEpoch));
+    detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::UnknownJob }, aOut);
+    return;
+  }
+  const auto state = open->second.mStarted ? JobState::Running : JobState::Queued;
+  detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Shown, .mState = state }, aOut);
+}
+
+void
+CancelJob(CellState& aState,
+          const Waiter& aWaiter,
+          const CellRequest& aRequest,
+          Time aNow,
+          Effects& aOut)
+{
+  if (detail::FindJob(aState, aRequest.Job()) != nullptr) {
+    detail::EndJob(aState, aRequest.Job(), JobState::Cancelled, aNow, aOut);
+  }
+  const auto ended = aState.mOutcomes.find(aRequest.Job());
+  if (ended == aState.mOutcomes.end()) {
+    detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::UnknownJob }, aOut);
+    return;
+  }
+  if (ended->second.mStored) {
+    detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Cancelled }, aOut);
+    return;
+  }
+  ended->second.mCancellers.push_back(aWaiter);
+}
+
+void
+Count(const CellState& aState, const Waiter& aWaiter, const CellRequest& aRequest, Effects& aOut)
+{
+  const auto it =
+    aState.mUnstarted.find({ aRequest.Queue().Host(), aRequest.Queue().PathPrefix() });
+  const std::uint64_t n = it == aState.mUnstarted.end() ? 0 : it->second;
+  detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Counted, .mWaiting = n }, aOut);
+}
+
+} // namespace
+
+void
+HandleRequest(CellState& aState,
+              const Waiter& aWaiter,
+              const CellRequest& aRequest,
+              Time aNow,
+              Effects& aOut)
+{
+  switch (aRequest.Kind()) {
+    case JobCallKind::Submit:
+      Submit(aState, aWaiter, aRequest, aNow, aOut);
+      return;
+    case JobCallKind::Show:
+      Show(aState, aWaiter, aRequest, aOut);
+      return;
+    case JobCallKind::Cancel:
+      CancelJob(aState, aWaiter, aRequest, aNow, aOut);
+      return;
+    case JobCallKind::Count:
+      Count(aState, aWaiter, aRequest, aOut);
+      return;
+  }
+}
+
+void
+ForgetWaiters(CellState& aState, const std::string& aNode)
+{
+  const auto isHeldThere = [&](const Waiter& aWaiter) { return aWaiter.mNode == aNode; };
+  for (const auto& id : aState.mNewJobs) {
+    if (auto* job = detail::FindJob(aState, id)) {
+      std::erase_if(job->mSubmitters, isHeldThere);
+    }
+  }
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/HandleStore.cpp
@@ -0,0 +1,356 @@
+#include "by_cell/HandleStore.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Tables.h"
+#include "by_jobs/by_jobs.h"
+
+namespace by {
+
+namespace {
+
+/// An append that takes longer than this shows that the store is not working as it should.
+constexpr Time kStoreDoubt = Time::FromMilliseconds(300);
+/// Callers that are refused while the store is out of reach come back after this long.
+constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
+
+KeyedRecord
+Keyed(std::string aKey, CellRecord aRecord)
+{
+  return KeyedRecord::Create({ .mKey = std::move(aKey), .mRecord = std::move(aRecord) }).value();
+}
+
+template<class Body>
+CellRecord
+RecordOf(Body aBody)
+{
+  return CellRecord::Create({ .mBody = std::move(aBody) }).value();
+}
+
+OccurrenceProgress
+ProgressOf(const std::string& aJob, std::uint32_t aIndex, const OccurrenceRow& aRow)
+{
+  OccurrenceProgress::Fields fields{ .mJob = aJob, .mIndex = aIndex, .mTasks = {} };
+  fields.mTasks.reserve(aRow.mTasks.size());
+  for (const auto& task : aRow.mTasks) {
+    fields.mTasks.push_back(task.mProgress);
+  }
+  return OccurrenceProgress::Create(std::move(fields)).value();
+}
+
+void
+TakeJobs(CellState& aState, AppendBatch& aBatch)
+{
+  for (const auto& id : aState.mNewJobs) {
+    if (const auto* job = detail::FindJob(aState, id)) {
+      aBatch.mRecords.push_back(Keyed(JobRecordKey(id), RecordOf(job->mJob)));
+      aBatch.mJobs.push_back(id);
+    }
+  }
+  aState.mNewJobs.clear();
+}
+
+void
+TakeProgress(CellState& aState, AppendBatch& aBatch)
+{
+  for (const auto& [id, index] : aState.mNewProgress) {
+    if (const auto* row = detail::FindOccurrence(aState, id, index)) {
+      aBatch.mRecords.push_back(
+        Keyed(ProgressRecordKey(id, index), RecordOf(ProgressOf(id, index, *row))));
+    }
+  }
+  aState.mNewProgress.clear();
+}
+
+void
+TakeOutcomes(CellState& aState, AppendBatch& aBatch)
+{
+  for (const auto& id : aState.mNewOutcomes) {
+    const auto it = aState.mOutcomes.find(id);
+    if (it != aState.mOutcomes.end()) {
+      aBatch.mRecords.push_back(
+        Keyed(OutcomeRecordKey(id),
+              RecordOf(JobOutcome::Create(
+                         { .mJob = id, .mState = it->second.mState, .mEnded = it->second.mEnded })
+                         .value())));
+      aBatch.mOutcomes.push_back(id);
+    }
+  }
+  aState.mNewOutcomes.clear();
+  for (auto& key : aState.mDropped) {
+    aBatch.mRecords.push_back(KeyedRecord::Create({ .mKey = std::move(key) }).value());
+  }
+  aState.mDropped.clear();
+}
+
+void
+Send(const CellState& aState, AppendBatch& aBatch, Time aNow, Effects& aOut)
+{
+  aBatch.mOpen = true;
+  aBatch.mLastSent = aNow;
+  detail::Emit(aOut,
+               AppendToCell::Create({ .mEpoch = aState.mEpoch,
+                                      .mSequence = aBatch.mSequence,
+                                      .mRecords = aBatch.mRecords })
+                 .value());
+}
+
+void
+RefuseSubmitters(CellState& aState, const std::string& aJob, Effects& aOut)
+{
+  auto* job = detail::FindJob(aState, aJob);
+  if (job == nullptr || job->mStored) {
+    return;
+  }
+  for (const auto& waiter : job->mSubmitters) {
+    detail::Reply(
+      aState, waiter, { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry }, aOut);
+  }
+  detail::Log(aOut, "job.refused", aJob, "reason=store out of reach");
+  absl::erase_if(aState.mSchedule, [&](const auto& aEntry) { return aEntry.second == aJob; });
+  aState.mJobs.erase(aJob);
+}
+
+void
+JobsAreStored(CellState& aState, const AppendBatch& aBatch, Time aNow, Effects& aOut)
+{
+  for (const auto& id : aBatch.mJobs) {
+    auto* job = detail::FindJob(aState, id);
+    if (job == nullptr) {
+      continue;
+    }
+    job->mStored = true;
+    if (!job->mStarted && job->mJob.Definition().Occurrences() == 0) {
+      ++aState.mUnstarted[{ job->mJob.Queue().Host(), job->mJob.Queue().PathPrefix() }];
+    }
+    detail::Log(aOut,
+                "job.accepted",
+                id,
+                absl::StrCat("sequence=",
+                             aBatch.mSequence,
+                             " stored_after_ms=",
+                             (aNow - job->mJob.Accepted()).Milliseconds()));
+    for (const auto& waiter : job->mSubmitters) {
+      detail::Reply(aState, waiter, { .mVerdict = JobVerdict::Accepted }, aOut);
+    }
+    job->mSubmitters.clear();
+    for (const auto& [index, occurrence] : job->mOccurrences) {
+      detail::RefreshOccurrence(aState, *job, index);
+    }
+  }
+}
+
+void
+OutcomesAreStored(CellState& aState, const AppendBatch& aBatch, Effects& aOut)
+{
+  for (const auto& id : aBatch.mOutcomes) {
+    const auto it = aState.mOutcomes.find(id);
+    if (it == aState.mOutcomes.end()) {
+      continue;
+    }
+    it->second.mStored = true;
+    for (const auto& waiter : std::exchange(it->second.mCancellers, {})) {
+      detail::Reply(aState, waiter, { .mVerdict = JobVerdict::Cancelled }, aOut);
+    }
+    for (const auto& waiter : std::exchange(it->second.mSubmitters, {})) {
+      detail::Reply(aState, waiter, { .mVerdict = JobVerdict::Accepted }, aOut);
+    }
+  }
+}
+
+/// A worker that began to drain or stopped answering since gets no new run.
+void
+OrderStarts(CellState& aState, const AppendBatch& aBatch, Time aNow, Effects& aOut)
+{
+  for (const auto& [id, run] : aBatch.mStarts) {
+    const auto worker = aState.mWorkers.find(id);
+    if (worker == aState.mWorkers.end()) {
+      continue;
+    }
+    const auto row = worker->second.mRuns.find(run);
+    if (row == worker->second.mRuns.end() || row->second.mPhase != RunPhase::Planned) {
+      continue;
+    }
+    if (worker->second.mRegistration.Draining() ||
+        worker->second.mHealth != WorkerHealth::Reachable) {
+      detail::Log(aOut, "start.dropped", detail::Named(run), "reason=worker no longer usable");
+      detail::Requeue(aState, run.mTask, aNow, aOut);
+      continue;
+    }
+    detail::SendStart(aState, worker->second, run, aNow, aOut);
+  }
+}
+
+void
+EndsAreStored(CellState& aState, const AppendBatch& aBatch, Time aNow)
+{
+  for (const auto& [id, number] : aBatch.mEnds) {
+    const auto worker = aState.mWorkers.find(id);
+    if (worker != aState.mWorkers.end()) {
+      worker->second.mEndStored = std::max(worker->second.mEndStored, number);
+      detail::LookBy(aState, worker->second, aNow);
+    }
+  }
+}
+
+/// Nothing of the batch was done: callers are told so, the rest is sent again.
+void
+KeepRefusedBatch(CellState& aState, Effects& aOut)
+{
+  auto& batch = *aState.mInFlight;
+  if (batch.mUncertain) {
+    return;
+  }
+  for (const auto& id : std::exchange(batch.mJobs, {})) {
+    const auto* job = detail::FindJob(aState, id);
+    if (job == nullptr) {
+      continue;
+    }
+    std::erase_if(batch.mRecords, [key = JobRecordKey(id)](const KeyedRecord& aRecord) {
+      return aRecord.Key() == key;
+    });
+    RefuseSubmitters(aState, id, aOut);
+  }
+  if (batch.mRecords.empty()) {
+    aState.mNextSequence = batch.mSequence;
+    auto& ends = aState.mNext.mEnds;
+    ends.insert(ends.end(), batch.mEnds.begin(), batch.mEnds.end());
+    aState.mInFlight.reset();
+  }
+}
+
+} // namespace
+
+bool
+HasUnstored(const CellState& aState)
+{
+  return aState.mInFlight.has_value() || !aState.mNewJobs.empty() || !aState.mNewProgress.empty() ||
+         !aState.mNewOutcomes.empty() || !aState.mDropped.empty();
+}
+
+void
+FlushRecords(CellState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mInFlight) {
+    auto& batch = *aState.mInFlight;
+    if (!batch.mOpen && aNow >= batch.mLastSent + aState.mSettings.AppendRetry()) {
+      Send(aState, batch, aNow, aOut);
+    }
+    return;
+  }
+  if (!HasUnstored(aState)) {
+    // Ends of runs that nothing depends on need no record.
+    EndsAreStored(aState, std::exchange(aState.mNext, {}), aNow);
+    return;
+  }
+  if (aNow < aState.mNextAppend || aState.mFenced) {
+    return;
+  }
+  AppendBatch batch = std::exchange(aState.mNext, {});
+  TakeJobs(aState, batch);
+  TakeProgress(aState, batch);
+  TakeOutcomes(aState, batch);
+  if (batch.mRecords.empty()) {
+    aState.mNext = std::move(batch);
+    return;
+  }
+  batch.mSequence = aState.mNextSequence++;
+  batch.mFirstSent = aNow;
+  aState.mInFlight = std::move(batch);
+  Send(aState, *aState.mInFlight, aNow, aOut);
+}
+
+void
+HandleAppended(CellState& aState, const CellAppended& aEvent, Time aNow, Effects& aOut)
+{
+  if (!aState.mInFlight || aState.mInFlight->mSequence != aEvent.Sequence() ||
+      aState.mEpoch != aEvent.Epoch()) {
+    return;
+  }
+  auto& inFlight = *aState.mInFlight;
+  inFlight.mOpen = false;
+  switch (aEvent.Outcome()) {
+    case StoreOutcome::Done: {
+      const auto batch = std::move(inFlight);
+      aState.mInFlight.reset();
+      if (aState.mStoreLostAt != Time::Never()) {
+        detail::Log(aOut,
+                    "store.regained",
+                    "append",
+                    absl::StrCat("lost_for_ms=", (aNow - aState.mStoreLostAt).Milliseconds()));
+      }
+      aState.mStoreLostAt = Time::Never();
+      aState.mConfirmedAt = std::max(aState.mConfirmedAt, batch.mLastSent);
+      aState.mNextAppend = batch.mLastSent + aState.mSettings.AppendPause();
+      JobsAreStored(aState, batch, aNow, aOut);
+      OutcomesAreStored(aState, batch, aOut);
+      OrderStarts(aState, batch, aNow, aOut);
+      EndsAreStored(aState, batch, aNow);
+      return;
+    }
+    case StoreOutcome::Fenced:
+    case StoreOutcome::Conflict:
+      detail::Log(aOut,
+                  "cell.fenced",
+                  absl::StrCat("epoch ", aState.mEpoch),
+                  absl::StrCat("by=store outcome=", std::string(ToString(aEvent.Outcome()))));
+      aState.mFenced = true;
+      return;
+    case StoreOutcome::Refused:
+    case StoreOutcome::Unanswered:
+      if (aState.mStoreLostAt == Time::Never()) {
+        aState.mStoreLostAt = inFlight.mFirstSent;
+        detail::Log(aOut,
+                    "store.lost",
+                    "append",
+                    absl::StrCat("outcome=", std::string(ToString(aEvent.Outcome())),
+                                 " sequence=", aEvent.Sequence()));
+      }
+      if (aEvent.Outcome() == StoreOutcome::Unanswered) {
+        inFlight.mUncertain = true;
+      } else {
+        KeepRefusedBatch(aState, aOut);
+      }
+      return;
+  }
+}
+
+void
+AnswerStalledCallers(CellState& aState, Time aNow, Effects& aOut)
+{
+  if (!aState.mInFlight || aNow < aState.mInFlight->mFirstSent + kStoreDoubt) {
+    return;
+  }
+  if (aState.mStoreLostAt == Time::Never()) {
+    aState.mStoreLostAt = aState.mInFlight->mFirstSent;
+  }
+  for (const auto& id : std::exchange(aState.mNewJobs, {})) {
+    RefuseSubmitters(aState, id, aOut);
+  }
+  auto& batch = *aState.mInFlight;
+  if (batch.mToldUncertain || aNow < batch.mFirstSent + aState.mSettings.AppendPatience()) {
+    return;
+  }
+  batch.mToldUncertain = true;
+  for (const auto& id : batch.mJobs) {
+    if (auto* job = detail::FindJob(aState, id)) {
+      for (const auto& waiter : std::exchange(job->mSubmitters, {})) {
+        detail::Reply(aState, waiter, { .mVerdict = JobVerdict::Uncertain }, aOut);
+      }
+    }
+  }
+  for (auto& [id, outcome] : aState.mOutcomes) {
+    if (!outcome.mStored) {
+      for (const auto& waiter : std::exchange(outcome.mCancellers, {})) {
+        detail::Reply(aState, waiter, { .mVerdict = JobVerdict::Uncertain }, aOut);
+      }
+    }
+  }
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/Waiter.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace by {
+
+/// A caller that waits for an answer, by the node that holds it.
+struct Waiter
+{
+  std::string mNode;
+  std::uint64_t mCall{ 0 };
+
+  friend bool operator==(const Waiter&, const Waiter&) = default;
+  friend auto operator<=>(const Waiter&, const Waiter&) = default;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/Work.cpp
@@ -0,0 +1,111 @@
+#include "by_cell/Work.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/HandleStore.h"
+#include "by_cell/HandleWorkers.h"
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Hangs.h"
+#include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Placement.h"
+#include "by_cell/detail/Tables.h"
+#include "by_jobs/by_jobs.h"
+
+namespace by {
+
+namespace {
+
+/// Pause between the checks for work that events missed.
+constexpr Time kCheckPause = Time::FromMilliseconds(250);
+
+void
+OpenDueJobs(CellState& aState, Time aNow)
+{
+  while (!aState.mSchedule.empty() && aState.mSchedule.begin()->first <= aNow) {
+    const auto id = aState.mSchedule.begin()->second;
+    aState.mSchedule.erase(aState.mSchedule.begin());
+    if (auto* job = detail::FindJob(aState, id)) {
+      detail::OpenDueOccurrences(aState, *job, aNow);
+    }
+  }
+}
+
+void
+DropOldOutcomes(CellState& aState, Time aNow)
+{
+  while (!aState.mOutcomesByEnd.empty() &&
+         aState.mOutcomesByEnd.begin()->first + aState.mSettings.OutcomeKept() < aNow) {
+    const auto id = aState.mOutcomesByEnd.begin()->second;
+    aState.mOutcomesByEnd.erase(aState.mOutcomesByEnd.begin());
+    aState.mOutcomes.erase(id);
+    aState.mDropped.push_back(OutcomeRecordKey(id));
+  }
+}
+
+} // namespace
+
+void
+WorkOnCell(CellState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mFenced) {
+    return;
+  }
+  if (aState.mPlaceAgain) {
+    detail::PlaceTasks(aState, aNow, aOut);
+  }
+  if (aState.mLookDue <= aNow) {
+    TendWorkers(aState, aNow, aOut);
+  }
+  FlushRecords(aState, aNow, aOut);
+}
+
+void
+CheckCell(CellState& aState, Time aNow, Effects& aOut)
+{
+  OpenDueJobs(aState, aNow);
+  AnswerStalledCallers(aState, aNow, aOut);
+  aState.mLookDue = std::min(aState.mLookDue, aNow);
+  if (aNow < aState.mLastCheck + kCheckPause) {
+    return;
+  }
+  aState.mLastCheck = aNow;
+  DropOldOutcomes(aState, aNow);
+  detail::StopHungRuns(aState, aNow, aOut);
+  const bool wasDue = aState.mPlaceAgain;
+  const auto placed = detail::PlaceTasks(aState, aNow, aOut);
+  if (!wasDue && placed > 0) {
+    ++aState.mMissedWakeups;
+  }
+}
+
+void
+ConfigureCell(CellState& aState, const ClusterConfig& aConfig)
+{
+  aState.mConfig = aConfig;
+  for (auto& [id, job] : aState.mJobs) {
+    for (const auto& [index, occurrence] : job.mOccurrences) {
+      detail::RefreshOccurrence(aState, job, index);
+    }
+  }
+  aState.mPlaceAgain = true;
+}
+
+Time
+NextWork(const CellState& aState)
+{
+  auto next = aState.mLookDue;
+  if (!aState.mSchedule.empty()) {
+    next = std::min(next, aState.mSchedule.begin()->first);
+  }
+  if (aState.mInFlight && !aState.mInFlight->mOpen) {
+    next = std::min(next, aState.mInFlight->mLastSent + aState.mSettings.AppendRetry());
+  }
+  if (!aState.mInFlight && HasUnstored(aState)) {
+    next = std::min(next, aState.mNextAppend);
+  }
+  return next;
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/WorkerRow.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "absl/container/btree_map.h"
+
+#include "by_cell/RunId.h"
+#include "by_cell/RunRow.h"
+#include "by_cell/WorkerHealth.h"
+#include "by_core/Time.h"
+#include "by_schema/WorkerRegistration.h"
+
+namespace by {
+
+/// What the owner knows of one worker.
+struct WorkerRow
+{
+  /// What it registered, or the little that a stored assignment tells of it.
+  WorkerRegistration mRegistration;
+  /// Whether the registry names it.
+  bool mRegistered{ false };
+  /// When the registry dropped it.
+  Time mGoneAt{};
+  WorkerHealth mHealth{ WorkerHealth::Unseen };
+  /// When its process started, since 1970; zero while unknown.
+  Time mBorn{};
+  /// Its clock at its last answer, and when that answer came.
+  Time mClock{};
+  Time mClockRead{};
+  /// The latest lease that was sent to it, on its clock.
+  Time mLeaseSent{};
+  /// When its lease has passed for certain, while it is lapsing.
+  Time mLapseAt{ Time::Never() };
+  /// Whether a look is on its way, and when it was sent.
+  bool mLookOpen{ false };
+  Time mLookSent{};
+  /// When to look next; Never() where nothing asks for it.
+  Time mNextLook{};
+  /// Whether the next look is to answer at once.
+  bool mLookAtOnce{ true };
+  /// Looks in a row that failed.
+  std::uint32_t mLookFailures{ 0 };
+  /// The last end that was taken note of, and the last one that is stored.
+  std::uint64_t mEndSeen{ 0 };
+  std::uint64_t mEndStored{ 0 };
+  /// The runs that take room, and the room that they take.
+  absl::btree_map<RunId, RunRow> mRuns;
+  Resources mUsed;
+  /// Runs in a row that failed here.
+  std::uint32_t mFailures{ 0 };
+  /// Until when it is set aside.
+  Time mAsideUntil{};
+  /// How many times as long as declared its tasks take.
+  double mSlowness{ 1.0 };
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/by_cell.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Module by_cell
+///
+/// Purpose: what the owner of a cell decides: which jobs it takes, where their tasks run, what is
+/// stored before what, and when a run is over for certain.
+/// Dependencies: by_core, by_schema, by_jobs.
+
+#include "by_cell/CellState.h"
+#include "by_cell/HandleRequests.h"
+#include "by_cell/HandleStore.h"
+#include "by_cell/HandleWorkers.h"
+#include "by_cell/RestoreCell.h"
+#include "by_cell/Work.h"
--- /dev/null
+++ b/modules/by_cell/detail/Emit.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "by_cell/Effects.h"
+#include "by_cell/RunId.h"
+#include "by_cell/Waiter.h"
+#include "by_schema/JobReply.h"
+
+namespace by {
+
+struct CellState;
+
+namespace detail {
+
+/// Adds an effect.
+template<class Body>
+void
+Emit(Effects& aOut, Body aBody)
+{
+  aOut.push_back(EntryEffect::Create({ .mBody = std::move(aBody) }).value());
+}
+
+/// Adds a line for the log.
+void
+Log(Effects& aOut, std::string aEvent, std::string aSubject, std::string aDetail);
+
+/// @returns a run in the form of log lines, JOB.OCCURRENCE.STEP.INDEX#RUN.
+std::string
+Named(const RunId& aRun);
+
+/// Answers a caller, through the node that holds it.
+void
+Reply(const CellState& aState, const Waiter& aWaiter, JobReply::Fields aReply, Effects& aOut);
+
+} // namespace detail
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -0,0 +1,248 @@
+#include "by_cell/detail/Jobs.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Tables.h"
+#include "by_jobs/by_jobs.h"
+
+namespace by::detail {
+
+namespace {
+
+std::pair<std::string, std::string>
+QueueKey(const JobRow& aJob)
+{
+  return { aJob.mJob.Queue().Host(), aJob.mJob.Queue().PathPrefix() };
+}
+
+bool
+CanBePlaced(const TaskRow& aTask)
+{
+  return aTask.mProgress.Phase() == TaskPhase::Waiting && aTask.mLiveRuns == 0;
+}
+
+/// A gang needs all of its members free; any other step needs one.
+bool
+HasTasksToPlace(const OccurrenceRow& aOccurrence, const StepRow& aStep, bool aGang)
+{
+  const auto first = aOccurrence.mTasks.begin() + aStep.mFirst;
+  const auto last = first + aStep.mCount;
+  return aGang ? std::all_of(first, last, CanBePlaced) : std::any_of(first, last, CanBePlaced);
+}
+
+void
+StopRunsOf(CellState& aState, const JobRow& aJob, Time aNow, Effects& aOut)
+{
+  std::vector<std::pair<std::string, RunId>> runs;
+  for (const auto& [index, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      for (std::uint32_t i = 0; i < occurrence.mSteps[s].mCount; ++i) {
+        const auto& task = occurrence.mTasks[occurrence.mSteps[s].mFirst + i];
+        if (task.mLiveRuns > 0) {
+          runs.emplace_back(
+            task.mProgress.Worker(),
+            RunId{ TaskKey::Create(
+                     { .mJob = aJob.mJob.Id(), .mOccurrence = index, .mStep = s, .mIndex = i })
+                     .value(),
+                   task.mProgress.Run() });
+        }
+      }
+    }
+  }
+  for (const auto& [worker, run] : runs) {
+    WantStop(aState, worker, run, aNow, aOut);
+  }
+}
+
+void
+ForgetReady(CellState& aState, JobRow& aJob)
+{
+  for (auto& [index, occurrence] : aJob.mOccurrences) {
+    for (auto& step : occurrence.mSteps) {
+      if (step.mReady) {
+        aState.mReady.erase(*step.mReady);
+        step.mReady.reset();
+      }
+    }
+  }
+}
+
+} // namespace
+
+OccurrenceRow&
+OpenOccurrence(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence, Time aDue)
+{
+  const auto& definition = aJob.mJob.Definition();
+  const auto chains = ChainsFrom(definition);
+  auto& occurrence = aJob.mOccurrences[aOccurrence];
+  occurrence.mDue = aDue;
+  occurrence.mTasks.resize(CountTasks(definition));
+  for (std::uint32_t s = 0; s < definition.Steps().size(); ++s) {
+    StepRow step;
+    step.mFirst = FirstTaskOf(definition, s);
+    step.mCount = definition.Steps()[s].Count();
+    step.mChain = chains[s];
+    occurrence.mSteps.push_back(std::move(step));
+  }
+  aState.mPlaceAgain = true;
+  return occurrence;
+}
+
+void
+OpenDueOccurrences(CellState& aState, JobRow& aJob, Time aNow)
+{
+  const auto& definition = aJob.mJob.Definition();
+  const auto count = CountOccurrences(definition);
+  while (aJob.mNextOccurrence < count) {
+    const auto index = aJob.mNextOccurrence;
+    const auto due = definition.Occurrences() == 0
+                       ? aJob.mJob.Accepted()
+                       : definition.FirstDue() + definition.Interval() * index;
+    if (definition.Occurrences() > 0 && due > aNow) {
+      aState.mSchedule.emplace(due, aJob.mJob.Id());
+      return;
+    }
+    ++aJob.mNextOccurrence;
+    OpenOccurrence(aState, aJob, index, due);
+    RefreshOccurrence(aState, aJob, index);
+  }
+}
+
+bool
+IsOpen(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep)
+{
+  const auto& after = StepOf(aJob, aStep).After();
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t aEarlier) {
+    return aEarlier < aOccurrence.mSteps.size() && aOccurrence.mSteps[aEarlier].mDone;
+  });
+}
+
+void
+RefreshStep(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  auto& occurrence = aJob.mOccurrences.at(aOccurrence);
+  auto& step = occurrence.mSteps[aStep];
+  const auto& definition = StepOf(aJob, aStep);
+  const bool ready = aJob.mStored && !step.mDone && IsOpen(aJob, occurrence, aStep) &&
+                     HasTasksToPlace(occurrence, step, definition.Gang());
+  if (!ready) {
+    if (step.mReady) {
+      aState.mReady.erase(*step.mReady);
+      step.mReady.reset();
+    }
+    return;
+  }
+  const auto& policy = PolicyOf(aState, aJob);
+  const auto objective = ObjectiveOf(aJob.mJob.Definition(), policy);
+  ReadyKey key{ policy.Priority(),
+                occurrence.mDue + objective - step.mChain,
+                aJob.mJob.Id(),
+                aOccurrence,
+                aStep };
+  if (step.mReady == key) {
+    return;
+  }
+  if (step.mReady) {
+    aState.mReady.erase(*step.mReady);
+  }
+  step.mReady = key;
+  aState.mReady.insert(std::move(key));
+  aState.mPlaceAgain = true;
+}
+
+void
+RefreshOccurrence(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence)
+{
+  const auto n = static_cast<std::uint32_t>(aJob.mOccurrences.at(aOccurrence).mSteps.size());
+  for (std::uint32_t s = 0; s < n; ++s) {
+    RefreshStep(aState, aJob, aOccurrence, s);
+  }
+}
+
+void
+NoteStarted(CellState& aState, JobRow& aJob)
+{
+  if (aJob.mStarted) {
+    return;
+  }
+  aJob.mStarted = true;
+  auto& waiting = aState.mUnstarted[QueueKey(aJob)];
+  if (aJob.mStored && aJob.mJob.Definition().Occurrences() == 0 && waiting > 0) {
+    --waiting;
+  }
+}
+
+void
+FinishTasks(CellState& aState,
+            JobRow& aJob,
+            std::uint32_t aOccurrence,
+            std::uint32_t aStep,
+            Time aNow,
+            Effects& aOut)
+{
+  auto& occurrence = aJob.mOccurrences.at(aOccurrence);
+  auto& step = occurrence.mSteps[aStep];
+  const auto first = occurrence.mTasks.begin() + step.mFirst;
+  step.mDone = std::all_of(first, first + step.mCount, [](const TaskRow& aTask) {
+    return aTask.mProgress.Phase() == TaskPhase::Done;
+  });
+  if (!step.mDone) {
+    return;
+  }
+  occurrence.mDone = std::all_of(occurrence.mSteps.begin(),
+                                 occurrence.mSteps.end(),
+                                 [](const StepRow& aOther) { return aOther.mDone; });
+  if (!occurrence.mDone) {
+    RefreshOccurrence(aState, aJob, aOccurrence);
+    return;
+  }
+  ++aJob.mDoneOccurrences;
+  if (aJob.mDoneOccurrences == CountOccurrences(aJob.mJob.Definition())) {
+    EndJob(aState, aJob.mJob.Id(), JobState::Completed, aNow, aOut);
+  }
+}
+
+void
+EndJob(CellState& aState, const std::string& aJob, JobState aOutcome, Time aNow, Effects& aOut)
+{
+  const auto it = aState.mJobs.find(aJob);
+  if (it == aState.mJobs.end()) {
+    return;
+  }
+  const std::string id = aJob;
+  auto& job = it->second;
+  Log(aOut,
+      "job.ended",
+      id,
+      absl::StrCat("state=",
+                   std::string(ToString(aOutcome)),
+                   " age_ms=",
+                   (aNow - job.mJob.Accepted()).Milliseconds(),
+                   " objective_ms=",
+                   (job.mObjective - job.mJob.Accepted()).Milliseconds()));
+  NoteStarted(aState, job);
+  ForgetReady(aState, job);
+  if (aOutcome != JobState::Completed) {
+    StopRunsOf(aState, job, aNow, aOut);
+  }
+  auto& outcome = aState.mOutcomes[id];
+  outcome.mState = aOutcome;
+  outcome.mEnded = aNow;
+  outcome.mSubmitters = std::move(job.mSubmitters);
+  aState.mOutcomesByEnd.emplace(aNow, id);
+  aState.mNewOutcomes.push_back(id);
+  aState.mDropped.push_back(JobRecordKey(id));
+  for (std::uint32_t n = 0; n < job.mNextOccurrence; ++n) {
+    aState.mDropped.push_back(ProgressRecordKey(id, n));
+    aState.mNewProgress.erase({ id, n });
+  }
+  std::erase(aState.mNewJobs, id);
+  aState.mJobs.erase(it);
+  aState.mPlaceAgain = true;
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_cell/detail/Lists.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "by_cell/CellState.h"
+#include "by_cell/Effects.h"
+#include "by_schema/WorkerLists.h"
+
+namespace by::detail {
+
+/// Takes note of a worker's ends, and settles the runs that it lists or no longer lists.
+void
+TakeLists(CellState& aState,
+          WorkerRow& aWorker,
+          const WorkerLists& aLists,
+          Time aNow,
+          Effects& aOut);
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_cell/detail/Placement.cpp
@@ -0,0 +1,340 @@
+#include "by_cell/detail/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Advice.h"
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Tables.h"
+
+namespace by::detail {
+
+namespace {
+
+/// Steps looked at in one pass; further ones wait for the next, so that a pass stays short.
+constexpr std::size_t kStepsInPass = 400;
+/// Workers of about the same speed are told apart by room; this wide is a class of speed.
+constexpr double kSpeedClass = 0.25;
+/// An entry that the registry dropped may be back within this time while its worker answers.
+constexpr Time kRegistryGrace = Time::FromMilliseconds(2000);
+
+using Candidates = std::vector<WorkerRow*>;
+
+bool
+HasLabel(const WorkerRow& aWorker, const std::string& aLabel)
+{
+  const auto& labels = aWorker.mRegistration.Labels();
+  return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
+bool
+IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow)
+{
+  const bool isListed =
+    aWorker.mRegistered || (aWorker.mGoneAt > Time() && aNow < aWorker.mGoneAt + kRegistryGrace);
+  if (!isListed || aWorker.mRegistration.Draining() || aWorker.mRegistration.Pool() != aPool ||
+      aWorker.mHealth != WorkerHealth::Reachable || aWorker.mLookFailures > 0) {
+    return false;
+  }
+  if (aWorker.mAsideUntil > Time()) {
+    // A worker that was set aside is probed by one run at a time.
+    return aNow >= aWorker.mAsideUntil && aWorker.mRuns.empty();
+  }
+  return true;
+}
+
+/// How much longer a task takes there, in classes; zero is best.
+std::int64_t
+SpeedClass(const CellState& aState, const WorkerRow& aWorker, const JobStep& aStep)
+{
+  auto slowness = aWorker.mSlowness;
+  if (!aStep.DataRack().IsEmpty() && aStep.DataRack() != aWorker.mRegistration.Rack()) {
+    slowness *= aState.mSettings.RemoteFactor();
+  }
+  return std::llround(slowness / kSpeedClass);
+}
+
+std::uint32_t
+RunsOfStep(const WorkerRow& aWorker, const TaskKey& aTask)
+{
+  std::uint32_t n = 0;
+  const RunId first{ aTask.WithIndex(0), 0 };
+  for (auto it = aWorker.mRuns.lower_bound(first); it != aWorker.mRuns.end(); ++it) {
+    const auto& other = it->first.mTask;
+    if (other.Job() != aTask.Job() || other.Occurrence() != aTask.Occurrence() ||
+        other.Step() != aTask.Step()) {
+      break;
+    }
+    ++n;
+  }
+  return n;
+}
+
+/// One pass over the ready steps.
+struct Pass
+{
+  CellState& mState;
+  Time mNow;
+  Effects& mOut;
+  std::map<std::string, Candidates> mPools;
+  std::size_t mPlaced{ 0 };
+
+  Candidates& Pool(const std::string& aPool)
+  {
+    auto [it, isNew] = mPools.try_emplace(aPool);
+    if (isNew) {
+      it->second = UsableWorkers(mState, aPool, mNow);
+    }
+    return it->second;
+  }
+};
+
+WorkerRow*
+BestWorker(Pass& aPass,
+           const Candidates& aCandidates,
+           const JobStep& aStep,
+           const StepAdvice* aAdvice,
+           const TaskKey& aTask,
+           const RackId* aRack)
+{
+  WorkerRow* best = nullptr;
+  auto bestScore = std::make_pair(std::numeric_limits<std::int64_t>::max(),
+                                  std::numeric_limits<std::int64_t>::max());
+  for (auto* worker : aCandidates) {
+    if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack) ||
+        (aAdvice != nullptr && !HasTicket(*aAdvice, worker->mRegistration.Id(), aPass.mNow))) {
+      continue;
+    }
+    if (worker->mAsideUntil > Time() && !worker->mRuns.empty()) {
+      continue;
+    }
+    if (aStep.SpreadLimit() > 0 && RunsOfStep(*worker, aTask) >= aStep.SpreadLimit()) {
+      continue;
+    }
+    const auto score =
+      std::make_pair(SpeedClass(aPass.mState, *worker, aStep), FreeOn(*worker).CpuMillis());
+    if (score < bestScore) {
+      best = worker;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+void
+Assign(Pass& aPass, JobRow& aJob, const TaskKey& aTask, WorkerRow& aWorker, std::uint32_t aRun)
+{
+  auto* task = FindTask(aPass.mState, aTask);
+  ChangeProgress(*task, [&](auto& aFields) {
+    aFields.mPhase = TaskPhase::Assigned;
+    aFields.mRun = aRun;
+    aFields.mWorker = aWorker.mRegistration.Id();
+    aFields.mWorkerBorn = aWorker.mBorn;
+  });
+  const auto& step = StepOf(aJob, aTask.Step());
+  const RunId run{ aTask, aRun };
+  RunRow row;
+  row.mPhase = RunPhase::Planned;
+  row.mDemand = step.Scavenging() ? step.Demand().WithCpuMillis(0) : step.Demand();
+  row.mSince = aPass.mNow;
+  row.mEstimate = step.Estimate();
+  AddRun(aPass.mState, aWorker, run, std::move(row));
+  aPass.mState.mNewProgress.emplace(aTask.Job(), aTask.Occurrence());
+  aPass.mState.mNext.mStarts.emplace_back(aWorker.mRegistration.Id(), run);
+  ++aPass.mPlaced;
+  Log(aPass.mOut,
+      "task.placed",
+      Named(run),
+      absl::StrCat("worker=",
+                   aWorker.mRegistration.Id(),
+                   " age_ms=",
+                   (aPass.mNow - aJob.mJob.Accepted()).Milliseconds(),
+                   " free_cpu=",
+                   FreeOn(aWorker).CpuMillis(),
+                   " slowness_percent=",
+                   std::llround(aWorker.mSlowness * 100)));
+}
+
+void
+PlaceSingles(Pass& aPass,
+             JobRow& aJob,
+             const ReadyKey& aKey,
+             const Candidates& aCandidates,
+             const StepAdvice* aAdvice)
+{
+  const auto& step = StepOf(aJob, aKey.mStep);
+  for (std::uint32_t i = 0; i < step.Count(); ++i) {
+    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+                                        .mOccurrence = aKey.mOccurrence,
+                                        .mStep = aKey.mStep,
+                                        .mIndex = i })
+                        .value();
+    const auto* row = FindTask(aPass.mState, task);
+    if (row->mProgress.Phase() != TaskPhase::Waiting || row->mLiveRuns > 0) {
+      continue;
+    }
+    auto* worker = BestWorker(aPass, aCandidates, step, aAdvice, task, nullptr);
+    if (worker == nullptr) {
+      return;
+    }
+    Assign(aPass, aJob, task, *worker, row->mProgress.Run() + 1);
+  }
+}
+
+/// Finds a worker for every member, with the room of the earlier members taken.
+std::vector<WorkerRow*>
+HostsOfGang(Pass& aPass,
+            const JobRow& aJob,
+            const ReadyKey& aKey,
+            const Candidates& aCandidates,
+            const StepAdvice* aAdvice,
+            const RackId* aRack)
+{
+  const auto& step = StepOf(aJob, aKey.mStep);
+  std::vector<WorkerRow*> hosts;
+  for (std::uint32_t i = 0; i < step.Count(); ++i) {
+    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+                                        .mOccurrence = aKey.mOccurrence,
+                                        .mStep = aKey.mStep,
+                                        .mIndex = i })
+                        .value();
+    auto* worker = BestWorker(aPass, aCandidates, step, aAdvice, task, aRack);
+    if (worker == nullptr) {
+      break;
+    }
+    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, RunRow());
+    worker->mUsed = Plus(worker->mUsed, step.Demand());
+    hosts.push_back(worker);
+  }
+  for (std::uint32_t i = 0; i < hosts.size(); ++i) {
+    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+                                        .mOccurrence = aKey.mOccurrence,
+                                        .mStep = aKey.mStep,
+                                        .mIndex = i })
+                        .value();
+    hosts[i]->mRuns.erase(RunId{ task, std::numeric_limits<std::uint32_t>::max() });
+    hosts[i]->mUsed = Minus(hosts[i]->mUsed, step.Demand());
+  }
+  return hosts;
+}
+
+std::vector<RackId>
+RacksOf(const Candidates& aCandidates)
+{
+  std::vector<RackId> racks;
+  for (const auto* worker : aCandidates) {
+    racks.push_back(worker->mRegistration.Rack());
+  }
+  std::sort(racks.begin(), racks.end());
+  racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+  return racks;
+}
+
+void
+PlaceGang(Pass& aPass,
+          JobRow& aJob,
+          const ReadyKey& aKey,
+          const Candidates& aCandidates,
+          const StepAdvice* aAdvice)
+{
+  const auto& step = StepOf(aJob, aKey.mStep);
+  std::vector<WorkerRow*> hosts;
+  if (step.SameRack()) {
+    for (const auto& rack : RacksOf(aCandidates)) {
+      hosts = HostsOfGang(aPass, aJob, aKey, aCandidates, aAdvice, &rack);
+      if (hosts.size() == step.Count()) {
+        break;
+      }
+    }
+  }
+  if (hosts.size() < step.Count()) {
+    hosts = HostsOfGang(aPass, aJob, aKey, aCandidates, aAdvice, nullptr);
+  }
+  if (hosts.size() < step.Count()) {
+    return;
+  }
+  std::uint32_t run = 0;
+  const auto& occurrence = aJob.mOccurrences.at(aKey.mOccurrence);
+  const auto first = occurrence.mSteps[aKey.mStep].mFirst;
+  for (std::uint32_t i = 0; i < step.Count(); ++i) {
+    run = std::max(run, occurrence.mTasks[first + i].mProgress.Run());
+  }
+  for (std::uint32_t i = 0; i < step.Count(); ++i) {
+    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+                                        .mOccurrence = aKey.mOccurrence,
+                                        .mStep = aKey.mStep,
+                                        .mIndex = i })
+                        .value();
+    Assign(aPass, aJob, task, *hosts[i], run + 1);
+  }
+}
+
+void
+PlaceStep(Pass& aPass, const ReadyKey& aKey)
+{
+  auto* job = FindJob(aPass.mState, aKey.mJob);
+  if (job == nullptr) {
+    return;
+  }
+  const auto& policy = PolicyOf(aPass.mState, *job);
+  const auto& candidates = aPass.Pool(policy.Pool());
+  auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
+  const auto* advice = policy.Advice() ? &row.mAdvice : nullptr;
+  if (StepOf(*job, aKey.mStep).Gang()) {
+    PlaceGang(aPass, *job, aKey, candidates, advice);
+  } else {
+    PlaceSingles(aPass, *job, aKey, candidates, advice);
+  }
+  RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
+  if (advice != nullptr && row.mReady) {
+    AskForStep(
+      aPass.mState, *job, aKey.mOccurrence, aKey.mStep, aPass.mNow, aPass.mOut);
+  }
+}
+
+} // namespace
+
+std::vector<WorkerRow*>
+UsableWorkers(CellState& aState, const std::string& aPool, Time aNow)
+{
+  std::vector<WorkerRow*> usable;
+  for (auto& [id, worker] : aState.mWorkers) {
+    if (IsUsable(worker, aPool, aNow)) {
+      usable.push_back(&worker);
+    }
+  }
+  return usable;
+}
+
+bool
+CanHost(const WorkerRow& aWorker, const JobStep& aStep)
+{
+  const auto demand = aStep.Scavenging() ? aStep.Demand().WithCpuMillis(0) : aStep.Demand();
+  return HasLabel(aWorker, aStep.RequiredLabel()) && Fits(demand, FreeOn(aWorker));
+}
+
+std::size_t
+PlaceTasks(CellState& aState, Time aNow, Effects& aOut)
+{
+  aState.mPlaceAgain = false;
+  Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {}, .mPlaced = 0 };
+  std::vector<ReadyKey> keys;
+  for (const auto& key : aState.mReady) {
+    keys.push_back(key);
+    if (keys.size() == kStepsInPass) {
+      break;
+    }
+  }
+  for (const auto& key : keys) {
+    PlaceStep(pass, key);
+  }
+  return pass.mPlaced;
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_cell/detail/Runs.cpp
@@ -0,0 +1,387 @@
+#include "by_cell/detail/Runs.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Tables.h"
+
+namespace by::detail {
+
+namespace {
+
+/// How much one more end counts in the average of a worker's slowness.
+constexpr double kSlownessWeight = 0.2;
+/// A straggler counts as this much at most, since a few tasks take many times as long anywhere.
+constexpr double kSlownessCap = 3.0;
+/// The least that is believed of a worker's speed.
+constexpr double kSlownessFloor = 0.3;
+
+std::vector<TaskKey>
+MembersOf(const TaskKey& aTask, const StepRow& aStep)
+{
+  std::vector<TaskKey> members;
+  for (std::uint32_t i = 0; i < aStep.mCount; ++i) {
+    members.push_back(aTask.WithIndex(i));
+  }
+  return members;
+}
+
+bool
+IsGang(CellState& aState, const TaskKey& aTask)
+{
+  const auto* job = FindJob(aState, aTask.Job());
+  return job != nullptr && StepOf(*job, aTask.Step()).Gang();
+}
+
+StepRow&
+StepRowOf(JobRow& aJob, const TaskKey& aTask)
+{
+  return aJob.mOccurrences.at(aTask.Occurrence()).mSteps[aTask.Step()];
+}
+
+void
+MarkProgress(CellState& aState, const TaskKey& aTask)
+{
+  aState.mNewProgress.emplace(aTask.Job(), aTask.Occurrence());
+}
+
+void
+LearnSpeed(WorkerRow& aWorker, const RunRow& aRun, Time aNow)
+{
+  if (aRun.mPhase != RunPhase::Confirmed || aRun.mEstimate <= Time() ||
+      aRun.mOrderedAt <= Time()) {
+    return;
+  }
+  const auto took = static_cast<double>((aNow - aRun.mOrderedAt).Milliseconds());
+  const auto ratio = std::clamp(took / static_cast<double>(aRun.mEstimate.Milliseconds()),
+                                kSlownessFloor,
+                                kSlownessCap);
+  aWorker.mSlowness += kSlownessWeight * (ratio - aWorker.mSlowness);
+}
+
+void
+LearnHealth(const CellState& aState, WorkerRow& aWorker, RunEnd aHow, Time aNow, Effects& aOut)
+{
+  if (aHow == RunEnd::Done) {
+    aWorker.mFailures = 0;
+    aWorker.mAsideUntil = Time();
+    return;
+  }
+  if (aHow != RunEnd::Failed) {
+    return;
+  }
+  ++aWorker.mFailures;
+  if (aWorker.mFailures >= aState.mSettings.FailureLimit()) {
+    aWorker.mAsideUntil = aNow + aState.mSettings.Aside();
+    Log(aOut,
+        "worker.aside",
+        aWorker.mRegistration.Id(),
+        absl::StrCat("failures_in_a_row=",
+                     aWorker.mFailures,
+                     " for_ms=",
+                     aState.mSettings.Aside().Milliseconds()));
+  }
+}
+
+/// One end of a member stands for all of them.
+void
+FinishGang(CellState& aState, JobRow& aJob, const TaskKey& aTask)
+{
+  for (const auto& member : MembersOf(aTask, StepRowOf(aJob, aTask))) {
+    ChangeProgress(*FindTask(aState, member), [](auto& aFields) {
+      aFields.mPhase = TaskPhase::Done;
+      aFields.mCheckpoint.clear();
+    });
+  }
+}
+
+void
+FinishTask(CellState& aState, JobRow& aJob, const TaskKey& aTask, Time aNow, Effects& aOut)
+{
+  const auto& step = StepOf(aJob, aTask.Step());
+  if (step.LongRunning()) {
+    Requeue(aState, aTask, aNow, aOut);
+    return;
+  }
+  MarkProgress(aState, aTask);
+  if (step.Gang()) {
+    FinishGang(aState, aJob, aTask);
+  } else {
+    ChangeProgress(*FindTask(aState, aTask), [](auto& aFields) {
+      aFields.mPhase = TaskPhase::Done;
+      aFields.mCheckpoint.clear();
+    });
+  }
+  FinishTasks(aState, aJob, aTask.Occurrence(), aTask.Step(), aNow, aOut);
+}
+
+/// @returns the runs that failed, of a task or of all members of its gang.
+std::uint32_t
+FailuresOf(CellState& aState, JobRow& aJob, const TaskKey& aTask)
+{
+  if (!StepOf(aJob, aTask.Step()).Gang()) {
+    return FindTask(aState, aTask)->mProgress.Failures();
+  }
+  std::uint32_t n = 0;
+  for (const auto& member : MembersOf(aTask, StepRowOf(aJob, aTask))) {
+    n += FindTask(aState, member)->mProgress.Failures();
+  }
+  return n;
+}
+
+void
+FailTask(CellState& aState, JobRow& aJob, const TaskKey& aTask, Time aNow, Effects& aOut)
+{
+  MarkProgress(aState, aTask);
+  ChangeProgress(*FindTask(aState, aTask), [](auto& aFields) { ++aFields.mFailures; });
+  const auto attempts = std::max<std::uint32_t>(1, PolicyOf(aState, aJob).MaxAttempts());
+  const auto failures = FailuresOf(aState, aJob, aTask);
+  const bool isHopeless = !StepOf(aJob, aTask.Step()).LongRunning() && failures >= attempts;
+  Log(aOut,
+      "task.failed",
+      Named({ aTask, FindTask(aState, aTask)->mProgress.Run() }),
+      absl::StrCat("failures=", failures, " attempts=", attempts));
+  if (isHopeless) {
+    EndJob(aState, aTask.Job(), JobState::Failed, aNow, aOut);
+    return;
+  }
+  Requeue(aState, aTask, aNow, aOut);
+}
+
+void
+KeepCheckpoint(CellState& aState, const TaskKey& aTask, const std::string& aCheckpoint)
+{
+  auto* job = FindJob(aState, aTask.Job());
+  if (aCheckpoint.empty() || job == nullptr || !StepOf(*job, aTask.Step()).Checkpointing()) {
+    return;
+  }
+  const auto members = StepOf(*job, aTask.Step()).Gang()
+                         ? MembersOf(aTask, StepRowOf(*job, aTask))
+                         : std::vector<TaskKey>{ aTask };
+  for (const auto& member : members) {
+    ChangeProgress(*FindTask(aState, member),
+                   [&](auto& aFields) { aFields.mCheckpoint = aCheckpoint; });
+  }
+}
+
+} // namespace
+
+RunRow&
+AddRun(CellState& aState, WorkerRow& aWorker, const RunId& aRun, RunRow aRow)
+{
+  auto [it, isNew] = aWorker.mRuns.emplace(aRun, std::move(aRow));
+  if (isNew) {
+    aWorker.mUsed = Plus(aWorker.mUsed, it->second.mDemand);
+    if (auto* task = FindTask(aState, aRun.mTask)) {
+      ++task->mLiveRuns;
+    }
+  }
+  return it->second;
+}
+
+void
+DropRun(CellState& aState, WorkerRow& aWorker, const RunId& aRun)
+{
+  const auto it = aWorker.mRuns.find(aRun);
+  if (it == aWorker.mRuns.end()) {
+    return;
+  }
+  aWorker.mUsed = Minus(aWorker.mUsed, it->second.mDemand);
+  aWorker.mRuns.erase(it);
+  aState.mPlaceAgain = true;
+  auto* task = FindTask(aState, aRun.mTask);
+  if (task != nullptr && task->mLiveRuns > 0) {
+    --task->mLiveRuns;
+    RefreshStep(aState,
+                *FindJob(aState, aRun.mTask.Job()),
+                aRun.mTask.Occurrence(),
+                aRun.mTask.Step());
+  }
+}
+
+void
+EndRun(CellState& aState,
+       WorkerRow& aWorker,
+       const RunId& aRun,
+       RunEnd aHow,
+       const std::string& aCheckpoint,
+       Time aNow,
+       Effects& aOut)
+{
+  const auto it = aWorker.mRuns.find(aRun);
+  const bool known = it != aWorker.mRuns.end();
+  Log(aOut,
+      "run.ended",
+      Named(aRun),
+      absl::StrCat("worker=",
+                   aWorker.mRegistration.Id(),
+                   " how=",
+                   std::string(ToString(aHow)),
+                   " known=",
+                   known,
+                   " ran_ms=",
+                   known ? (aNow - it->second.mOrderedAt).Milliseconds() : 0));
+  if (known) {
+    if (aHow == RunEnd::Done) {
+      LearnSpeed(aWorker, it->second, aNow);
+    }
+    LearnHealth(aState, aWorker, aHow, aNow, aOut);
+    DropRun(aState, aWorker, aRun);
+  }
+  auto* job = FindJob(aState, aRun.mTask.Job());
+  auto* task = FindTask(aState, aRun.mTask);
+  if (job == nullptr || task == nullptr || task->mProgress.Phase() == TaskPhase::Done) {
+    return;
+  }
+  const bool isCurrent = task->mProgress.Phase() == TaskPhase::Assigned &&
+                         task->mProgress.Run() == aRun.mRun &&
+                         task->mProgress.Worker() == aWorker.mRegistration.Id();
+  const bool isLateDone = aHow == RunEnd::Done && task->mProgress.Phase() == TaskPhase::Waiting &&
+                          task->mLiveRuns == 0;
+  if (!isCurrent && !isLateDone) {
+    return;
+  }
+  KeepCheckpoint(aState, aRun.mTask, aCheckpoint);
+  if (aHow == RunEnd::Done) {
+    FinishTask(aState, *job, aRun.mTask, aNow, aOut);
+  } else if (aHow == RunEnd::Failed) {
+    FailTask(aState, *job, aRun.mTask, aNow, aOut);
+  } else {
+    Requeue(aState, aRun.mTask, aNow, aOut);
+  }
+}
+
+void
+EndAllRuns(CellState& aState, WorkerRow& aWorker, RunEnd aHow, Time aNow, Effects& aOut)
+{
+  std::vector<RunId> runs;
+  for (const auto& [run, row] : aWorker.mRuns) {
+    runs.push_back(run);
+  }
+  for (const auto& run : runs) {
+    EndRun(aState, aWorker, run, aHow, "", aNow, aOut);
+  }
+}
+
+void
+WantStop(CellState& aState,
+         const std::string& aWorker,
+         const RunId& aRun,
+         Time aNow,
+         Effects& aOut)
+{
+  const auto worker = aState.mWorkers.find(aWorker);
+  if (worker == aState.mWorkers.end()) {
+    return;
+  }
+  const auto it = worker->second.mRuns.find(aRun);
+  if (it == worker->second.mRuns.end() || it->second.mStopWanted) {
+    return;
+  }
+  if (it->second.mPhase == RunPhase::Planned) {
+    DropRun(aState, worker->second, aRun);
+    return;
+  }
+  it->second.mStopWanted = true;
+  it->second.mStartAgain = Time::Never();
+  if (it->second.mPhase != RunPhase::Inherited) {
+    SendStop(aState, worker->second, aRun, aOut);
+  }
+  LookBy(aState, worker->second, aNow);
+}
+
+void
+SendStart(CellState& aState, WorkerRow& aWorker, const RunId& aRun, Time aNow, Effects& aOut)
+{
+  auto& row = aWorker.mRuns.at(aRun);
+  auto* job = FindJob(aState, aRun.mTask.Job());
+  auto* task = FindTask(aState, aRun.mTask);
+  if (job == nullptr || task == nullptr) {
+    return;
+  }
+  const auto& advice =
+    job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()].mAdvice;
+  const auto ticket = advice.mTickets.find(aWorker.mRegistration.Id());
+  const auto lease = LeaseFor(aState, aWorker, aNow);
+  aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, lease);
+  if (row.mPhase == RunPhase::Planned) {
+    row.mPhase = RunPhase::Ordered;
+    row.mOrderedAt = aNow;
+    row.mSince = aNow;
+  }
+  row.mStartOpen = true;
+  row.mStartAgain = Time::Never();
+  NoteStarted(aState, *job);
+  Emit(aOut,
+       StartRun::Create(
+         { .mWorker = aWorker.mRegistration.Id(),
+           .mEndpoint = aWorker.mRegistration.Endpoint(),
+           .mTask = aRun.mTask,
+           .mRun = aRun.mRun,
+           .mPayload = job->mJob.Definition().Payload(),
+           .mLeaseUntil = lease,
+           .mEpoch = aState.mEpoch,
+           .mCheckpoint = task->mProgress.Checkpoint(),
+           .mTicket = ticket == advice.mTickets.end() ? std::string() : ticket->second })
+         .value());
+}
+
+void
+SendStop(CellState& aState, WorkerRow& aWorker, const RunId& aRun, Effects& aOut)
+{
+  auto& row = aWorker.mRuns.at(aRun);
+  row.mStopOpen = true;
+  row.mStopAgain = Time::Never();
+  Emit(aOut,
+       StopRun::Create({ .mWorker = aWorker.mRegistration.Id(),
+                         .mEndpoint = aWorker.mRegistration.Endpoint(),
+                         .mTask = aRun.mTask,
+                         .mRun = aRun.mRun,
+                         .mEpoch = aState.mEpoch })
+         .value());
+}
+
+void
+Requeue(CellState& aState, const TaskKey& aTask, Time aNow, Effects& aOut)
+{
+  auto* job = FindJob(aState, aTask.Job());
+  if (job == nullptr) {
+    return;
+  }
+  const auto members = IsGang(aState, aTask) ? MembersOf(aTask, StepRowOf(*job, aTask))
+                                             : std::vector<TaskKey>{ aTask };
+  for (const auto& member : members) {
+    auto* task = FindTask(aState, member);
+    if (task->mProgress.Phase() != TaskPhase::Assigned) {
+      continue;
+    }
+    const auto worker = task->mProgress.Worker();
+    const RunId run{ member, task->mProgress.Run() };
+    ChangeProgress(*task, [](auto& aFields) {
+      aFields.mPhase = TaskPhase::Waiting;
+      aFields.mWorker.clear();
+    });
+    WantStop(aState, worker, run, aNow, aOut);
+  }
+  MarkProgress(aState, aTask);
+  RefreshStep(aState, *job, aTask.Occurrence(), aTask.Step());
+}
+
+Time
+LeaseFor(const CellState& aState, const WorkerRow& aWorker, Time aNow)
+{
+  const auto clock = aWorker.mClock + (aNow - aWorker.mClockRead);
+  return clock + std::min(aState.mSettings.Lease(), aState.mSettings.LongestLease());
+}
+
+void
+LookBy(CellState& aState, WorkerRow& aWorker, Time aTime)
+{
+  aWorker.mNextLook = std::min(aWorker.mNextLook, aTime);
+  aState.mLookDue = std::min(aState.mLookDue, aTime);
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_cell/detail/Tables.cpp
@@ -0,0 +1,99 @@
+#include "by_cell/detail/Tables.h"
+
+namespace by::detail {
+
+JobRow*
+FindJob(CellState& aState, const std::string& aJob)
+{
+  const auto it = aState.mJobs.find(aJob);
+  return it == aState.mJobs.end() ? nullptr : &it->second;
+}
+
+OccurrenceRow*
+FindOccurrence(CellState& aState, const std::string& aJob, std::uint32_t aOccurrence)
+{
+  auto* job = FindJob(aState, aJob);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto it = job->mOccurrences.find(aOccurrence);
+  return it == job->mOccurrences.end() ? nullptr : &it->second;
+}
+
+TaskRow*
+FindTask(CellState& aState, const TaskKey& aTask)
+{
+  auto* occurrence = FindOccurrence(aState, aTask.Job(), aTask.Occurrence());
+  if (occurrence == nullptr || aTask.Step() >= occurrence->mSteps.size()) {
+    return nullptr;
+  }
+  const auto& step = occurrence->mSteps[aTask.Step()];
+  if (aTask.Index() >= step.mCount) {
+    return nullptr;
+  }
+  return &occurrence->mTasks[step.mFirst + aTask.Index()];
+}
+
+const JobStep&
+StepOf(const JobRow& aJob, std::uint32_t aStep)
+{
+  return aJob.mJob.Definition().Steps()[aStep];
+}
+
+const QueuePolicy&
+PolicyOf(const CellState& aState, const JobRow& aJob)
+{
+  const auto& accepted = aJob.mJob.Queue();
+  for (const auto& queue : aState.mConfig.Queues()) {
+    if (queue.Host() == accepted.Host() && queue.PathPrefix() == accepted.PathPrefix()) {
+      return queue;
+    }
+  }
+  return accepted;
+}
+
+bool
+GuardsCapacity(const CellState& aState, const std::string& aPool)
+{
+  for (const auto& pool : aState.mConfig.Pools()) {
+    if (pool.Name() == aPool) {
+      return pool.GuardsCapacity();
+    }
+  }
+  return false;
+}
+
+Resources
+Plus(const Resources& aLeft, const Resources& aRight)
+{
+  return Resources::Create({ .mCpuMillis = aLeft.CpuMillis() + aRight.CpuMillis(),
+                             .mMemoryMb = aLeft.MemoryMb() + aRight.MemoryMb(),
+                             .mAccelerators = aLeft.Accelerators() + aRight.Accelerators(),
+                             .mSlots = aLeft.Slots() + aRight.Slots() })
+    .value();
+}
+
+Resources
+Minus(const Resources& aLeft, const Resources& aRight)
+{
+  return Resources::Create({ .mCpuMillis = aLeft.CpuMillis() - aRight.CpuMillis(),
+                             .mMemoryMb = aLeft.MemoryMb() - aRight.MemoryMb(),
+                             .mAccelerators = aLeft.Accelerators() - aRight.Accelerators(),
+                             .mSlots = aLeft.Slots() - aRight.Slots() })
+    .value();
+}
+
+bool
+Fits(const Resources& aDemand, const Resources& aFree)
+{
+  return aDemand.CpuMillis() <= aFree.CpuMillis() && aDemand.MemoryMb() <= aFree.MemoryMb() &&
+         aDemand.Accelerators() <= aFree.Accelerators();
+}
+
+Resources
+FreeOn(const WorkerRow& aWorker)
+{
+  return Minus(aWorker.mRegistration.Capacity(), aWorker.mUsed);
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_cell/detail/Tables.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+
+#include "by_cell/CellState.h"
+#include "by_cell/RunId.h"
+#include "by_schema/JobStep.h"
+
+namespace by::detail {
+
+/// @returns the job's row, or nullptr where it has ended or is unknown.
+JobRow*
+FindJob(CellState& aState, const std::string& aJob);
+
+/// @returns the occurrence's row, or nullptr.
+OccurrenceRow*
+FindOccurrence(CellState& aState, const std::string& aJob, std::uint32_t aOccurrence);
+
+/// @returns the task's row, or nullptr.
+TaskRow*
+FindTask(CellState& aState, const TaskKey& aTask);
+
+/// @returns the step's definition; the job must be known.
+const JobStep&
+StepOf(const JobRow& aJob, std::uint32_t aStep);
+
+/// @returns the queue's policy as the configuration in force has it, or as the job was accepted.
+const QueuePolicy&
+PolicyOf(const CellState& aState, const JobRow& aJob);
+
+/// @returns whether the pool's configuration says that its workers refuse what does not fit.
+bool
+GuardsCapacity(const CellState& aState, const std::string& aPool);
+
+/// @returns one amount added to another.
+Resources
+Plus(const Resources& aLeft, const Resources& aRight);
+
+/// @returns one amount taken from another.
+Resources
+Minus(const Resources& aLeft, const Resources& aRight);
+
+/// @returns whether an amount fits into what is free.
+bool
+Fits(const Resources& aDemand, const Resources& aFree);
+
+/// @returns what is free on a worker.
+Resources
+FreeOn(const WorkerRow& aWorker);
+
+/// Changes fields of a task's progress.
+template<class Change>
+void
+ChangeProgress(TaskRow& aTask, Change aChange)
+{
+  auto fields = aTask.mProgress.ToFields();
+  aChange(fields);
+  aTask.mProgress = TaskProgress::Create(std::move(fields)).value();
+}
+
+} // namespace by::detail
--- a/modules/by_client/detail/HttpConnection.cpp
+++ b/modules/by_client/detail/HttpConnection.cpp
@@ -46,6 +46,9 @@
   if (!aCall.Body().empty()) {
     request.set(http::field::content_type, "application/json");
   }
+  for (const auto& header : aCall.Headers()) {
+    request.set(header.Name(), header.Value());
+  }
   request.body() = aCall.Body();
   request.prepare_payload();
   return request;
--- /dev/null
+++ b/modules/by_entry/EntryState.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "by_cell/CellState.h"
+#include "by_entry/OpenCall.h"
+#include "by_entry/OwnerPhase.h"
+#include "by_schema/CellClaim.h"
+#include "by_schema/ClusterConfig.h"
+#include "by_schema/EntrySettings.h"
+
+namespace by {
+
+/// All that an entry node knows.
+struct EntryState
+{
+  EntrySettings mSettings;
+  /// The configuration in force; absent before the first.
+  std::optional<ClusterConfig> mConfig;
+
+  /// The group of entry nodes.
+  std::uint64_t mGeneration{ 0 };
+  bool mJoinOpen{ false };
+  Time mNextJoin{};
+  /// When the last join was sent that the store answered.
+  Time mJoinedAt{};
+  /// Whether the group gave the cell to this node.
+  bool mChosen{ false };
+
+  /// The way to ownership.
+  OwnerPhase mPhase{ OwnerPhase::Member };
+  std::uint64_t mEpoch{ 0 };
+  std::uint64_t mReadNumber{ 0 };
+  /// When a step of the way that failed is tried again.
+  Time mRetryAt{ Time::Never() };
+  /// The cell, while this node owns it.
+  std::optional<CellState> mCell;
+
+  /// The newest claim that was read.
+  std::optional<CellClaim> mOwner;
+  /// The link to the owner.
+  bool mLinkUp{ false };
+  Time mOwnerHeardAt{};
+  Time mNextBeat{};
+  Time mConnectedAt{};
+  /// Nodes that opened a link to this one.
+  std::set<std::string> mMembers;
+
+  /// Callers' requests that are not answered.
+  std::map<std::uint64_t, OpenCall> mCalls;
+  /// What was last said of readiness.
+  std::optional<bool> mReady;
+  /// A planned stop: when it was asked for, and when the process ends at the latest.
+  bool mStopping{ false };
+  bool mLeft{ false };
+  Time mStopAskedAt{};
+  Time mStopBy{ Time::Never() };
+  bool mExited{ false };
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_entry/detail/Calls.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "by_cell/Effects.h"
+#include "by_entry/EntryState.h"
+#include "by_schema/JobCall.h"
+#include "by_schema/JobReply.h"
+
+namespace by::detail {
+
+/// Takes a caller's request in: answers it, or hands it to the owner.
+void
+TakeCall(EntryState& aState, const JobCall& aCall, Time aNow, Effects& aOut);
+
+/// Takes the owner's answer to a caller's request.
+void
+TakeReply(EntryState& aState, const JobReply& aReply, Effects& aOut);
+
+/// Hands all requests to the owner that wait for one.
+void
+HandOver(EntryState& aState, Time aNow, Effects& aOut);
+
+/// Answers the requests that were handed to an owner which is gone.
+void
+GiveUpHanded(EntryState& aState, const char* aReason, Effects& aOut);
+
+/// Answers the requests that waited long enough.
+void
+CheckCalls(EntryState& aState, Time aNow, Effects& aOut);
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entry/detail/Links.cpp
@@ -0,0 +1,206 @@
+#include "by_entry/detail/Links.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/HandleRequests.h"
+#include "by_cell/HandleWorkers.h"
+#include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Calls.h"
+
+namespace by::detail {
+
+namespace {
+
+/// Pause before a link that could not be opened is tried again.
+constexpr Time kLinkRetry = Time::FromMilliseconds(200);
+
+template<class Body>
+LinkMessage
+MessageOf(Body aBody)
+{
+  return LinkMessage::Create({ .mBody = std::move(aBody) }).value();
+}
+
+bool
+IsOwnClaim(const EntryState& aState, const CellClaim& aClaim)
+{
+  return aClaim.Node() == aState.mSettings.Node();
+}
+
+/// A question for advice has no effect, so each node asks on behalf of any owner.
+void
+AskFor(const AskAdvice& aAsk, Effects& aOut)
+{
+  Emit(aOut, aAsk);
+}
+
+void
+TakeRequest(EntryState& aState,
+            const std::string& aNode,
+            const CellRequest& aRequest,
+            Time aNow,
+            Effects& aOut)
+{
+  if (aState.mPhase == OwnerPhase::Owner) {
+    HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
+    return;
+  }
+  Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
+  auto reply = JobReply::Create({ .mCall = aRequest.Call(),
+                                  .mVerdict = JobVerdict::Refused,
+                                  .mRetryAfter = aState.mSettings.RetryAfter() })
+                 .value();
+  Emit(aOut,
+       SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(reply)) }).value());
+}
+
+} // namespace
+
+void
+FollowOwner(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
+{
+  Log(aOut,
+      "owner.known",
+      absl::StrCat("epoch ", aClaim.Epoch()),
+      absl::StrCat("node=", aClaim.Node(), " link=", aClaim.Link().Address()));
+  aState.mOwner = aClaim;
+  aState.mLinkUp = false;
+  if (aState.mPhase != OwnerPhase::Owner) {
+    GiveUpHanded(aState, "the owner changed", aOut);
+  }
+  if (IsOwnClaim(aState, aClaim)) {
+    return;
+  }
+  Reconnect(aState, aNow, aOut);
+}
+
+void
+Reconnect(EntryState& aState, Time aNow, Effects& aOut)
+{
+  aState.mLinkUp = false;
+  aState.mConnectedAt = aNow;
+  Emit(aOut, ConnectToOwner::Create({ .mPeer = aState.mOwner->Link() }).value());
+}
+
+void
+TakeLinkChanged(EntryState& aState, const LinkChanged& aEvent, Time aNow, Effects& aOut)
+{
+  if (!aState.mOwner || aState.mOwner->Link() != aEvent.Peer() ||
+      aState.mPhase == OwnerPhase::Owner) {
+    return;
+  }
+  if (aState.mLinkUp != aEvent.Up()) {
+    Log(aOut,
+        aEvent.Up() ? "link.regained" : "link.lost",
+        aState.mOwner->Node(),
+        absl::StrCat("epoch=", aState.mOwner->Epoch()));
+  }
+  aState.mLinkUp = aEvent.Up();
+  if (!aEvent.Up()) {
+    GiveUpHanded(aState, "the link to the owner broke", aOut);
+    return;
+  }
+  aState.mOwnerHeardAt = aNow;
+  aState.mNextBeat = aNow + aState.mSettings.BeatPause();
+  Emit(aOut,
+       SendToOwner::Create(
+         { .mMessage = MessageOf(LinkHello::Create({ .mNode = aState.mSettings.Node(),
+                                                     .mIncarnation = aState.mSettings.Incarnation(),
+                                                     .mEpoch = aState.mOwner->Epoch() })
+                                   .value()) })
+         .value());
+  HandOver(aState, aNow, aOut);
+}
+
+void
+TakeFromOwner(EntryState& aState, const FromOwner& aEvent, Time aNow, Effects& aOut)
+{
+  aState.mOwnerHeardAt = aNow;
+  const auto& body = aEvent.Message().Body();
+  if (const auto* reply = std::get_if<JobReply>(&body)) {
+    TakeReply(aState, *reply, aOut);
+  } else if (const auto* ask = std::get_if<AskAdvice>(&body)) {
+    AskFor(*ask, aOut);
+  } else if (const auto* leaving = std::get_if<OwnerLeaving>(&body)) {
+    Log(aOut, "owner.leaving", absl::StrCat("epoch ", leaving->Epoch()), "next=join at once");
+    aState.mNextJoin = aNow;
+    aState.mLinkUp = false;
+  }
+}
+
+void
+TakeFromMember(EntryState& aState, const FromMember& aEvent, Time aNow, Effects& aOut)
+{
+  const auto& body = aEvent.Message().Body();
+  if (const auto* request = std::get_if<CellRequest>(&body)) {
+    TakeRequest(aState, aEvent.Node(), *request, aNow, aOut);
+  } else if (const auto* advice = std::get_if<AdviceAnswered>(&body)) {
+    if (aState.mCell) {
+      HandleAdvice(*aState.mCell, *advice, aNow, aOut);
+    }
+  } else if (std::holds_alternative<LinkBeat>(body)) {
+    auto beat = LinkBeat::Create({ .mEpoch = aState.mEpoch,
+                                   .mOwner = aState.mPhase == OwnerPhase::Owner })
+                  .value();
+    Emit(aOut,
+         SendToMember::Create({ .mNode = aEvent.Node(), .mMessage = MessageOf(std::move(beat)) })
+           .value());
+  }
+}
+
+void
+TakeMemberChanged(EntryState& aState, const MemberChanged& aEvent, Effects& aOut)
+{
+  Log(aOut,
+      aEvent.Up() ? "member.linked" : "member.lost",
+      aEvent.Node(),
+      absl::StrCat("members=", aState.mMembers.size()));
+  if (aEvent.Up()) {
+    aState.mMembers.insert(aEvent.Node());
+  } else {
+    aState.mMembers.erase(aEvent.Node());
+  }
+  if (!aState.mCell) {
+    return;
+  }
+  auto& advisers = aState.mCell->mAdvisers;
+  std::erase_if(advisers, [&](const auto& aRow) { return aRow.mNode == aEvent.Node(); });
+  if (aEvent.Up()) {
+    advisers.push_back({ .mNode = aEvent.Node(), .mBusyUntil = Time() });
+  } else {
+    ForgetWaiters(*aState.mCell, aEvent.Node());
+  }
+}
+
+void
+KeepLink(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (!aState.mOwner || IsOwnClaim(aState, *aState.mOwner) ||
+      aState.mPhase == OwnerPhase::Owner) {
+    return;
+  }
+  if (!aState.mLinkUp) {
+    if (aNow >= aState.mConnectedAt + kLinkRetry) {
+      Reconnect(aState, aNow, aOut);
+    }
+    return;
+  }
+  if (aNow >= aState.mOwnerHeardAt + aState.mSettings.LinkSilence()) {
+    Log(aOut,
+        "link.silent",
+        aState.mOwner->Node(),
+        absl::StrCat("silent_ms=", (aNow - aState.mOwnerHeardAt).Milliseconds()));
+    GiveUpHanded(aState, "the link to the owner fell silent", aOut);
+    Reconnect(aState, aNow, aOut);
+    return;
+  }
+  if (aNow >= aState.mNextBeat) {
+    aState.mNextBeat = aNow + aState.mSettings.BeatPause();
+    auto beat = LinkBeat::Create({ .mEpoch = aState.mOwner->Epoch(), .mOwner = false }).value();
+    Emit(aOut, SendToOwner::Create({ .mMessage = MessageOf(std::move(beat)) }).value());
+  }
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -0,0 +1,231 @@
+#include "by_entry/detail/Ownership.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/RestoreCell.h"
+#include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Links.h"
+
+namespace by::detail {
+
+namespace {
+
+/// Pause before a failed step on the way to ownership is tried again.
+constexpr Time kClaimRetry = Time::FromMilliseconds(100);
+
+std::string
+MemberName(const EntryState& aState)
+{
+  return absl::StrCat(aState.mSettings.Node(), "/", aState.mSettings.Incarnation());
+}
+
+bool
+IsOwn(const EntryState& aState, const CellClaim& aClaim)
+{
+  return aClaim.Node() == aState.mSettings.Node() &&
+         aClaim.Incarnation() == aState.mSettings.Incarnation();
+}
+
+void
+BeginClaim(EntryState& aState, Effects& aOut)
+{
+  aState.mPhase = OwnerPhase::ReadingClaim;
+  aState.mRetryAt = Time::Never();
+  Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mReadNumber }).value());
+}
+
+void
+BeginLoad(EntryState& aState, std::uint64_t aEpoch, Effects& aOut)
+{
+  aState.mPhase = OwnerPhase::Loading;
+  aState.mEpoch = aEpoch;
+  aState.mRetryAt = Time::Never();
+  Log(aOut, "owner.claimed", absl::StrCat("epoch ", aEpoch), "next=load");
+  Emit(aOut, LoadCell::Create({ .mEpoch = aEpoch }).value());
+}
+
+void
+WriteOwnClaim(EntryState& aState, const ClaimRead& aEvent, Effects& aOut)
+{
+  const auto newest = aEvent.Claim() ? aEvent.Claim()->Epoch() : 0;
+  aState.mPhase = OwnerPhase::Claiming;
+  auto claim = CellClaim::Create({ .mEpoch = newest + 1,
+                                   .mNode = aState.mSettings.Node(),
+                                   .mIncarnation = aState.mSettings.Incarnation(),
+                                   .mLink = aState.mSettings.Link() })
+                 .value();
+  Emit(aOut, WriteClaim::Create({ .mClaim = std::move(claim), .mEnd = aEvent.End() }).value());
+}
+
+} // namespace
+
+void
+KeepJoined(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mJoinOpen || aNow < aState.mNextJoin || aState.mStopping || !aState.mConfig) {
+    return;
+  }
+  aState.mJoinOpen = true;
+  aState.mNextJoin = aNow + aState.mSettings.JoinPause();
+  Emit(aOut,
+       JoinGroup::Create({ .mMember = MemberName(aState),
+                           .mGeneration = aState.mGeneration,
+                           .mLifetime = aState.mSettings.Lifetime() })
+         .value());
+}
+
+void
+TakeJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut)
+{
+  aState.mJoinOpen = false;
+  if (aEvent.Outcome() != StoreOutcome::Done) {
+    aState.mNextJoin = aNow;
+    if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.Lifetime()) {
+      Log(aOut,
+          "group.lost",
+          MemberName(aState),
+          absl::StrCat("outcome=",
+                       std::string(ToString(aEvent.Outcome())),
+                       " silent_ms=",
+                       (aNow - aState.mJoinedAt).Milliseconds()));
+      aState.mNextJoin = aNow + kClaimRetry;
+    }
+    return;
+  }
+  if (aState.mGeneration != aEvent.Generation() || aState.mChosen != aEvent.Chosen()) {
+    Log(aOut,
+        "group.changed",
+        MemberName(aState),
+        absl::StrCat("generation=", aEvent.Generation(), " chosen=", aEvent.Chosen()));
+  }
+  aState.mGeneration = aEvent.Generation();
+  aState.mChosen = aEvent.Chosen();
+  aState.mJoinedAt = std::max(aState.mJoinedAt, aEvent.Sent());
+  if (!aState.mChosen) {
+    if (aState.mPhase != OwnerPhase::Member) {
+      StepDown(aState, "the group gave the cell to another node", aNow, aOut);
+    }
+    return;
+  }
+  if (aState.mCell) {
+    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aEvent.Sent());
+  }
+  if (aState.mPhase == OwnerPhase::Member && aState.mConfig && !aState.mStopping) {
+    BeginClaim(aState, aOut);
+  }
+}
+
+void
+TakeClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut)
+{
+  if (aEvent.Outcome() != StoreOutcome::Done) {
+    if (aState.mPhase == OwnerPhase::ReadingClaim) {
+      aState.mRetryAt = aNow + kClaimRetry;
+    }
+    return;
+  }
+  const auto& claim = aEvent.Claim();
+  if (claim && (!aState.mOwner || aState.mOwner->Epoch() < claim->Epoch())) {
+    FollowOwner(aState, *claim, aNow, aOut);
+  }
+  if (claim && claim->Epoch() > aState.mEpoch && !IsOwn(aState, *claim) &&
+      (aState.mPhase == OwnerPhase::Owner || aState.mPhase == OwnerPhase::Loading)) {
+    StepDown(aState, "another node claimed the cell", aNow, aOut);
+    return;
+  }
+  if (aState.mPhase != OwnerPhase::ReadingClaim) {
+    return;
+  }
+  if (claim && IsOwn(aState, *claim) && claim->Epoch() > aState.mEpoch) {
+    BeginLoad(aState, claim->Epoch(), aOut);
+    return;
+  }
+  WriteOwnClaim(aState, aEvent, aOut);
+}
+
+void
+TakeClaimWritten(EntryState& aState, const ClaimWritten& aEvent, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Claiming) {
+    return;
+  }
+  if (aEvent.Outcome() == StoreOutcome::Done) {
+    FollowOwner(aState, aEvent.Claim(), aNow, aOut);
+    BeginLoad(aState, aEvent.Claim().Epoch(), aOut);
+    return;
+  }
+  // A lost answer is settled by reading the claims again.
+  aState.mPhase = OwnerPhase::ReadingClaim;
+  aState.mRetryAt = aNow + kClaimRetry;
+}
+
+void
+TakeLoaded(EntryState& aState, const CellLoaded& aEvent, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Loading || aEvent.Epoch() != aState.mEpoch) {
+    return;
+  }
+  if (aEvent.Outcome() == StoreOutcome::Fenced || aEvent.Outcome() == StoreOutcome::Conflict) {
+    StepDown(aState, "a newer owner fenced this one while it read the cell", aNow, aOut);
+    return;
+  }
+  if (aEvent.Outcome() != StoreOutcome::Done) {
+    aState.mRetryAt = aNow + kClaimRetry;
+    return;
+  }
+  CellState empty;
+  empty.mSettings = aState.mSettings.Cell();
+  empty.mNode = aState.mSettings.Node();
+  empty.mEpoch = aState.mEpoch;
+  empty.mConfig = *aState.mConfig;
+  empty.mConfirmedAt = aNow;
+  empty.mOwnerSince = aNow;
+  // The first append of the epoch was the one that fenced earlier owners.
+  empty.mNextSequence = 1;
+  empty.mAdvisers.push_back({ .mNode = aState.mSettings.Node(), .mBusyUntil = Time() });
+  for (const auto& member : aState.mMembers) {
+    empty.mAdvisers.push_back({ .mNode = member, .mBusyUntil = Time() });
+  }
+  aState.mCell = RestoreCell(std::move(empty), aEvent.Records(), aNow, aOut);
+  aState.mPhase = OwnerPhase::Owner;
+  Emit(aOut, WatchWorkers::Create({ .mFollow = true }).value());
+  Emit(aOut, ConnectToOwner());
+  aState.mLinkUp = false;
+  HandOver(aState, aNow, aOut);
+}
+
+void
+StepDown(EntryState& aState, const char* aReason, Time aNow, Effects& aOut)
+{
+  Log(aOut,
+      "owner.stepped_down",
+      absl::StrCat("epoch ", aState.mEpoch),
+      absl::StrCat("reason=", aReason, " phase=", std::string(ToString(aState.mPhase))));
+  aState.mPhase = OwnerPhase::Member;
+  aState.mRetryAt = Time::Never();
+  aState.mCell.reset();
+  Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
+  GiveUpHanded(aState, "this node no longer owns the cell", aOut);
+  if (aState.mOwner && !IsOwn(aState, *aState.mOwner)) {
+    Reconnect(aState, aNow, aOut);
+  }
+}
+
+void
+RetryClaim(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aNow < aState.mRetryAt) {
+    return;
+  }
+  aState.mRetryAt = Time::Never();
+  if (aState.mPhase == OwnerPhase::ReadingClaim) {
+    BeginClaim(aState, aOut);
+  } else if (aState.mPhase == OwnerPhase::Loading) {
+    Emit(aOut, LoadCell::Create({ .mEpoch = aState.mEpoch }).value());
+  }
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entry/detail/Ownership.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "by_cell/Effects.h"
+#include "by_entry/EntryState.h"
+#include "by_schema/CellLoaded.h"
+#include "by_schema/ClaimRead.h"
+#include "by_schema/ClaimWritten.h"
+#include "by_schema/GroupJoined.h"
+
+namespace by::detail {
+
+/// Stays in the group when it is time to.
+void
+KeepJoined(EntryState& aState, Time aNow, Effects& aOut);
+
+/// Takes the group's answer: begins to claim the cell, or gives it up.
+void
+TakeJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut);
+
+/// Takes the newest claim: follows its owner, or goes on claiming.
+void
+TakeClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut);
+
+/// Takes note of what became of a claim of this node.
+void
+TakeClaimWritten(EntryState& aState, const ClaimWritten& aEvent, Time aNow, Effects& aOut);
+
+/// Becomes the owner with all that the store keeps of the cell.
+void
+TakeLoaded(EntryState& aState, const CellLoaded& aEvent, Time aNow, Effects& aOut);
+
+/// Gives the cell up; what was not stored is dropped.
+void
+StepDown(EntryState& aState, const char* aReason, Time aNow, Effects& aOut);
+
+/// Tries again what failed on the way to ownership.
+void
+RetryClaim(EntryState& aState, Time aNow, Effects& aOut);
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entry/detail/Stopping.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "by_cell/Effects.h"
+#include "by_entry/EntryState.h"
+#include "by_schema/StopAsked.h"
+
+namespace by::detail {
+
+/// Begins a planned stop.
+void
+BeginStop(EntryState& aState, const StopAsked& aEvent, Time aNow, Effects& aOut);
+
+/// Hands the cell over once nothing waits for the store, and ends the process once no caller waits.
+void
+GoOnStopping(EntryState& aState, Time aNow, Effects& aOut);
+
+/// Says whether the node should get new connections, where that changed.
+void
+TellReady(EntryState& aState, Time aNow, Effects& aOut);
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entryd/EntryDaemon.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/statusor.h"
+
+#include "by_core/Time.h"
+#include "by_entryd/EntryPorts.h"
+#include "by_schema/EntrySettings.h"
+
+namespace by {
+
+namespace detail {
+class EntryDaemonBody;
+}
+
+/// One entry node as a process: one thread for its decisions, one for traffic.
+class EntryDaemon
+{
+public:
+  /// Opens all sockets.
+  /// @param aGrace how long a planned stop may take.
+  /// @returns the daemon, or what could not be opened.
+  static absl::StatusOr<std::unique_ptr<EntryDaemon>> Create(const EntrySettings& aSettings,
+                                                             Time aGrace,
+                                                             const OpenPorts& aOpen);
+
+  ~EntryDaemon();
+  EntryDaemon(const EntryDaemon&) = delete;
+  EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+  /// Runs until a planned stop is complete.
+  /// @returns whether nothing was left open.
+  bool Run();
+
+private:
+  explicit EntryDaemon(std::unique_ptr<detail::EntryDaemonBody> aBody);
+
+  std::unique_ptr<detail::EntryDaemonBody> mBody;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -0,0 +1,238 @@
+#include "by_entryd/detail/EntryDaemonBody.h"
+
+#include <chrono>
+#include <csignal>
+#include <unistd.h>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/post.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_runtime/BootClock.h"
+
+namespace by::detail {
+
+namespace {
+
+/// Log lines that wait for their reader at most. [bytes]
+constexpr std::size_t kLogLimit = 1024 * 1024;
+/// The last answers have this long to leave once the decisions have ended.
+constexpr std::chrono::milliseconds kLastAnswers{ 200 };
+
+template<class Body>
+EntryEvent
+EventOf(Body aBody)
+{
+  return EntryEvent::Create({ .mBody = std::move(aBody) }).value();
+}
+
+std::string
+Quoted(const std::string& aText)
+{
+  return boost::json::serialize(boost::json::string(aText));
+}
+
+} // namespace
+
+EntryDaemonBody::EntryDaemonBody(const EntrySettings& aSettings, Time aGrace)
+  : mState(MakeEntryState(aSettings))
+  , mGrace(aGrace)
+  , mControl(1)
+  , mTraffic(1)
+  , mTrafficWork(boost::asio::make_work_guard(mTraffic))
+  , mTimer(mControl)
+  , mExitTimer(mControl)
+  , mSignals(mControl)
+  , mLog(STDOUT_FILENO, kLogLimit)
+{
+}
+
+EntryDaemonBody::~EntryDaemonBody()
+{
+  mTraffic.stop();
+  if (mTrafficThread.joinable()) {
+    mTrafficThread.join();
+  }
+}
+
+absl::Status
+EntryDaemonBody::Open(const OpenPorts& aOpen)
+{
+  mLink = LinkClient::Create(
+    mTraffic,
+    [this](const Endpoint& aPeer, bool aUp) {
+      Deliver(EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp }).value()));
+    },
+    [this](const LinkMessage& aMessage) {
+      Deliver(EventOf(FromOwner::Create({ .mMessage = aMessage }).value()));
+    });
+  auto members = LinkServer::Create(
+    mTraffic,
+    mState.mSettings.Link(),
+    [this](const std::string& aNode, bool aUp) {
+      Deliver(EventOf(MemberChanged::Create({ .mNode = aNode, .mUp = aUp }).value()));
+    },
+    [this](const std::string& aNode, const LinkMessage& aMessage) {
+      Deliver(EventOf(FromMember::Create({ .mNode = aNode, .mMessage = aMessage }).value()));
+    });
+  if (!members.ok()) {
+    return members.status();
+  }
+  mMembers = *std::move(members);
+  EntryHooks hooks{ .mDeliver = [this](EntryEvent aEvent) { Deliver(std::move(aEvent)); },
+                    .mLog =
+                      [this](LogLine aLine) {
+                        boost::asio::post(mControl, [this, aLine] { Write(aLine); });
+                      },
+                    .mMetricsText = [this] { return mMetrics.Text(); } };
+  auto ports = aOpen(mTraffic, std::move(hooks));
+  if (!ports.ok()) {
+    return ports.status();
+  }
+  mPorts = *std::move(ports);
+  return absl::OkStatus();
+}
+
+bool
+EntryDaemonBody::Run()
+{
+  Write(LogLine::Create({ .mEvent = "node.started",
+                          .mSubject = mState.mSettings.Node(),
+                          .mDetail =
+                            absl::StrCat("incarnation=", mState.mSettings.Incarnation()) })
+          .value());
+  WatchSignals();
+  boost::asio::post(mTraffic, [this] { mPorts.mStart(); });
+  mTrafficThread = std::thread([this] { mTraffic.run(); });
+  Tick();
+  mControl.run();
+  mTraffic.stop();
+  mTrafficThread.join();
+  mPorts.mStop();
+  mLink->Close();
+  mMembers->Close();
+  mLog.Flush();
+  return mClean;
+}
+
+void
+EntryDaemonBody::Deliver(EntryEvent aEvent)
+{
+  boost::asio::post(mControl, [this, event = std::move(aEvent)] { Take(event); });
+}
+
+void
+EntryDaemonBody::Take(const EntryEvent& aEvent)
+{
+  if (mState.mExited) {
+    return;
+  }
+  Perform(StepEntry(mState, aEvent, BootNow()));
+  ArmTimer();
+}
+
+void
+EntryDaemonBody::Perform(Effects aEffects)
+{
+  Effects forTraffic;
+  for (auto& effect : aEffects) {
+    if (const auto* line = std::get_if<LogLine>(&effect.Body())) {
+      Write(*line);
+    } else if (const auto* exit = std::get_if<ExitEntry>(&effect.Body())) {
+      mClean = exit->Clean();
+      mTimer.cancel();
+      mSignals.cancel();
+      mExitTimer.expires_after(kLastAnswers);
+      mExitTimer.async_wait([this](boost::system::error_code) { mControl.stop(); });
+    } else {
+      forTraffic.push_back(std::move(effect));
+    }
+  }
+  if (forTraffic.empty()) {
+    return;
+  }
+  boost::asio::post(mTraffic, [this, effects = std::move(forTraffic)] {
+    for (const auto& effect : effects) {
+      PerformOnTraffic(effect);
+    }
+  });
+}
+
+void
+EntryDaemonBody::PerformOnTraffic(const EntryEffect& aEffect)
+{
+  const auto& body = aEffect.Body();
+  if (const auto* connect = std::get_if<ConnectToOwner>(&body)) {
+    mLink->Connect(connect->Peer());
+  } else if (const auto* toOwner = std::get_if<SendToOwner>(&body)) {
+    mLink->Send(toOwner->Message());
+  } else if (const auto* toMember = std::get_if<SendToMember>(&body)) {
+    mMembers->Send(toMember->Node(), toMember->Message());
+  } else {
+    mPorts.mPerform(aEffect);
+  }
+}
+
+void
+EntryDaemonBody::Write(const LogLine& aLine)
+{
+  mMetrics.Count(aLine);
+  mLog.Write(absl::StrCat(R"({"at":)",
+                          BootNow().Milliseconds(),
+                          R"(,"node":)",
+                          Quoted(mState.mSettings.Node()),
+                          R"(,"event":)",
+                          Quoted(aLine.Event()),
+                          R"(,"subject":)",
+                          Quoted(aLine.Subject()),
+                          R"(,"detail":)",
+                          Quoted(aLine.Detail()),
+                          "}"));
+}
+
+void
+EntryDaemonBody::ArmTimer()
+{
+  if (mState.mExited) {
+    return;
+  }
+  const auto now = BootNow();
+  const auto due = NextTick(mState, now);
+  if (due >= mTimerDue) {
+    return;
+  }
+  mTimerDue = due;
+  mTimer.expires_after(std::chrono::milliseconds((due - now).Milliseconds()));
+  mTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void
+EntryDaemonBody::Tick()
+{
+  mTimerDue = Time::Never();
+  mLog.Flush();
+  Take(EventOf(ClockTick::Create({ .mNumber = ++mTicks }).value()));
+}
+
+void
+EntryDaemonBody::WatchSignals()
+{
+  mSignals.add(SIGTERM);
+  mSignals.add(SIGINT);
+  mSignals.async_wait([this](boost::system::error_code aError, int) {
+    if (!aError) {
+      Take(EventOf(StopAsked::Create({ .mGrace = mGrace }).value()));
+      WatchSignals();
+    }
+  });
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/status/status.h"
+
+#include "by_entry/by_entry.h"
+#include "by_entryd/EntryPorts.h"
+#include "by_entryd/detail/EntryMetrics.h"
+#include "by_links/by_links.h"
+#include "by_telemetry/LineSink.h"
+
+namespace by::detail {
+
+/// What stands behind EntryDaemon. Only Deliver() may be called from any thread.
+class EntryDaemonBody
+{
+public:
+  EntryDaemonBody(const EntrySettings& aSettings, Time aGrace);
+  ~EntryDaemonBody();
+
+  /// Opens every socket.
+  absl::Status Open(const OpenPorts& aOpen);
+  /// Runs the control thread until the planned stop is complete.
+  bool Run();
+  /// Posts an event to the control thread.
+  void Deliver(EntryEvent aEvent);
+
+private:
+  void Take(const EntryEvent& aEvent);
+  void Perform(Effects aEffects);
+  void PerformOnTraffic(const EntryEffect& aEffect);
+  void Write(const LogLine& aLine);
+  void ArmTimer();
+  void Tick();
+  void WatchSignals();
+
+  EntryState mState;
+  Time mGrace;
+  boost::asio::io_context mControl;
+  boost::asio::io_context mTraffic;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mTrafficWork;
+  boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mExitTimer;
+  boost::asio::signal_set mSignals;
+  Time mTimerDue{ Time::Never() };
+  std::uint64_t mTicks{ 0 };
+  bool mClean{ false };
+  LineSink mLog;
+  EntryMetrics mMetrics;
+  std::shared_ptr<LinkClient> mLink;
+  std::shared_ptr<LinkServer> mMembers;
+  EntryPorts mPorts;
+  std::thread mTrafficThread;
+};
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_jobs/RecordKeys.cpp
@@ -0,0 +1,25 @@
+#include "by_jobs/RecordKeys.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace by {
+
+std::string
+JobRecordKey(const std::string& aJob)
+{
+  return absl::StrCat("job/", aJob);
+}
+
+std::string
+ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence)
+{
+  return absl::StrCat("progress/", aJob, "/", aOccurrence);
+}
+
+std::string
+OutcomeRecordKey(const std::string& aJob)
+{
+  return absl::StrCat("outcome/", aJob);
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_jobs/RecordKeys.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+
+namespace by {
+
+/// @returns the key of the record of an accepted job.
+std::string
+JobRecordKey(const std::string& aJob);
+
+/// @returns the key of the record of an occurrence's progress.
+std::string
+ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence);
+
+/// @returns the key of the record of how a job ended.
+std::string
+OutcomeRecordKey(const std::string& aJob);
+
+} // namespace by
--- /dev/null
+++ b/modules/by_links/LinkClient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "by_schema/Endpoint.h"
+#include "by_schema/LinkMessage.h"
+
+namespace by {
+
+namespace detail {
+class LinkConnection;
+}
+
+/// The link from this node to the owner of the cell.
+///
+/// Everything runs on the thread that runs the io_context.
+class LinkClient : public std::enable_shared_from_this<LinkClient>
+{
+public:
+  /// Told that the link to a peer is up or down.
+  using Changed = std::function<void(const Endpoint&, bool)>;
+  /// Told of each message of the peer.
+  using Received = std::function<void(const LinkMessage&)>;
+
+  /// @param aContext runs the link; outlives it.
+  static std::shared_ptr<LinkClient> Create(boost::asio::io_context& aContext,
+                                            Changed aChanged,
+                                            Received aReceived);
+
+  /// Closes the open link and opens one to another peer.
+  /// @param aPeer port 0 only closes.
+  void Connect(const Endpoint& aPeer);
+  /// Sends a message; it is dropped where the link is down.
+  void Send(const LinkMessage& aMessage);
+  /// Closes the link.
+  void Close();
+
+private:
+  LinkClient(boost::asio::io_context& aContext, Changed aChanged, Received aReceived);
+
+  boost::asio::io_context& mContext;
+  Changed mChanged;
+  Received mReceived;
+  boost::asio::steady_timer mTimer;
+  Endpoint mPeer;
+  std::uint64_t mTry{ 0 };
+  std::shared_ptr<detail::LinkConnection> mConnection;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_links/LinkServer.cpp
@@ -0,0 +1,151 @@
+#include "by_links/LinkServer.h"
+
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "by_links/detail/LinkConnection.h"
+
+namespace by {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<LinkServer>>
+LinkServer::Create(boost::asio::io_context& aContext,
+                   const Endpoint& aListen,
+                   Changed aChanged,
+                   Received aReceived)
+{
+  std::shared_ptr<LinkServer> server(
+    new LinkServer(aContext, std::move(aChanged), std::move(aReceived)));
+  const auto status = server->Listen(aListen);
+  if (!status.ok()) {
+    return status;
+  }
+  return server;
+}
+
+LinkServer::LinkServer(boost::asio::io_context& aContext, Changed aChanged, Received aReceived)
+  : mAcceptor(aContext)
+  , mChanged(std::move(aChanged))
+  , mReceived(std::move(aReceived))
+{
+}
+
+absl::Status
+LinkServer::Listen(const Endpoint& aListen)
+{
+  error_code ec;
+  const auto address = boost::asio::ip::make_address(aListen.Address(), ec);
+  const tcp::endpoint local(address, static_cast<std::uint16_t>(aListen.Port()));
+  if (!ec) {
+    mAcceptor.open(local.protocol(), ec);
+  }
+  if (!ec) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    mAcceptor.bind(local, ec);
+  }
+  if (!ec) {
+    mAcceptor.listen(tcp::acceptor::max_listen_connections, ec);
+  }
+  if (ec) {
+    return absl::UnavailableError("links: " + ec.message());
+  }
+  mPort = mAcceptor.local_endpoint().port();
+  Accept();
+  return absl::OkStatus();
+}
+
+void
+LinkServer::Accept()
+{
+  mAcceptor.async_accept([weak = weak_from_this()](error_code aError, tcp::socket aSocket) {
+    const auto self = weak.lock();
+    if (!self || !self->mAcceptor.is_open()) {
+      return;
+    }
+    if (!aError) {
+      auto connection = std::make_shared<detail::LinkConnection>(std::move(aSocket));
+      auto node = std::make_shared<std::string>();
+      self->mOpen.insert(connection);
+      std::weak_ptr<detail::LinkConnection> held = connection;
+      connection->Start(
+        [weak, held, node](const LinkMessage& aMessage) {
+          const auto server = weak.lock();
+          const auto link = held.lock();
+          if (server && link) {
+            server->TakeFirst(link, node, aMessage);
+          }
+        },
+        [weak, held, node] {
+          const auto server = weak.lock();
+          const auto link = held.lock();
+          if (!server || !link) {
+            return;
+          }
+          server->mOpen.erase(link);
+          const auto it = server->mLinks.find(*node);
+          if (it != server->mLinks.end() && it->second == link) {
+            server->mLinks.erase(it);
+            server->mChanged(*node, false);
+          }
+        });
+    }
+    self->Accept();
+  });
+}
+
+void
+LinkServer::TakeFirst(const std::shared_ptr<detail::LinkConnection>& aConnection,
+                      const std::shared_ptr<std::string>& aNode,
+                      const LinkMessage& aMessage)
+{
+  if (!aNode->empty()) {
+    mReceived(*aNode, aMessage);
+    return;
+  }
+  const auto* hello = std::get_if<LinkHello>(&aMessage.Body());
+  if (hello == nullptr || hello->Node().empty()) {
+    mOpen.erase(aConnection);
+    aConnection->Close();
+    return;
+  }
+  *aNode = hello->Node();
+  auto& link = mLinks[*aNode];
+  if (link) {
+    mOpen.erase(link);
+    link->Close();
+    mChanged(*aNode, false);
+  }
+  link = aConnection;
+  mChanged(*aNode, true);
+}
+
+void
+LinkServer::Send(const std::string& aNode, const LinkMessage& aMessage)
+{
+  const auto it = mLinks.find(aNode);
+  if (it != mLinks.end()) {
+    it->second->Send(aMessage);
+  }
+}
+
+void
+LinkServer::Close()
+{
+  error_code ignored;
+  mAcceptor.close(ignored);
+  for (const auto& link : std::exchange(mOpen, {})) {
+    link->Close();
+  }
+  mLinks.clear();
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_links/LinkServer.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "absl/status/statusor.h"
+
+#include "by_schema/Endpoint.h"
+#include "by_schema/LinkMessage.h"
+
+namespace by {
+
+namespace detail {
+class LinkConnection;
+}
+
+/// Takes the links that other nodes open to this one.
+///
+/// Everything runs on the thread that runs the io_context.
+class LinkServer : public std::enable_shared_from_this<LinkServer>
+{
+public:
+  /// Told that a node has named itself on a link, or that its link is over.
+  using Changed = std::function<void(const std::string&, bool)>;
+  /// Told of each further message of a node.
+  using Received = std::function<void(const std::string&, const LinkMessage&)>;
+
+  /// Listens.
+  /// @returns the server, or Unavailable where the port can't be had.
+  static absl::StatusOr<std::shared_ptr<LinkServer>> Create(boost::asio::io_context& aContext,
+                                                            const Endpoint& aListen,
+                                                            Changed aChanged,
+                                                            Received aReceived);
+
+  /// Sends a message to a node; it is dropped where the node has no link.
+  void Send(const std::string& aNode, const LinkMessage& aMessage);
+  /// Stops listening and closes all links.
+  void Close();
+  /// @returns the port on which it listens.
+  std::uint16_t Port() const { return mPort; }
+
+private:
+  LinkServer(boost::asio::io_context& aContext, Changed aChanged, Received aReceived);
+
+  absl::Status Listen(const Endpoint& aListen);
+  void Accept();
+  void TakeFirst(const std::shared_ptr<detail::LinkConnection>& aConnection,
+                 const std::shared_ptr<std::string>& aNode,
+                 const LinkMessage& aMessage);
+
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  Changed mChanged;
+  Received mReceived;
+  std::uint16_t mPort{ 0 };
+  /// Links whose node is known.
+  std::map<std::string, std::shared_ptr<detail::LinkConnection>> mLinks;
+  /// All links.
+  std::set<std::shared_ptr<detail::LinkConnection>> mOpen;
+};
+
+} // namespace by
--- a/modules/by_runtime/by_runtime.h
+++ b/modules/by_runtime/by_runtime.h
@@ -5,5 +5,6 @@
 /// Purpose: what every process needs from the machine: the clock and random identifiers.
 /// Dependencies: by_core, absl random.
 
+#include "by_runtime/BootClock.h"
 #include "by_runtime/MachineClock.h"
 #include "by_runtime/RandomIds.h"
--- /dev/null
+++ b/modules/by_schema/EntryEffect.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include "by_schema/AppendToCell.h"
+#include "by_schema/AskAdvice.h"
+#include "by_schema/ConnectToOwner.h"
+#include "by_schema/ExitEntry.h"
+#include "by_schema/JoinGroup.h"
+#include "by_schema/LeaveGroup.h"
+#include "by_schema/LoadCell.h"
+#include "by_schema/LogLine.h"
+#include "by_schema/LookAtWorker.h"
+#include "by_schema/PaceRun.h"
+#include "by_schema/ReadClaim.h"
+#include "by_schema/ReplyToCaller.h"
+#include "by_schema/SendToMember.h"
+#include "by_schema/SendToOwner.h"
+#include "by_schema/SetEntryReady.h"
+#include "by_schema/StartRun.h"
+#include "by_schema/StopRun.h"
+#include "by_schema/WatchWorkers.h"
+#include "by_schema/WriteClaim.h"
+
+namespace by {
+
+/// What an entry node's decisions want done.
+class EntryEffect
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// The one kind that it is.
+    std::variant<ReplyToCaller,
+                 JoinGroup,
+                 LeaveGroup,
+                 ReadClaim,
+                 WriteClaim,
+                 LoadCell,
+                 AppendToCell,
+                 WatchWorkers,
+                 LookAtWorker,
+                 StartRun,
+                 StopRun,
+                 PaceRun,
+                 AskAdvice,
+                 ConnectToOwner,
+                 SendToOwner,
+                 SendToMember,
+                 SetEntryReady,
+                 LogLine,
+                 ExitEntry>
+      mBody{};
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  EntryEffect() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<EntryEffect> Create(Fields aFields)
+  {
+    return EntryEffect(std::move(aFields));
+  }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// The one kind that it is.
+  const std::variant<ReplyToCaller,
+                     JoinGroup,
+                     LeaveGroup,
+                     ReadClaim,
+                     WriteClaim,
+                     LoadCell,
+                     AppendToCell,
+                     WatchWorkers,
+                     LookAtWorker,
+                     StartRun,
+                     StopRun,
+                     PaceRun,
+                     AskAdvice,
+                     ConnectToOwner,
+                     SendToOwner,
+                     SendToMember,
+                     SetEntryReady,
+                     LogLine,
+                     ExitEntry>&
+  Body() const
+  {
+    return mFields.mBody;
+  }
+  /// @returns this value with another Body.
+  [[nodiscard]] EntryEffect WithBody(std::variant<ReplyToCaller,
+                                                  JoinGroup,
+                                                  LeaveGroup,
+                                                  ReadClaim,
+                                                  WriteClaim,
+                                                  LoadCell,
+                                                  AppendToCell,
+                                                  WatchWorkers,
+                                                  LookAtWorker,
+                                                  StartRun,
+                                                  StopRun,
+                                                  PaceRun,
+                                                  AskAdvice,
+                                                  ConnectToOwner,
+                                                  SendToOwner,
+                                                  SendToMember,
+                                                  SetEntryReady,
+                                                  LogLine,
+                                                  ExitEntry> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mBody = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const EntryEffect&, const EntryEffect&) = default;
+  friend auto operator<=>(const EntryEffect&, const EntryEffect&) = default;
+
+private:
+  explicit EntryEffect(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_schema/EntryEvent.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include "by_schema/AdviceAnswered.h"
+#include "by_schema/CellAppended.h"
+#include "by_schema/CellLoaded.h"
+#include "by_schema/ClaimRead.h"
+#include "by_schema/ClaimWritten.h"
+#include "by_schema/ClockTick.h"
+#include "by_schema/ClusterConfig.h"
+#include "by_schema/FromMember.h"
+#include "by_schema/FromOwner.h"
+#include "by_schema/GroupJoined.h"
+#include "by_schema/JobCall.h"
+#include "by_schema/LinkChanged.h"
+#include "by_schema/MemberChanged.h"
+#include "by_schema/PaceAnswered.h"
+#include "by_schema/StartAnswered.h"
+#include "by_schema/StopAnswered.h"
+#include "by_schema/StopAsked.h"
+#include "by_schema/WorkerLooked.h"
+#include "by_schema/WorkersChanged.h"
+
+namespace by {
+
+/// What reaches an entry node's decisions.
+class EntryEvent
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// The one kind that it is.
+    std::variant<ClockTick,
+                 JobCall,
+                 ClusterConfig,
+                 GroupJoined,
+                 ClaimRead,
+                 ClaimWritten,
+                 CellLoaded,
+                 CellAppended,
+                 WorkersChanged,
+                 WorkerLooked,
+                 StartAnswered,
+                 StopAnswered,
+                 PaceAnswered,
+                 AdviceAnswered,
+                 LinkChanged,
+                 FromOwner,
+                 FromMember,
+                 MemberChanged,
+                 StopAsked>
+      mBody{};
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  EntryEvent() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<EntryEvent> Create(Fields aFields)
+  {
+    return EntryEvent(std::move(aFields));
+  }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// The one kind that it is.
+  const std::variant<ClockTick,
+                     JobCall,
+                     ClusterConfig,
+                     GroupJoined,
+                     ClaimRead,
+                     ClaimWritten,
+                     CellLoaded,
+                     CellAppended,
+                     WorkersChanged,
+                     WorkerLooked,
+                     StartAnswered,
+                     StopAnswered,
+                     PaceAnswered,
+                     AdviceAnswered,
+                     LinkChanged,
+                     FromOwner,
+                     FromMember,
+                     MemberChanged,
+                     StopAsked>&
+  Body() const
+  {
+    return mFields.mBody;
+  }
+  /// @returns this value with another Body.
+  [[nodiscard]] EntryEvent WithBody(std::variant<ClockTick,
+                                                 JobCall,
+                                                 ClusterConfig,
+                                                 GroupJoined,
+                                                 ClaimRead,
+                                                 ClaimWritten,
+                                                 CellLoaded,
+                                                 CellAppended,
+                                                 WorkersChanged,
+                                                 WorkerLooked,
+                                                 StartAnswered,
+                                                 StopAnswered,
+                                                 PaceAnswered,
+                                                 AdviceAnswered,
+                                                 LinkChanged,
+                                                 FromOwner,
+                                                 FromMember,
+                                                 MemberChanged,
+                                                 StopAsked> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mBody = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const EntryEvent&, const EntryEvent&) = default;
+  friend auto operator<=>(const EntryEvent&, const EntryEvent&) = default;
+
+private:
+  explicit EntryEvent(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- a/modules/by_schema/HttpCall.h
+++ b/modules/by_schema/HttpCall.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
 #include "by_core/Time.h"
 #include "by_schema/Endpoint.h"
+#include "by_schema/HttpHeader.h"
 #include "by_schema/HttpMethod.h"
 
 namespace by {
@@ -33,6 +35,8 @@
     std::string mBearerToken{};
     /// Bound on the whole call, waiting for a connection included.
     Time mTimeout{ Time::FromMilliseconds(5000) };
+    /// Headers besides those that follow from the other fields.
+    std::vector<HttpHeader> mHeaders{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -101,6 +105,16 @@
   /// Bound on the whole call, waiting for a connection included.
   Time Timeout() const { return mFields.mTimeout; }
 
+  /// Headers besides those that follow from the other fields.
+  const std::vector<HttpHeader>& Headers() const { return mFields.mHeaders; }
+  /// @returns this value with another Headers.
+  [[nodiscard]] HttpCall WithHeaders(std::vector<HttpHeader> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mHeaders = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const HttpCall&, const HttpCall&) = default;
   friend auto operator<=>(const HttpCall&, const HttpCall&) = default;
 
--- /dev/null
+++ b/modules/by_schema/JobCallKind.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/strings/str_cat.h"
+
+namespace by {
+
+/// What a caller asks of a queue or a job.
+enum class JobCallKind : std::uint8_t
+{
+  Submit = 0,
+  Show = 1,
+  Cancel = 2,
+  Count = 3,
+};
+
+/// Names a value as it stands in settings and messages.
+/// @returns the name in lower case, or "unknown".
+constexpr std::string_view
+ToString(JobCallKind aValue)
+{
+  switch (aValue) {
+    case JobCallKind::Submit:
+      return "submit";
+    case JobCallKind::Show:
+      return "show";
+    case JobCallKind::Cancel:
+      return "cancel";
+    case JobCallKind::Count:
+      return "count";
+  }
+  return "unknown";
+}
+
+/// Reads a value from its name.
+/// @returns the value, or InvalidArgument for a name that is not one.
+inline absl::StatusOr<JobCallKind>
+ParseJobCallKind(std::string_view aText)
+{
+  if (aText == "submit") {
+    return JobCallKind::Submit;
+  }
+  if (aText == "show") {
+    return JobCallKind::Show;
+  }
+  if (aText == "cancel") {
+    return JobCallKind::Cancel;
+  }
+  if (aText == "count") {
+    return JobCallKind::Count;
+  }
+  return absl::InvalidArgumentError(
+    absl::StrCat("'", std::string(aText), "' is not one of submit, show, cancel, count"));
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_schema/LinkBeat.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace by {
+
+/// Shows that a link is alive, both ways.
+class LinkBeat
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// The highest epoch that the sender knows.
+    std::uint64_t mEpoch{ 0 };
+    /// Whether the sender acts as owner.
+    bool mOwner{ false };
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  LinkBeat() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<LinkBeat> Create(Fields aFields) { return LinkBeat(std::move(aFields)); }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// The highest epoch that the sender knows.
+  std::uint64_t Epoch() const { return mFields.mEpoch; }
+  /// @returns this value with another Epoch.
+  [[nodiscard]] LinkBeat WithEpoch(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mEpoch = std::move(aValue);
+    return copy;
+  }
+
+  /// Whether the sender acts as owner.
+  bool Owner() const { return mFields.mOwner; }
+  /// @returns this value with another Owner.
+  [[nodiscard]] LinkBeat WithOwner(bool aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mOwner = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const LinkBeat&, const LinkBeat&) = default;
+  friend auto operator<=>(const LinkBeat&, const LinkBeat&) = default;
+
+private:
+  explicit LinkBeat(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_schema/RunEnd.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/strings/str_cat.h"
+
+namespace by {
+
+/// How a run ended.
+enum class RunEnd : std::uint8_t
+{
+  Done = 0,
+  Failed = 1,
+  Stopped = 2,
+  Lapsed = 3,
+  Broken = 4,
+  Alone = 5,
+};
+
+/// Names a value as it stands in settings and messages.
+/// @returns the name in lower case, or "unknown".
+constexpr std::string_view
+ToString(RunEnd aValue)
+{
+  switch (aValue) {
+    case RunEnd::Done:
+      return "done";
+    case RunEnd::Failed:
+      return "failed";
+    case RunEnd::Stopped:
+      return "stopped";
+    case RunEnd::Lapsed:
+      return "lapsed";
+    case RunEnd::Broken:
+      return "broken";
+    case RunEnd::Alone:
+      return "alone";
+  }
+  return "unknown";
+}
+
+/// Reads a value from its name.
+/// @returns the value, or InvalidArgument for a name that is not one.
+inline absl::StatusOr<RunEnd>
+ParseRunEnd(std::string_view aText)
+{
+  if (aText == "done") {
+    return RunEnd::Done;
+  }
+  if (aText == "failed") {
+    return RunEnd::Failed;
+  }
+  if (aText == "stopped") {
+    return RunEnd::Stopped;
+  }
+  if (aText == "lapsed") {
+    return RunEnd::Lapsed;
+  }
+  if (aText == "broken") {
+    return RunEnd::Broken;
+  }
+  if (aText == "alone") {
+    return RunEnd::Alone;
+  }
+  return absl::InvalidArgumentError(absl::StrCat(
+    "'", std::string(aText), "' is not one of done, failed, stopped, lapsed, broken, alone"));
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_schema/StopAnswered.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include "by_schema/OrderOutcome.h"
+#include "by_schema/TaskKey.h"
+
+namespace by {
+
+/// A stop was answered, or was given up.
+class StopAnswered
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// The worker.
+    std::string mWorker{};
+    /// The task.
+    TaskKey mTask{};
+    /// The number of the run.
+    std::uint32_t mRun{ 0 };
+    /// What became of it.
+    OrderOutcome mOutcome{};
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  StopAnswered() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<StopAnswered> Create(Fields aFields)
+  {
+    return StopAnswered(std::move(aFields));
+  }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// The worker.
+  const std::string& Worker() const { return mFields.mWorker; }
+  /// @returns this value with another Worker.
+  [[nodiscard]] StopAnswered WithWorker(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mWorker = std::move(aValue);
+    return copy;
+  }
+
+  /// The task.
+  const TaskKey& Task() const { return mFields.mTask; }
+  /// @returns this value with another Task.
+  [[nodiscard]] StopAnswered WithTask(TaskKey aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mTask = std::move(aValue);
+    return copy;
+  }
+
+  /// The number of the run.
+  std::uint32_t Run() const { return mFields.mRun; }
+  /// @returns this value with another Run.
+  [[nodiscard]] StopAnswered WithRun(std::uint32_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mRun = std::move(aValue);
+    return copy;
+  }
+
+  /// What became of it.
+  OrderOutcome Outcome() const { return mFields.mOutcome; }
+  /// @returns this value with another Outcome.
+  [[nodiscard]] StopAnswered WithOutcome(OrderOutcome aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mOutcome = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const StopAnswered&, const StopAnswered&) = default;
+  friend auto operator<=>(const StopAnswered&, const StopAnswered&) = default;
+
+private:
+  explicit StopAnswered(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_schema/TaskProgress.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include "by_core/Time.h"
+#include "by_schema/TaskPhase.h"
+
+namespace by {
+
+/// What is known of one task.
+class TaskProgress
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// Where it stands.
+    TaskPhase mPhase{};
+    /// The highest number given to a run of it; zero before the first.
+    std::uint32_t mRun{ 0 };
+    /// Runs that ended by a fault.
+    std::uint32_t mFailures{ 0 };
+    /// The worker that it is placed on; empty for none.
+    std::string mWorker{};
+    /// The start of that worker's process, since 1970; zero while unknown.
+    Time mWorkerBorn{};
+    /// Its newest checkpoint; empty for none.
+    std::string mCheckpoint{};
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  TaskProgress() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<TaskProgress> Create(Fields aFields)
+  {
+    return TaskProgress(std::move(aFields));
+  }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// Where it stands.
+  TaskPhase Phase() const { return mFields.mPhase; }
+  /// @returns this value with another Phase.
+  [[nodiscard]] TaskProgress WithPhase(TaskPhase aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mPhase = std::move(aValue);
+    return copy;
+  }
+
+  /// The highest number given to a run of it; zero before the first.
+  std::uint32_t Run() const { return mFields.mRun; }
+  /// @returns this value with another Run.
+  [[nodiscard]] TaskProgress WithRun(std::uint32_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mRun = std::move(aValue);
+    return copy;
+  }
+
+  /// Runs that ended by a fault.
+  std::uint32_t Failures() const { return mFields.mFailures; }
+  /// @returns this value with another Failures.
+  [[nodiscard]] TaskProgress WithFailures(std::uint32_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mFailures = std::move(aValue);
+    return copy;
+  }
+
+  /// The worker that it is placed on; empty for none.
+  const std::string& Worker() const { return mFields.mWorker; }
+  /// @returns this value with another Worker.
+  [[nodiscard]] TaskProgress WithWorker(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mWorker = std::move(aValue);
+    return copy;
+  }
+
+  /// The start of that worker's process, since 1970; zero while unknown.
+  Time WorkerBorn() const { return mFields.mWorkerBorn; }
+  /// @returns this value with another WorkerBorn.
+  [[nodiscard]] TaskProgress WithWorkerBorn(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mWorkerBorn = std::move(aValue);
+    return copy;
+  }
+
+  /// Its newest checkpoint; empty for none.
+  const std::string& Checkpoint() const { return mFields.mCheckpoint; }
+  /// @returns this value with another Checkpoint.
+  [[nodiscard]] TaskProgress WithCheckpoint(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mCheckpoint = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
+  friend auto operator<=>(const TaskProgress&, const TaskProgress&) = default;
+
+private:
+  explicit TaskProgress(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- a/standins/common/QueryText.cpp
+++ b/modules/by_web/QueryText.cpp
@@ -1,11 +1,11 @@
-#include "common/QueryText.h"
+#include "by_web/QueryText.h"
 
 #include <charconv>
 
-namespace by::standins {
+namespace by {
 
 void
-ReadTarget(std::string_view aTarget, HttpIncoming& aIncoming)
+ReadTarget(std::string_view aTarget, WebRequest& aIncoming)
 {
   const auto mark = aTarget.find('?');
   aIncoming.mPath = std::string(aTarget.substr(0, mark));
@@ -25,7 +25,7 @@
 }
 
 std::int64_t
-QueryNumber(const HttpIncoming& aIncoming, const std::string& aKey, std::int64_t aDefault)
+QueryNumber(const WebRequest& aIncoming, const std::string& aKey, std::int64_t aDefault)
 {
   const auto it = aIncoming.mQuery.find(aKey);
   if (it == aIncoming.mQuery.end()) {
@@ -37,4 +37,4 @@
   return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? n : aDefault;
 }
 
-} // namespace by::standins
+} // namespace by
--- a/standins/common/QueryText.h
+++ b/modules/by_web/QueryText.h
@@ -4,17 +4,17 @@
 #include <string>
 #include <string_view>
 
-#include "common/HttpIncoming.h"
+#include "by_web/WebRequest.h"
 
-namespace by::standins {
+namespace by {
 
 /// Splits a target "/path?key=value&key=value" into the path and the query of a call.
 void
-ReadTarget(std::string_view aTarget, HttpIncoming& aIncoming);
+ReadTarget(std::string_view aTarget, WebRequest& aIncoming);
 
 /// Reads a number from the query.
 /// @returns the number, or the default where the key is missing or not a number.
 std::int64_t
-QueryNumber(const HttpIncoming& aIncoming, const std::string& aKey, std::int64_t aDefault);
+QueryNumber(const WebRequest& aIncoming, const std::string& aKey, std::int64_t aDefault);
 
-} // namespace by::standins
+} // namespace by
--- a/standins/common/HttpServer.cpp
+++ b/modules/by_web/WebServer.cpp
@@ -1,11 +1,11 @@
-#include "common/HttpServer.h"
+#include "by_web/WebServer.h"
 
 #include <utility>
 #include <vector>
 
 #include <boost/asio/ip/address.hpp>
 
-namespace by::standins {
+namespace by {
 
 namespace {
 
@@ -21,21 +21,22 @@
 }
 
 void
-RefuseCall(const HttpIncoming&, const std::shared_ptr<HttpSession>& aSession)
+RefuseCall(const WebRequest&, const std::shared_ptr<WebSession>& aSession)
 {
   aSession->Answer(kServiceUnavailable, R"({"error":"too many connections"})");
 }
 
 } // namespace
 
-absl::StatusOr<std::shared_ptr<HttpServer>>
-HttpServer::Create(boost::asio::io_context& aContext,
+absl::StatusOr<std::shared_ptr<WebServer>>
+WebServer::Create(boost::asio::io_context& aContext,
                    const Endpoint& aListen,
                    std::int64_t aMaxConnections,
-                   HttpSession::Handler aHandler)
+                   WebSession::Handler aHandler,
+                   std::vector<std::string> aKeptHeaders)
 {
-  std::shared_ptr<HttpServer> server(
-    new HttpServer(aContext, aMaxConnections, std::move(aHandler)));
+  std::shared_ptr<WebServer> server(
+    new WebServer(aContext, aMaxConnections, std::move(aHandler), std::move(aKeptHeaders)));
   auto status = server->Listen(aListen);
   if (!status.ok()) {
     return status;
@@ -43,17 +44,19 @@
   return server;
 }
 
-HttpServer::HttpServer(boost::asio::io_context& aContext,
+WebServer::WebServer(boost::asio::io_context& aContext,
                        std::int64_t aMaxConnections,
-                       HttpSession::Handler aHandler)
+                       WebSession::Handler aHandler,
+                       std::vector<std::string> aKeptHeaders)
   : mAcceptor(aContext)
   , mMaxConnections(aMaxConnections)
   , mHandler(std::move(aHandler))
+  , mKeptHeaders(std::move(aKeptHeaders))
 {
 }
 
 absl::Status
-HttpServer::Listen(const Endpoint& aListen)
+WebServer::Listen(const Endpoint& aListen)
 {
   error_code ec;
   const auto address = boost::asio::ip::make_address(aListen.Address(), ec);
@@ -82,13 +85,13 @@
 }
 
 absl::Status
-HttpServer::Reopen()
+WebServer::Reopen()
 {
   return mAcceptor.is_open() ? absl::OkStatus() : Listen(mListening);
 }
 
 void
-HttpServer::Accept()
+WebServer::Accept()
 {
   auto accepted = [self = weak_from_this()](error_code aError, tcp::socket aSocket) {
     const auto server = self.lock();
@@ -104,18 +107,21 @@
 }
 
 void
-HttpServer::OnAccepted(tcp::socket aSocket)
+WebServer::OnAccepted(tcp::socket aSocket)
 {
   const bool hasRoom = OpenConnections() < mMaxConnections;
   mRefused += hasRoom ? 0 : 1;
-  auto closed = [self = weak_from_this()](HttpSession* aSession) {
+  auto closed = [self = weak_from_this()](WebSession* aSession) {
     const auto server = self.lock();
     if (server) {
       server->mSessions.erase(aSession);
     }
   };
-  auto session = std::make_shared<HttpSession>(
-    std::move(aSocket), hasRoom ? mHandler : HttpSession::Handler(RefuseCall), std::move(closed));
+  auto session = std::make_shared<WebSession>(
+    std::move(aSocket),
+    mKeptHeaders,
+    hasRoom ? mHandler : WebSession::Handler(RefuseCall),
+    std::move(closed));
   if (hasRoom) {
     mSessions.emplace(session.get(), session);
   }
@@ -123,11 +129,25 @@
 }
 
 void
-HttpServer::Close()
+WebServer::CloseIdle()
+{
+  std::vector<std::shared_ptr<WebSession>> open;
+  for (const auto& [key, session] : mSessions) {
+    open.push_back(session.lock());
+  }
+  for (const auto& session : open) {
+    if (session) {
+      session->CloseSoon();
+    }
+  }
+}
+
+void
+WebServer::Close()
 {
   error_code ignored;
   mAcceptor.close(ignored);
-  std::vector<std::shared_ptr<HttpSession>> open;
+  std::vector<std::shared_ptr<WebSession>> open;
   for (const auto& [key, session] : mSessions) {
     open.push_back(session.lock());
   }
@@ -138,4 +158,4 @@
   }
 }
 
-} // namespace by::standins
+} // namespace by
--- a/standins/common/HttpServer.h
+++ b/modules/by_web/WebServer.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,24 +13,27 @@
 #include "absl/status/statusor.h"
 
 #include "by_schema/Endpoint.h"
-#include "common/HttpSession.h"
+#include "by_web/WebSession.h"
 
-namespace by::standins {
+namespace by {
 
 /// Takes HTTP/1.1 calls on one port.
 ///
 /// Everything runs on the thread that runs the io_context.
-class HttpServer : public std::enable_shared_from_this<HttpServer>
+class WebServer : public std::enable_shared_from_this<WebServer>
 {
 public:
   /// Listens.
   /// @param aListen port 0 lets the system choose one.
+  /// @param aKeptHeaders names of the headers that calls are given with.
   /// @param aMaxConnections calls on connections beyond these are answered 503.
   /// @returns the server, or Unavailable where the port can't be had.
-  static absl::StatusOr<std::shared_ptr<HttpServer>> Create(boost::asio::io_context& aContext,
+  static absl::StatusOr<std::shared_ptr<WebServer>> Create(boost::asio::io_context& aContext,
                                                             const Endpoint& aListen,
                                                             std::int64_t aMaxConnections,
-                                                            HttpSession::Handler aHandler);
+                                                            WebSession::Handler aHandler,
+                                                            std::vector<std::string> aKeptHeaders =
+                                                              {});
 
   /// @returns where it listens, with the port that the system chose.
   const Endpoint& Listening() const { return mListening; }
@@ -39,6 +44,9 @@
   /// @returns connections that were refused for want of room.
   std::int64_t RefusedConnections() const { return mRefused; }
 
+  /// Closes connections that wait for a call now, and all others after their next answer.
+  void CloseIdle();
+
   /// Stops listening and closes all connections.
   void Close();
 
@@ -46,9 +54,10 @@
   absl::Status Reopen();
 
 private:
-  HttpServer(boost::asio::io_context& aContext,
+  WebServer(boost::asio::io_context& aContext,
              std::int64_t aMaxConnections,
-             HttpSession::Handler aHandler);
+             WebSession::Handler aHandler,
+            std::vector<std::string> aKeptHeaders);
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
@@ -56,10 +65,11 @@
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::int64_t mMaxConnections;
-  HttpSession::Handler mHandler;
+  WebSession::Handler mHandler;
+  std::vector<std::string> mKeptHeaders;
   Endpoint mListening;
   std::int64_t mRefused{ 0 };
-  std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> mSessions;
+  std::unordered_map<WebSession*, std::weak_ptr<WebSession>> mSessions;
 };
 
-} // namespace by::standins
+} // namespace by
--- a/standins/common/HttpSession.cpp
+++ b/modules/by_web/WebSession.cpp
@@ -1,13 +1,13 @@
-#include "common/HttpSession.h"
+#include "by_web/WebSession.h"
 
 #include <utility>
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "common/QueryText.h"
+#include "by_web/QueryText.h"
 
-namespace by::standins {
+namespace by {
 
 namespace {
 
@@ -16,18 +16,23 @@
 
 constexpr std::uint64_t kBodyLimit = std::uint64_t{ 64 } * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
+constexpr unsigned kPayloadTooLarge = 413;
 
 } // namespace
 
-HttpSession::HttpSession(boost::asio::ip::tcp::socket aSocket, Handler aHandler, Closed aClosed)
+WebSession::WebSession(boost::asio::ip::tcp::socket aSocket,
+                       std::vector<std::string> aKeptHeaders,
+                       Handler aHandler,
+                       Closed aClosed)
   : mSocket(std::move(aSocket))
+  , mKeptHeaders(std::move(aKeptHeaders))
   , mHandler(std::move(aHandler))
   , mClosed(std::move(aClosed))
 {
 }
 
 void
-HttpSession::Start()
+WebSession::Start()
 {
   error_code ignored;
   mSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -35,11 +40,17 @@
 }
 
 void
-HttpSession::Read()
+WebSession::Read()
 {
   mParser.emplace();
   mParser->body_limit(kBodyLimit);
   auto received = [self = shared_from_this()](error_code aError, std::size_t) {
+    if (aError == http::error::body_limit) {
+      self->mCallOpen = true;
+      self->mKeepAlive = false;
+      self->Answer(kPayloadTooLarge, "");
+      return;
+    }
     if (aError) {
       self->Drop();
       return;
@@ -50,13 +61,21 @@
 }
 
 void
-HttpSession::OnCall()
+WebSession::OnCall()
 {
   auto request = mParser->release();
   mParser.reset();
-  HttpIncoming incoming;
+  WebRequest incoming;
   incoming.mMethod = std::string(request.method_string());
   ReadTarget(std::string_view(request.target().data(), request.target().size()), incoming);
+  incoming.mHost = std::string(request[http::field::host]);
+  for (const auto& name : mKeptHeaders) {
+    const auto it = request.find(name);
+    if (it != request.end()) {
+      incoming.mHeaders.emplace(name, std::string(it->value()));
+    }
+  }
+  mKeepAlive = mKeepAlive && request.keep_alive();
   incoming.mBody = std::move(request.body());
   mCallOpen = true;
   mHandler(incoming, shared_from_this());
@@ -66,7 +85,7 @@
 }
 
 void
-HttpSession::WatchPeer()
+WebSession::WatchPeer()
 {
   auto readable = [self = shared_from_this()](error_code aError) {
     error_code ec;
@@ -79,19 +98,39 @@
 }
 
 void
-HttpSession::Answer(unsigned aStatusCode, std::string aBody)
+WebSession::Answer(unsigned aStatusCode, std::string aBody)
 {
   if (!mCallOpen) {
     return;
   }
-  mCallOpen = false;
   mResponse = http::response<http::string_body>(http::status(aStatusCode), kHttpVersion);
-  mResponse.set(http::field::content_type, "application/json");
-  mResponse.keep_alive(true);
   mResponse.body() = std::move(aBody);
+  Write();
+}
+
+void
+WebSession::AnswerRetry(unsigned aStatusCode, std::string aBody, std::int64_t aRetryAfter)
+{
+  if (!mCallOpen) {
+    return;
+  }
+  mResponse = http::response<http::string_body>(http::status(aStatusCode), kHttpVersion);
+  mResponse.set(http::field::retry_after, std::to_string(aRetryAfter));
+  mResponse.body() = std::move(aBody);
+  Write();
+}
+
+void
+WebSession::Write()
+{
+  mCallOpen = false;
+  mWriting = true;
+  mResponse.set(http::field::content_type, "application/json");
+  mResponse.keep_alive(mKeepAlive);
   mResponse.prepare_payload();
   auto written = [self = shared_from_this()](error_code aError, std::size_t) {
-    if (aError) {
+    self->mWriting = false;
+    if (aError || !self->mKeepAlive) {
       self->Drop();
       return;
     }
@@ -101,7 +140,17 @@
 }
 
 void
-HttpSession::Drop()
+WebSession::CloseSoon()
+{
+  mKeepAlive = false;
+  const bool hasBegun = mBuffer.size() > 0 || (mParser && mParser->got_some());
+  if (!mCallOpen && !mWriting && !hasBegun) {
+    Drop();
+  }
+}
+
+void
+WebSession::Drop()
 {
   mCallOpen = false;
   error_code ignored;
@@ -112,4 +161,4 @@
   }
 }
 
-} // namespace by::standins
+} // namespace by
--- /dev/null
+++ b/modules/by_web/by_web.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Module by_web
+///
+/// Purpose: a small HTTP/1.1 server: whole calls in, whole answers out, on one thread.
+/// Dependencies: by_core, by_schema, Boost.Beast.
+
+#include "by_web/QueryText.h"
+#include "by_web/WebRequest.h"
+#include "by_web/WebServer.h"
+#include "by_web/WebSession.h"
--- a/standins/backend_server/BackendService.cpp
+++ b/standins/backend_server/BackendService.cpp
@@ -35,11 +35,11 @@
 absl::Status
 BackendService::Listen(boost::asio::io_context& aContext)
 {
-  auto handle = [this](const HttpIncoming& aIncoming, const Session& aSession) {
+  auto handle = [this](const WebRequest& aIncoming, const Session& aSession) {
     OnCall(aIncoming, aSession);
   };
   const auto& settings = mState.mSettings;
-  auto server = HttpServer::Create(aContext, settings.Listen(), settings.Connections(), handle);
+  auto server = WebServer::Create(aContext, settings.Listen(), settings.Connections(), handle);
   if (!server.ok()) {
     return server.status();
   }
@@ -60,7 +60,7 @@
 }
 
 void
-BackendService::OnCall(const HttpIncoming& aIncoming, const Session& aSession)
+BackendService::OnCall(const WebRequest& aIncoming, const Session& aSession)
 {
   if (aIncoming.mPath == "/v1/counters") {
     AnswerWith(aSession, Counters());
@@ -78,7 +78,7 @@
 }
 
 void
-BackendService::Serve(const HttpIncoming& aIncoming, const Session& aSession)
+BackendService::Serve(const WebRequest& aIncoming, const Session& aSession)
 {
   EndDue();
   if (aIncoming.mPath == "/v1/lease") {
@@ -94,7 +94,7 @@
 }
 
 void
-BackendService::OnLease(const HttpIncoming& aIncoming, const Session& aSession)
+BackendService::OnLease(const WebRequest& aIncoming, const Session& aSession)
 {
   LeaseRequest request;
   if (ReadOrRefuse(aIncoming, aSession, request)) {
@@ -103,7 +103,7 @@
 }
 
 void
-BackendService::OnStart(const HttpIncoming& aIncoming, const Session& aSession)
+BackendService::OnStart(const WebRequest& aIncoming, const Session& aSession)
 {
   TaskStart start;
   if (!ReadOrRefuse(aIncoming, aSession, start)) {
@@ -118,7 +118,7 @@
 }
 
 void
-BackendService::OnCommand(const HttpIncoming& aIncoming, const Session& aSession)
+BackendService::OnCommand(const WebRequest& aIncoming, const Session& aSession)
 {
   TaskCommand command;
   if (!ReadOrRefuse(aIncoming, aSession, command)) {
--- a/standins/backend_server/BackendService.h
+++ b/standins/backend_server/BackendService.h
@@ -14,7 +14,7 @@
 #include "backend_server/ServerState.h"
 #include "by_schema/BackendCounters.h"
 #include "by_schema/TaskResult.h"
-#include "common/HttpServer.h"
+#include "by_web/WebServer.h"
 
 namespace by::standins {
 
@@ -38,26 +38,26 @@
   BackendCounters Counters() const;
 
 private:
-  using Session = std::shared_ptr<HttpSession>;
+  using Session = std::shared_ptr<WebSession>;
 
   BackendService(boost::asio::io_context& aContext, const BackendVmSettings& aSettings);
 
   absl::Status Listen(boost::asio::io_context& aContext);
-  void OnCall(const HttpIncoming& aIncoming, const Session& aSession);
-  void Serve(const HttpIncoming& aIncoming, const Session& aSession);
-  void OnLease(const HttpIncoming& aIncoming, const Session& aSession);
-  void OnStart(const HttpIncoming& aIncoming, const Session& aSession);
-  void OnCommand(const HttpIncoming& aIncoming, const Session& aSession);
+  void OnCall(const WebRequest& aIncoming, const Session& aSession);
+  void Serve(const WebRequest& aIncoming, const Session& aSession);
+  void OnLease(const WebRequest& aIncoming, const Session& aSession);
+  void OnStart(const WebRequest& aIncoming, const Session& aSession);
+  void OnCommand(const WebRequest& aIncoming, const Session& aSession);
   void ServeHeldCalls();
   void EndDue();
   void AnswerEnded(const TaskResult& aResult);
   void SetTimer();
 
   ServerState mState;
-  std::shared_ptr<HttpServer> mServer;
+  std::shared_ptr<WebServer> mServer;
   boost::asio::steady_timer mTimer;
   std::map<std::pair<TaskId, std::uint64_t>, Session> mOpenStarts;
-  std::vector<std::pair<HttpIncoming, Session>> mHeldCalls;
+  std::vector<std::pair<WebRequest, Session>> mHeldCalls;
 };
 
 } // namespace by::standins
--- a/standins/backend_server/BackendYard.cpp
+++ b/standins/backend_server/BackendYard.cpp
@@ -42,11 +42,11 @@
     }
     yard->mServices.emplace(vm.Vm(), *std::move(service));
   }
-  auto handle = [raw = yard.get()](const HttpIncoming& aIncoming,
-                                   const std::shared_ptr<HttpSession>& aSession) {
+  auto handle = [raw = yard.get()](const WebRequest& aIncoming,
+                                   const std::shared_ptr<WebSession>& aSession) {
     raw->OnCall(aIncoming, aSession);
   };
-  auto control = HttpServer::Create(aContext, aSettings.Control(), kControlConnections, handle);
+  auto control = WebServer::Create(aContext, aSettings.Control(), kControlConnections, handle);
   if (!control.ok()) {
     return control.status();
   }
@@ -67,7 +67,7 @@
 }
 
 void
-BackendYard::OnCall(const HttpIncoming& aIncoming, const std::shared_ptr<HttpSession>& aSession)
+BackendYard::OnCall(const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession)
 {
   const auto it = aIncoming.mQuery.find("vm");
   const auto vm = it == aIncoming.mQuery.end() ? std::string() : it->second;
@@ -83,8 +83,8 @@
 }
 
 void
-BackendYard::OnSwitch(const HttpIncoming& aIncoming,
-                      const std::shared_ptr<HttpSession>& aSession,
+BackendYard::OnSwitch(const WebRequest& aIncoming,
+                      const std::shared_ptr<WebSession>& aSession,
                       const std::string& aVm)
 {
   BackendSwitch turned;
--- a/standins/backend_server/BackendYard.h
+++ b/standins/backend_server/BackendYard.h
@@ -28,14 +28,14 @@
 private:
   BackendYard() = default;
 
-  void OnCall(const HttpIncoming& aIncoming, const std::shared_ptr<HttpSession>& aSession);
-  void OnSwitch(const HttpIncoming& aIncoming,
-                const std::shared_ptr<HttpSession>& aSession,
+  void OnCall(const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession);
+  void OnSwitch(const WebRequest& aIncoming,
+                const std::shared_ptr<WebSession>& aSession,
                 const std::string& aVm);
   BackendCounters CountersOver(const std::string& aVm) const;
 
   std::map<VmId, std::unique_ptr<BackendService>> mServices;
-  std::shared_ptr<HttpServer> mControl;
+  std::shared_ptr<WebServer> mControl;
 };
 
 } // namespace by::standins
--- a/standins/common/Answers.h
+++ b/standins/common/Answers.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "by_json/by_json.h"
-#include "common/HttpIncoming.h"
-#include "common/HttpSession.h"
+#include "by_web/WebRequest.h"
+#include "by_web/WebSession.h"
 
 namespace by::standins {
 
@@ -18,14 +18,14 @@
 /// Answers with a value as JSON.
 template<class T>
 void
-AnswerWith(const std::shared_ptr<HttpSession>& aSession, const T& aValue)
+AnswerWith(const std::shared_ptr<WebSession>& aSession, const T& aValue)
 {
   aSession->Answer(kOk, WriteJsonText(aValue, Secrets::Shown));
 }
 
 /// Answers with an error and one sentence.
 inline void
-AnswerError(const std::shared_ptr<HttpSession>& aSession,
+AnswerError(const std::shared_ptr<WebSession>& aSession,
             unsigned aStatusCode,
             const std::string& aDetail)
 {
@@ -36,7 +36,7 @@
 /// @returns whether the value was read.
 template<class T>
 bool
-ReadOrRefuse(const HttpIncoming& aIncoming, const std::shared_ptr<HttpSession>& aSession, T& aValue)
+ReadOrRefuse(const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession, T& aValue)
 {
   auto read = ReadJsonText<T>(aIncoming.mBody);
   if (!read.ok()) {
--- a/standins/platform/PlatformService.cpp
+++ b/standins/platform/PlatformService.cpp
@@ -9,7 +9,7 @@
 #include "by_json/generated/standins_json.h"
 #include "by_runtime/MachineClock.h"
 #include "common/Answers.h"
-#include "common/QueryText.h"
+#include "by_web/QueryText.h"
 #include "platform/LogFunctions.h"
 
 namespace by::standins {
@@ -25,10 +25,10 @@
 PlatformService::Create(boost::asio::io_context& aContext, const PlatformStandinSettings& aSettings)
 {
   std::unique_ptr<PlatformService> service(new PlatformService(aContext, aSettings));
-  auto handle = [raw = service.get()](const HttpIncoming& aIncoming, const Session& aSession) {
+  auto handle = [raw = service.get()](const WebRequest& aIncoming, const Session& aSession) {
     raw->OnCall(aIncoming, aSession);
   };
-  auto server = HttpServer::Create(aContext, aSettings.Listen(), kMaxConnections, handle);
+  auto server = WebServer::Create(aContext, aSettings.Listen(), kMaxConnections, handle);
   if (!server.ok()) {
     return server.status();
   }
@@ -45,7 +45,7 @@
 }
 
 void
-PlatformService::OnCall(const HttpIncoming& aIncoming, const Session& aSession)
+PlatformService::OnCall(const WebRequest& aIncoming, const Session& aSession)
 {
   if (aIncoming.mPath == "/v1/switch" || aIncoming.mPath == "/v1/state") {
     OnControlCall(aIncoming, aSession);
@@ -77,7 +77,7 @@
 }
 
 void
-PlatformService::OnControlCall(const HttpIncoming& aIncoming, const Session& aSession)
+PlatformService::OnControlCall(const WebRequest& aIncoming, const Session& aSession)
 {
   if (aIncoming.mPath == "/v1/switch") {
     if (ReadOrRefuse(aIncoming, aSession, mSwitch)) {
@@ -99,7 +99,7 @@
 }
 
 void
-PlatformService::Serve(const HttpIncoming& aIncoming, const Session& aSession)
+PlatformService::Serve(const WebRequest& aIncoming, const Session& aSession)
 {
   if (aIncoming.mPath == "/v1/log/append") {
     OnAppend(aIncoming, aSession);
@@ -115,7 +115,7 @@
 }
 
 void
-PlatformService::OnAppend(const HttpIncoming& aIncoming, const Session& aSession)
+PlatformService::OnAppend(const WebRequest& aIncoming, const Session& aSession)
 {
   AppendBody body;
   if (!ReadOrRefuse(aIncoming, aSession, body)) {
@@ -139,7 +139,7 @@
 }
 
 void
-PlatformService::OnRead(const HttpIncoming& aIncoming, const Session& aSession)
+PlatformService::OnRead(const WebRequest& aIncoming, const Session& aSession)
 {
   Expire(mLog, mSettings, MachineNow());
   const auto from = static_cast<std::uint64_t>(QueryNumber(aIncoming, "from", 0));
@@ -173,7 +173,7 @@
 }
 
 void
-PlatformService::OnVmsChange(const HttpIncoming& aIncoming, const Session& aSession)
+PlatformService::OnVmsChange(const WebRequest& aIncoming, const Session& aSession)
 {
   VmListChange change;
   if (ReadOrRefuse(aIncoming, aSession, change)) {
--- a/standins/platform/PlatformService.h
+++ b/standins/platform/PlatformService.h
@@ -12,7 +12,7 @@
 
 #include "by_schema/PlatformStandinSettings.h"
 #include "by_schema/PlatformSwitch.h"
-#include "common/HttpServer.h"
+#include "by_web/WebServer.h"
 #include "platform/PlatformLog.h"
 #include "platform/VmHistory.h"
 
@@ -32,7 +32,7 @@
   PlatformStandinSettings Settings() const { return mSettings.WithListen(mServer->Listening()); }
 
 private:
-  using Session = std::shared_ptr<HttpSession>;
+  using Session = std::shared_ptr<WebSession>;
 
   /// A read that waits for a record.
   struct Waiter
@@ -45,20 +45,20 @@
 
   PlatformService(boost::asio::io_context& aContext, const PlatformStandinSettings& aSettings);
 
-  void OnCall(const HttpIncoming& aIncoming, const Session& aSession);
-  void OnControlCall(const HttpIncoming& aIncoming, const Session& aSession);
+  void OnCall(const WebRequest& aIncoming, const Session& aSession);
+  void OnControlCall(const WebRequest& aIncoming, const Session& aSession);
   void After(Time aDelay, std::function<void()> aThen);
-  void Serve(const HttpIncoming& aIncoming, const Session& aSession);
-  void OnAppend(const HttpIncoming& aIncoming, const Session& aSession);
-  void OnRead(const HttpIncoming& aIncoming, const Session& aSession);
+  void Serve(const WebRequest& aIncoming, const Session& aSession);
+  void OnAppend(const WebRequest& aIncoming, const Session& aSession);
+  void OnRead(const WebRequest& aIncoming, const Session& aSession);
   void AnswerRead(std::uint64_t aFrom, std::size_t aLimit, const Session& aSession);
-  void OnVmsChange(const HttpIncoming& aIncoming, const Session& aSession);
+  void OnVmsChange(const WebRequest& aIncoming, const Session& aSession);
   void WakeWaiters();
   void DropWaiters();
 
   boost::asio::io_context& mContext;
   PlatformStandinSettings mSettings;
-  std::shared_ptr<HttpServer> mServer;
+  std::shared_ptr<WebServer> mServer;
   PlatformSwitch mSwitch;
   PlatformLog mLog;
   VmHistory mVms;
--- a/tests/by_client/HttpClientTest.cpp
+++ b/tests/by_client/HttpClientTest.cpp
@@ -5,12 +5,12 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_client/by_client.h"
-#include "common/HttpServer.h"
+#include "by_web/WebServer.h"
 
 using namespace by;
-using standins::HttpIncoming;
-using standins::HttpServer;
-using standins::HttpSession;
+using standins::WebRequest;
+using by::WebServer;
+using standins::WebSession;
 
 namespace {
 
@@ -24,7 +24,7 @@
 
 /// Echoes the body of POST; "/drop" closes without an answer, "/hang" never answers.
 void
-Handle(const HttpIncoming& aIncoming, const std::shared_ptr<HttpSession>& aSession)
+Handle(const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession)
 {
   if (aIncoming.mPath == "/drop") {
     aSession->Drop();
@@ -45,8 +45,8 @@
 TEST_GROUP(HttpClient)
 {
   boost::asio::io_context mContext;
-  std::shared_ptr<HttpServer> mServer =
-    HttpServer::Create(mContext, AnyPort(), kManyConnections, Handle).value();
+  std::shared_ptr<WebServer> mServer =
+    WebServer::Create(mContext, AnyPort(), kManyConnections, Handle).value();
   std::unique_ptr<HttpClient> mClient = HttpClient::Create(mContext, SettingsWith(4, 1000)).value();
   std::map<std::uint64_t, HttpResult> mResults;
 
@@ -152,7 +152,7 @@
 
 TEST(HttpClient, ConnectionsBeyondTheServersLimitAreRefusedWithAStatusCode)
 {
-  mServer = HttpServer::Create(mContext, AnyPort(), 1, Handle).value();
+  mServer = WebServer::Create(mContext, AnyPort(), 1, Handle).value();
   Send(Call("/hang", "x"));
   const auto second = Send(Call("/echo", "y"));
   RunUntilAnswered(1);
