Count a failed run by its number, however late or often it is listed

A gang is requeued on the first end of a member that is listed; where a member that broke off was listed before the one that failed, the failure was not counted and the gang started once too often. Ruled out: a lost append (the failures before and after were stored). Change: a task's progress holds the numbers of its failed runs; an end counts whatever phase the task is in, and once. Tests of by_cell, FailureOfAGangCountsAlsoWhenItIsListedLast among them.

--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -118,37 +118,42 @@
   FinishTasks(aState, aJob, aTask.Occurrence(), aTask.Step(), aNow, aOut);
 }
 
-/// @returns the runs that failed, of a task or of all members of its gang.
-std::uint32_t
+/// @returns how many runs failed, of a task or of all members of its gang.
+std::size_t
 FailuresOf(CellState& aState, JobRow& aJob, const TaskKey& aTask)
 {
   if (!StepOf(aJob, aTask.Step()).Gang()) {
-    return FindTask(aState, aTask)->mProgress.Failures();
+    return FindTask(aState, aTask)->mProgress.FailedRuns().size();
   }
-  std::uint32_t n = 0;
+  std::size_t n = 0;
   for (const auto& member : MembersOf(aTask, StepRowOf(aJob, aTask))) {
-    n += FindTask(aState, member)->mProgress.Failures();
+    n += FindTask(aState, member)->mProgress.FailedRuns().size();
   }
   return n;
 }
 
+/// Counts a run that failed. It counts also where the run was given up before its end was listed:
+/// a gang is requeued on the first end of a member, and the member that failed may be listed last.
 void
-FailTask(CellState& aState, JobRow& aJob, const TaskKey& aTask, Time aNow, Effects& aOut)
+FailTask(CellState& aState, JobRow& aJob, const RunId& aRun, Time aNow, Effects& aOut)
 {
-  MarkProgress(aState, aTask);
-  ChangeProgress(*FindTask(aState, aTask), [](auto& aFields) { ++aFields.mFailures; });
-  const auto attempts = std::max<std::uint32_t>(1, PolicyOf(aState, aJob).MaxAttempts());
-  const auto failures = FailuresOf(aState, aJob, aTask);
-  const bool isHopeless = !StepOf(aJob, aTask.Step()).LongRunning() && failures >= attempts;
+  const auto& task = aRun.mTask;
+  const auto& known = FindTask(aState, task)->mProgress.FailedRuns();
+  if (std::find(known.begin(), known.end(), aRun.mRun) != known.end()) {
+    return;
+  }
+  MarkProgress(aState, task);
+  ChangeProgress(*FindTask(aState, task),
+                 [&](auto& aFields) { aFields.mFailedRuns.push_back(aRun.mRun); });
+  const auto attempts = std::max<std::size_t>(1, PolicyOf(aState, aJob).MaxAttempts());
+  const auto failures = FailuresOf(aState, aJob, task);
   Log(aOut,
       "task.failed",
-      Named({ aTask, FindTask(aState, aTask)->mProgress.Run() }),
+      Named(aRun),
       absl::StrCat("failures=", failures, " attempts=", attempts));
-  if (isHopeless) {
-    EndJob(aState, aTask.Job(), JobState::Failed, aNow, aOut);
-    return;
+  if (!StepOf(aJob, task.Step()).LongRunning() && failures >= attempts) {
+    EndJob(aState, task.Job(), JobState::Failed, aNow, aOut);
   }
-  Requeue(aState, aTask, aNow, aOut);
 }
 
 void
@@ -241,14 +246,15 @@
                          task->mProgress.Worker() == aWorker.mRegistration.Id();
   const bool isLateDone = aHow == RunEnd::Done && task->mProgress.Phase() == TaskPhase::Waiting &&
                           task->mLiveRuns == 0;
-  if (!isCurrent && !isLateDone) {
+  if (aHow == RunEnd::Failed) {
+    FailTask(aState, *job, aRun, aNow, aOut);
+  }
+  if ((!isCurrent && !isLateDone) || FindTask(aState, aRun.mTask) == nullptr) {
     return;
   }
   KeepCheckpoint(aState, aRun.mTask, aCheckpoint);
   if (aHow == RunEnd::Done) {
     FinishTask(aState, *job, aRun.mTask, aNow, aOut);
-  } else if (aHow == RunEnd::Failed) {
-    FailTask(aState, *job, aRun.mTask, aNow, aOut);
   } else {
     Requeue(aState, aRun.mTask, aNow, aOut);
   }
--- a/modules/by_schema/TaskProgress.h
+++ b/modules/by_schema/TaskProgress.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -24,8 +25,8 @@
     TaskPhase mPhase{};
     /// The highest number given to a run of it; zero before the first.
     std::uint32_t mRun{ 0 };
-    /// Runs that ended by a fault.
-    std::uint32_t mFailures{ 0 };
+    /// The runs that ended by a fault, each once, however often a worker lists them.
+    std::vector<std::uint32_t> mFailedRuns{};
     /// The worker that it is placed on; empty for none.
     std::string mWorker{};
     /// The start of that worker's process, since 1970; zero while unknown.
@@ -70,13 +71,13 @@
     return copy;
   }
 
-  /// Runs that ended by a fault.
-  std::uint32_t Failures() const { return mFields.mFailures; }
-  /// @returns this value with another Failures.
-  [[nodiscard]] TaskProgress WithFailures(std::uint32_t aValue) const
+  /// The runs that ended by a fault, each once, however often a worker lists them.
+  const std::vector<std::uint32_t>& FailedRuns() const { return mFields.mFailedRuns; }
+  /// @returns this value with another FailedRuns.
+  [[nodiscard]] TaskProgress WithFailedRuns(std::vector<std::uint32_t> aValue) const
   {
     auto copy = *this;
-    copy.mFields.mFailures = std::move(aValue);
+    copy.mFields.mFailedRuns = std::move(aValue);
     return copy;
   }
 
--- /dev/null
+++ b/tests/by_cell/CellFixture.cpp
@@ -0,0 +1,350 @@
+#include "by_cell/CellFixture.h"
+
+#include <map>
+
+#include "by_cell/detail/Emit.h"
+
+namespace by {
+
+namespace {
+
+constexpr std::int64_t kWorkerCpu = 4000;
+constexpr std::int64_t kWorkerMemory = 4096;
+constexpr const char* kPool = "pool";
+constexpr const char* kNode = "owner";
+
+template<class Body>
+std::vector<Body>
+TakeAll(Effects& aOut)
+{
+  std::vector<Body> found;
+  Effects rest;
+  for (auto& effect : aOut) {
+    if (const auto* body = std::get_if<Body>(&effect.Body())) {
+      found.push_back(*body);
+    } else {
+      rest.push_back(std::move(effect));
+    }
+  }
+  aOut = std::move(rest);
+  return found;
+}
+
+WorkerRegistration
+Registration(int aNumber)
+{
+  const auto n = std::to_string(aNumber);
+  return WorkerRegistration::Create(
+           { .mId = "w" + n,
+             .mPool = kPool,
+             .mEndpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9000 + aNumber })
+                            .value(),
+             .mZone = {},
+             .mDraining = false,
+             .mCapacity =
+               Resources::Create({ .mCpuMillis = kWorkerCpu, .mMemoryMb = kWorkerMemory }).value(),
+             .mLabels = { "a", "r" + n },
+             .mRack = RackId("r" + n),
+             .mBorn = Time::FromMilliseconds(aNumber),
+             .mRemaining = {} })
+    .value();
+}
+
+} // namespace
+
+CellFixture::CellFixture(int aWorkers)
+{
+  mQueue = QueuePolicy::Create({ .mHost = "h",
+                                 .mPathPrefix = "/q/",
+                                 .mPool = kPool,
+                                 .mPriority = 0,
+                                 .mMaxAttempts = 2,
+                                 .mStretch = 2,
+                                 .mSlack = Time::FromMilliseconds(100),
+                                 .mAdvice = std::nullopt })
+             .value();
+  mCell.mNode = kNode;
+  mCell.mEpoch = 7;
+  mCell.mNextSequence = 1;
+  mCell.mConfirmedAt = mNow;
+  mCell.mOwnerSince = mNow;
+  mCell.mConfig =
+    ClusterConfig::Create({ .mVersion = 1, .mQueues = { mQueue }, .mPools = {} }).value();
+  mCell.mAdvisers.push_back({ .mNode = kNode, .mBusyUntil = Time() });
+  WorkersChanged::Fields workers;
+  workers.mComplete = true;
+  for (int n = 1; n <= aWorkers; ++n) {
+    workers.mPresent.push_back(Registration(n));
+  }
+  HandleWorkersChanged(mCell, WorkersChanged::Create(std::move(workers)).value(), mNow, mOut);
+  Work();
+  for (int n = 1; n <= aWorkers; ++n) {
+    Look("w" + std::to_string(n), {}, {});
+  }
+  mOut.clear();
+}
+
+JobStep::Fields
+CellFixture::Step(std::uint32_t aCount)
+{
+  JobStep::Fields fields;
+  fields.mCount = aCount;
+  fields.mDemand = Resources::Create({ .mCpuMillis = 1000, .mMemoryMb = 128 }).value();
+  fields.mEstimate = Time::FromMilliseconds(100);
+  return fields;
+}
+
+CellRequest
+CellFixture::Submission(const std::string& aJob, std::vector<JobStep::Fields> aSteps) const
+{
+  JobDefinition::Fields definition;
+  definition.mPayload = "payload";
+  for (auto& step : aSteps) {
+    definition.mSteps.push_back(JobStep::Create(std::move(step)).value());
+  }
+  return CellRequest::Create({ .mCall = 1,
+                               .mKind = JobCallKind::Submit,
+                               .mQueue = mQueue,
+                               .mJob = aJob,
+                               .mDefinition = JobDefinition::Create(std::move(definition)).value() })
+    .value();
+}
+
+void
+CellFixture::Submit(const std::string& aJob, std::vector<JobStep::Fields> aSteps)
+{
+  HandleRequest(mCell, { kNode, 1 }, Submission(aJob, std::move(aSteps)), mNow, mOut);
+  Settle();
+}
+
+Effects
+CellFixture::Ask(JobCallKind aKind, const std::string& aJob)
+{
+  Effects out;
+  HandleRequest(
+    mCell,
+    { mCell.mNode, 2 },
+    CellRequest::Create({ .mCall = 2, .mKind = aKind, .mQueue = mQueue, .mJob = aJob }).value(),
+    mNow,
+    out);
+  mOut.insert(mOut.end(), out.begin(), out.end());
+  return out;
+}
+
+void
+CellFixture::Work()
+{
+  WorkOnCell(mCell, mNow, mOut);
+}
+
+void
+CellFixture::Pass(Time aTime)
+{
+  const auto until = mNow + aTime;
+  while (mNow < until) {
+    mNow = std::min(until, mNow + Time::FromMilliseconds(50));
+    CheckCell(mCell, mNow, mOut);
+    Work();
+  }
+}
+
+void
+CellFixture::Store(StoreOutcome aOutcome)
+{
+  const auto appends = TakeAll<AppendToCell>(mOut);
+  if (appends.empty()) {
+    return;
+  }
+  const auto& append = appends.back();
+  if (aOutcome == StoreOutcome::Done) {
+    mRecords.insert(mRecords.end(), append.Records().begin(), append.Records().end());
+  }
+  HandleAppended(
+    mCell,
+    CellAppended::Create(
+      { .mEpoch = append.Epoch(), .mSequence = append.Sequence(), .mOutcome = aOutcome })
+      .value(),
+    mNow,
+    mOut);
+  Work();
+}
+
+void
+CellFixture::Settle()
+{
+  Work();
+  for (int i = 0; i < 20 && HasUnstored(mCell); ++i) {
+    Store();
+    mNow = mNow + Time::FromMilliseconds(20);
+    Work();
+  }
+}
+
+void
+CellFixture::Look(const std::string& aWorker,
+                  std::vector<RunningRun> aRunning,
+                  std::vector<EndedRun> aEnded,
+                  Time aBorn)
+{
+  mCell.mWorkers.at(aWorker).mLookSent = mNow;
+  mNow = mNow + Time::FromMilliseconds(1);
+  HandleLooked(mCell,
+               WorkerLooked::Create(
+                 { .mWorker = aWorker,
+                   .mOutcome = OrderOutcome::Accepted,
+                   .mLists = WorkerLists::Create({ .mClock = mNow,
+                                                   .mBorn = aBorn,
+                                                   .mRunning = std::move(aRunning),
+                                                   .mEnded = std::move(aEnded) })
+                               .value() })
+                 .value(),
+               mNow,
+               mOut);
+  Work();
+}
+
+void
+CellFixture::LoseWorker(const std::string& aWorker)
+{
+  for (int i = 0; i < 3; ++i) {
+    HandleLooked(
+      mCell,
+      WorkerLooked::Create({ .mWorker = aWorker, .mOutcome = OrderOutcome::Unanswered }).value(),
+      mNow,
+      mOut);
+    mCell.mWorkers.at(aWorker).mLookOpen = true;
+  }
+}
+
+void
+CellFixture::Started(const std::string& aWorker, const RunId& aRun, OrderOutcome aOutcome)
+{
+  HandleStartAnswered(
+    mCell,
+    StartAnswered::Create(
+      { .mWorker = aWorker, .mTask = aRun.mTask, .mRun = aRun.mRun, .mOutcome = aOutcome })
+      .value(),
+    mNow,
+    mOut);
+}
+
+void
+CellFixture::Stopped(const std::string& aWorker, const RunId& aRun, OrderOutcome aOutcome)
+{
+  HandleStopAnswered(
+    mCell,
+    StopAnswered::Create(
+      { .mWorker = aWorker, .mTask = aRun.mTask, .mRun = aRun.mRun, .mOutcome = aOutcome })
+      .value(),
+    mNow,
+    mOut);
+}
+
+std::vector<KeyedRecord>
+CellFixture::Stored() const
+{
+  std::map<std::string, KeyedRecord> newest;
+  for (const auto& record : mRecords) {
+    if (record.Record()) {
+      newest[record.Key()] = record;
+    } else {
+      newest.erase(record.Key());
+    }
+  }
+  std::vector<KeyedRecord> all;
+  for (auto& [key, record] : newest) {
+    all.push_back(std::move(record));
+  }
+  return all;
+}
+
+CellFixture
+CellFixture::Successor() const
+{
+  CellFixture next(0);
+  next.mNow = mNow;
+  next.mRecords = mRecords;
+  CellState empty;
+  empty.mSettings = mCell.mSettings;
+  empty.mNode = "successor";
+  empty.mEpoch = mCell.mEpoch + 1;
+  empty.mConfig = mCell.mConfig;
+  empty.mConfirmedAt = mNow;
+  empty.mOwnerSince = mNow;
+  empty.mNextSequence = 1;
+  empty.mAdvisers.push_back({ .mNode = "successor", .mBusyUntil = Time() });
+  next.mCell = RestoreCell(std::move(empty), Stored(), mNow, next.mOut);
+  WorkersChanged::Fields workers;
+  workers.mComplete = true;
+  for (const auto& [id, worker] : mCell.mWorkers) {
+    workers.mPresent.push_back(worker.mRegistration);
+  }
+  HandleWorkersChanged(
+    next.mCell, WorkersChanged::Create(std::move(workers)).value(), next.mNow, next.mOut);
+  next.Work();
+  return next;
+}
+
+std::vector<StartRun>
+CellFixture::TakeStarts()
+{
+  return TakeAll<StartRun>(mOut);
+}
+
+std::vector<StopRun>
+CellFixture::TakeStops()
+{
+  return TakeAll<StopRun>(mOut);
+}
+
+std::vector<LookAtWorker>
+CellFixture::TakeLooks()
+{
+  return TakeAll<LookAtWorker>(mOut);
+}
+
+std::vector<JobReply>
+CellFixture::TakeReplies()
+{
+  std::vector<JobReply> replies;
+  for (const auto& reply : TakeAll<ReplyToCaller>(mOut)) {
+    replies.push_back(reply.Reply());
+  }
+  return replies;
+}
+
+std::vector<AskAdvice>
+CellFixture::TakeQuestions()
+{
+  return TakeAll<AskAdvice>(mOut);
+}
+
+RunId
+CellFixture::Run(const std::string& aJob,
+                 std::uint32_t aIndex,
+                 std::uint32_t aRun,
+                 std::uint32_t aStep)
+{
+  return { TaskKey::Create(
+             { .mJob = aJob, .mOccurrence = 0, .mStep = aStep, .mIndex = aIndex })
+             .value(),
+           aRun };
+}
+
+RunningRun
+CellFixture::Running(const RunId& aRun, std::uint32_t aPercent)
+{
+  return RunningRun::Create(
+           { .mTask = aRun.mTask, .mRun = aRun.mRun, .mCheckpoint = "", .mPercent = aPercent })
+    .value();
+}
+
+EndedRun
+CellFixture::Ended(std::uint64_t aNumber, const RunId& aRun, RunEnd aHow)
+{
+  return EndedRun::Create(
+           { .mNumber = aNumber, .mTask = aRun.mTask, .mRun = aRun.mRun, .mHow = aHow })
+    .value();
+}
+
+} // namespace by
--- /dev/null
+++ b/tests/by_cell/CellFixture.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "by_cell/by_cell.h"
+
+namespace by {
+
+/// A cell with two workers and one queue, and the answers that the store and the workers give.
+struct CellFixture
+{
+  /// @param aWorkers how many workers there are, w1 and on, each in a rack of its own.
+  explicit CellFixture(int aWorkers = 2);
+
+  /// A step of tasks that take one core and 100 ms.
+  static JobStep::Fields Step(std::uint32_t aCount);
+  /// A job of the fixture's queue.
+  CellRequest Submission(const std::string& aJob, std::vector<JobStep::Fields> aSteps) const;
+  /// Hands a job in, and has it stored.
+  void Submit(const std::string& aJob, std::vector<JobStep::Fields> aSteps);
+  /// Sends a request and returns the effects.
+  Effects Ask(JobCallKind aKind, const std::string& aJob);
+
+  /// Does the work that is due, and collects the effects.
+  void Work();
+  /// Lets time pass, with the periodic checks.
+  void Pass(Time aTime);
+  /// Answers the open append.
+  void Store(StoreOutcome aOutcome = StoreOutcome::Done);
+  /// Works and stores until nothing is left to store.
+  void Settle();
+  /// Answers a look at a worker.
+  void Look(const std::string& aWorker,
+            std::vector<RunningRun> aRunning,
+            std::vector<EndedRun> aEnded,
+            Time aBorn = Time());
+  /// Has the looks at a worker fail until it is given up.
+  void LoseWorker(const std::string& aWorker);
+  /// Answers a start.
+  void Started(const std::string& aWorker, const RunId& aRun, OrderOutcome aOutcome);
+  /// Answers a stop.
+  void Stopped(const std::string& aWorker, const RunId& aRun, OrderOutcome aOutcome);
+  /// Builds a successor from what the store holds.
+  CellFixture Successor() const;
+
+  /// @returns the starts among the effects since the last call.
+  std::vector<StartRun> TakeStarts();
+  std::vector<StopRun> TakeStops();
+  std::vector<LookAtWorker> TakeLooks();
+  std::vector<JobReply> TakeReplies();
+  std::vector<AskAdvice> TakeQuestions();
+  /// @returns the newest record of each key that was stored.
+  std::vector<KeyedRecord> Stored() const;
+
+  static RunId Run(const std::string& aJob,
+                   std::uint32_t aIndex,
+                   std::uint32_t aRun,
+                   std::uint32_t aStep = 0);
+  static RunningRun Running(const RunId& aRun, std::uint32_t aPercent = 10);
+  static EndedRun Ended(std::uint64_t aNumber, const RunId& aRun, RunEnd aHow);
+
+  CellState mCell;
+  Time mNow{ Time::FromMilliseconds(1000000) };
+  Effects mOut;
+  std::vector<KeyedRecord> mRecords;
+  QueuePolicy mQueue;
+};
+
+} // namespace by
--- /dev/null
+++ b/tests/by_cell/CellTest.cpp
@@ -0,0 +1,452 @@
+#include "by_cell/CellFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace by;
+
+namespace {
+
+std::size_t
+CountRuns(const CellFixture& aCell, const std::string& aWorker)
+{
+  const auto it = aCell.mCell.mWorkers.find(aWorker);
+  return it == aCell.mCell.mWorkers.end() ? 0 : it->second.mRuns.size();
+}
+
+bool
+Has(const std::vector<JobReply>& aReplies, JobVerdict aVerdict)
+{
+  return std::any_of(aReplies.begin(), aReplies.end(), [&](const JobReply& aReply) {
+    return aReply.Verdict() == aVerdict;
+  });
+}
+
+JobState
+ShownState(CellFixture& aCell, const std::string& aJob)
+{
+  aCell.mOut.clear();
+  aCell.Ask(JobCallKind::Show, aJob);
+  const auto replies = aCell.TakeReplies();
+  CHECK_EQUAL(1, replies.size());
+  return replies.front().State();
+}
+
+} // namespace
+
+TEST_GROUP(Cell){};
+
+TEST(Cell, JobIsAcceptedOnlyOnceItIsStored)
+{
+  CellFixture cell;
+  HandleRequest(
+    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  cell.Work();
+  CHECK(cell.TakeReplies().empty());
+  cell.Store();
+  CHECK(Has(cell.TakeReplies(), JobVerdict::Accepted));
+}
+
+TEST(Cell, StartIsSentOnlyOnceItsAssignmentIsStored)
+{
+  CellFixture cell;
+  HandleRequest(
+    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  cell.Work();
+  cell.Store();
+  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
+  cell.Work();
+  CHECK(cell.TakeStarts().empty());
+  cell.Store();
+  CHECK_EQUAL(1, cell.TakeStarts().size());
+}
+
+TEST(Cell, RepeatedSubmissionRemainsOneJob)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.TakeReplies();
+  cell.Submit("j", { CellFixture::Step(1) });
+  CHECK(Has(cell.TakeReplies(), JobVerdict::Accepted));
+  CHECK(cell.TakeStarts().empty());
+}
+
+TEST(Cell, WorkerIsNeverFilledOverItsCapacity)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(20) });
+  CHECK_EQUAL(8, cell.TakeStarts().size());
+  CHECK_EQUAL(4, CountRuns(cell, "w1"));
+  CHECK_EQUAL(4, CountRuns(cell, "w2"));
+}
+
+TEST(Cell, RoomOfAStoppedRunIsFreeOnlyOnceItsEndIsListed)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(4) });
+  cell.TakeStarts();
+  cell.Ask(JobCallKind::Cancel, "j");
+  cell.Settle();
+  cell.Submit("k", { CellFixture::Step(1) });
+  CHECK(cell.TakeStarts().empty());
+  CHECK_EQUAL(4, cell.TakeStops().size());
+  cell.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Stopped) });
+  cell.Settle();
+  CHECK_EQUAL(1, cell.TakeStarts().size());
+}
+
+TEST(Cell, StepWaitsForTheStepsBeforeIt)
+{
+  CellFixture cell;
+  auto second = CellFixture::Step(1);
+  second.mAfter = { 0 };
+  cell.Submit("j", { CellFixture::Step(2), second });
+  CHECK_EQUAL(2, cell.TakeStarts().size());
+  const auto first = cell.mCell.mWorkers.at("w1").mRuns.size() == 2 ? "w1" : "w2";
+  cell.Look(first, {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Done) });
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+  cell.Look(first, {}, { CellFixture::Ended(2, CellFixture::Run("j", 1, 1), RunEnd::Done) });
+  cell.Settle();
+  CHECK_EQUAL(1, cell.TakeStarts().size());
+}
+
+TEST(Cell, EndIsAcknowledgedOnlyOnceItIsStored)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Done) });
+  CHECK_EQUAL(0, cell.mCell.mWorkers.at("w1").mEndStored);
+  cell.Settle();
+  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1").mEndStored);
+  CHECK(ShownState(cell, "j") == JobState::Completed);
+}
+
+TEST(Cell, CompletedIsShownOnlyOnceItIsStored)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Done) });
+  CHECK(ShownState(cell, "j") == JobState::Running);
+}
+
+TEST(Cell, LostWorkerKeepsItsTasksUntilItsLeaseHasPassed)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  const auto worker = starts.front().Worker();
+  cell.Started(worker, CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  const auto granted = starts.front().LeaseUntil() - cell.mCell.mWorkers.at(worker).mClock;
+  cell.LoseWorker(worker);
+  cell.Pass(granted);
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+  cell.Pass(Time::FromMilliseconds(1500));
+  cell.Settle();
+  const auto again = cell.TakeStarts();
+  CHECK_EQUAL(1, again.size());
+  CHECK(again.front().Worker() != worker);
+  CHECK_EQUAL(2, again.front().Run());
+}
+
+TEST(Cell, LostWorkerIsNotRenewed)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  cell.Started(worker, CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.LoseWorker(worker);
+  cell.mCell.mWorkers.at(worker).mLookOpen = false;
+  cell.TakeLooks();
+  cell.Pass(Time::FromMilliseconds(400));
+  for (const auto& look : cell.TakeLooks()) {
+    CHECK(look.Worker() != worker || !look.LeaseUntil());
+  }
+}
+
+TEST(Cell, UnansweredStartIsRepeatedOnTheSameWorker)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto first = cell.TakeStarts().front();
+  cell.Started(first.Worker(), CellFixture::Run("j", 0, 1), OrderOutcome::Unanswered);
+  cell.mCell.mWorkers.at(first.Worker()).mLookOpen = true;
+  cell.Pass(Time::FromMilliseconds(300));
+  cell.Settle();
+  const auto again = cell.TakeStarts();
+  CHECK_EQUAL(1, again.size());
+  CHECK_EQUAL(first.Worker(), again.front().Worker());
+  CHECK_EQUAL(1, again.front().Run());
+}
+
+TEST(Cell, GangStartsOnlyWithRoomForAllMembers)
+{
+  CellFixture cell;
+  auto gang = CellFixture::Step(8);
+  gang.mGang = true;
+  cell.Submit("other", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.Submit("j", { gang });
+  CHECK(cell.TakeStarts().empty());
+  const auto worker = CountRuns(cell, "w1") == 1 ? "w1" : "w2";
+  cell.Look(worker, {}, { CellFixture::Ended(1, CellFixture::Run("other", 0, 1), RunEnd::Done) });
+  cell.Settle();
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(8, starts.size());
+}
+
+TEST(Cell, FailureOfAGangCountsAlsoWhenItIsListedLast)
+{
+  // The members that broke off with it may be listed before the one that failed.
+  CellFixture cell;
+  auto gang = CellFixture::Step(2);
+  gang.mGang = true;
+  gang.mDemand = Resources::Create({ .mCpuMillis = 3000, .mMemoryMb = 128 }).value();
+  cell.Submit("j", { gang });
+  CHECK_EQUAL(2, cell.TakeStarts().size());
+  const auto worker0 = CountRuns(cell, "w1") == 1 &&
+                           cell.mCell.mWorkers.at("w1").mRuns.contains(CellFixture::Run("j", 0, 1))
+                         ? "w1"
+                         : "w2";
+  const auto worker1 = std::string(worker0) == "w1" ? "w2" : "w1";
+  for (std::uint32_t run = 1; run <= 2; ++run) {
+    cell.Started(worker0, CellFixture::Run("j", 0, run), OrderOutcome::Accepted);
+    cell.Started(worker1, CellFixture::Run("j", 1, run), OrderOutcome::Accepted);
+    cell.Look(
+      worker1, {}, { CellFixture::Ended(run, CellFixture::Run("j", 1, run), RunEnd::Broken) });
+    cell.Look(
+      worker0, {}, { CellFixture::Ended(run, CellFixture::Run("j", 0, run), RunEnd::Failed) });
+    cell.Settle();
+  }
+  CHECK(ShownState(cell, "j") == JobState::Failed);
+}
+
+TEST(Cell, FailureIsCountedOnceThoughASuccessorSeesItAgain)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Failed) });
+  cell.Settle();
+  auto next = cell.Successor();
+  next.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Failed) });
+  next.Settle();
+  CHECK(ShownState(next, "j") == JobState::Running);
+}
+
+TEST(Cell, TaskIsNotStartedAgainAfterItsAttempts)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Failed) });
+  cell.Settle();
+  cell.Look("w1", {}, { CellFixture::Ended(2, CellFixture::Run("j", 0, 2), RunEnd::Failed) });
+  cell.Settle();
+  cell.TakeStarts();
+  cell.Pass(Time::FromSeconds(10));
+  CHECK(cell.TakeStarts().empty());
+  CHECK(ShownState(cell, "j") == JobState::Failed);
+}
+
+TEST(Cell, SuccessorTakesOverWhatRuns)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  auto next = cell.Successor();
+  next.Look(worker, { CellFixture::Running(CellFixture::Run("j", 0, 1)) }, {});
+  next.Settle();
+  CHECK(next.TakeStarts().empty());
+  CHECK(next.TakeStops().empty());
+}
+
+TEST(Cell, SuccessorStartsAgainWhatTheFencedWorkerDoesNotList)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  auto next = cell.Successor();
+  next.Look("w1", {}, {});
+  next.Look("w2", {}, {});
+  next.Settle();
+  const auto starts = next.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  CHECK_EQUAL(2, starts.front().Run());
+  CHECK_EQUAL(8, starts.front().Epoch());
+}
+
+TEST(Cell, SuccessorWaitsForAWorkerThatDoesNotAnswer)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  const auto other = worker == "w1" ? "w2" : "w1";
+  auto next = cell.Successor();
+  next.Look(other, {}, {});
+  next.LoseWorker(worker);
+  next.Pass(next.mCell.mSettings.Lease() + next.mCell.mSettings.Authority());
+  CHECK(next.TakeStarts().empty());
+  next.Pass(Time::FromSeconds(1));
+  next.Settle();
+  CHECK_EQUAL(1, next.TakeStarts().size());
+}
+
+TEST(Cell, CancelledJobIsStoppedAndStored)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(2) });
+  cell.TakeStarts();
+  cell.TakeReplies();
+  cell.Ask(JobCallKind::Cancel, "j");
+  CHECK_EQUAL(2, cell.TakeStops().size());
+  CHECK(cell.TakeReplies().empty());
+  cell.Settle();
+  CHECK(Has(cell.TakeReplies(), JobVerdict::Cancelled));
+  auto next = cell.Successor();
+  CHECK(ShownState(next, "j") == JobState::Cancelled);
+}
+
+TEST(Cell, RunOfACancelledJobThatTurnsUpLateIsStopped)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.Ask(JobCallKind::Cancel, "j");
+  cell.Settle();
+  auto next = cell.Successor();
+  next.Look("w1", { CellFixture::Running(CellFixture::Run("j", 0, 1)) }, {});
+  CHECK_EQUAL(1, next.TakeStops().size());
+}
+
+TEST(Cell, UnknownJobIsNotCancelled)
+{
+  CellFixture cell(1);
+  cell.Ask(JobCallKind::Cancel, "nothing");
+  CHECK(Has(cell.TakeReplies(), JobVerdict::UnknownJob));
+}
+
+TEST(Cell, SubmissionWhoseAppendIsUnansweredIsNeverRefused)
+{
+  CellFixture cell;
+  HandleRequest(
+    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  cell.Work();
+  for (int i = 0; i < 20; ++i) {
+    cell.Store(StoreOutcome::Unanswered);
+    cell.Store(StoreOutcome::Refused);
+    cell.Pass(Time::FromMilliseconds(100));
+  }
+  const auto replies = cell.TakeReplies();
+  CHECK_EQUAL(1, replies.size());
+  CHECK(replies.front().Verdict() == JobVerdict::Uncertain);
+  cell.Store();
+  CHECK(ShownState(cell, "j") == JobState::Queued);
+}
+
+TEST(Cell, SubmissionThatTheStoreTurnedAwayIsRefusedAndNeverRuns)
+{
+  CellFixture cell;
+  HandleRequest(
+    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  cell.Work();
+  cell.Store(StoreOutcome::Refused);
+  CHECK(Has(cell.TakeReplies(), JobVerdict::Refused));
+  cell.Pass(Time::FromSeconds(2));
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+  CHECK(cell.Stored().empty());
+}
+
+TEST(Cell, WorkerThatIsBornAnewIsOverWithAllItsRuns)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.Look("w1", {}, {}, Time::FromMilliseconds(77));
+  cell.Settle();
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  CHECK_EQUAL(2, starts.front().Run());
+}
+
+TEST(Cell, DrainingWorkerGetsNoStartThatWasPlannedBefore)
+{
+  CellFixture cell(1);
+  HandleRequest(
+    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  cell.Work();
+  cell.Store();
+  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
+  cell.Work();
+  auto entry = cell.mCell.mWorkers.at("w1").mRegistration.WithDraining(true);
+  HandleWorkersChanged(
+    cell.mCell,
+    WorkersChanged::Create({ .mComplete = false, .mPresent = { entry } }).value(),
+    cell.mNow,
+    cell.mOut);
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+}
+
+TEST(Cell, FencedOwnerSendsNothingMore)
+{
+  CellFixture cell(1);
+  HandleLooked(
+    cell.mCell,
+    WorkerLooked::Create({ .mWorker = "w1", .mOutcome = OrderOutcome::Fenced }).value(),
+    cell.mNow,
+    cell.mOut);
+  CHECK(cell.mCell.mFenced);
+  cell.Submit("j", { CellFixture::Step(1) });
+  CHECK(cell.TakeStarts().empty());
+}
+
+TEST(Cell, SpreadLimitHolds)
+{
+  CellFixture cell;
+  auto spread = CellFixture::Step(4);
+  spread.mSpreadLimit = 1;
+  cell.Submit("j", { spread });
+  CHECK_EQUAL(2, cell.TakeStarts().size());
+  CHECK_EQUAL(1, CountRuns(cell, "w1"));
+}
+
+TEST(Cell, OccurrenceStartsWhenItIsDue)
+{
+  CellFixture cell;
+  auto request = cell.Submission("j", { CellFixture::Step(1) });
+  auto definition = request.Definition()
+                      ->WithOccurrences(2)
+                      .WithFirstDue(cell.mNow + Time::FromSeconds(2))
+                      .WithInterval(Time::FromSeconds(1));
+  HandleRequest(
+    cell.mCell, { "owner", 1 }, request.WithDefinition(definition), cell.mNow, cell.mOut);
+  cell.Settle();
+  cell.Pass(Time::FromMilliseconds(1500));
+  CHECK(cell.TakeStarts().empty());
+  cell.Pass(Time::FromSeconds(1));
+  cell.Settle();
+  CHECK_EQUAL(1, cell.TakeStarts().size());
+  cell.Pass(Time::FromSeconds(1));
+  cell.Settle();
+  CHECK_EQUAL(1, cell.TakeStarts().size());
+}
+
+TEST(Cell, LongRunningTaskIsStartedAgainHoweverItEnds)
+{
+  CellFixture cell(1);
+  auto service = CellFixture::Step(1);
+  service.mLongRunning = true;
+  cell.Submit("j", { service });
+  for (std::uint32_t run = 1; run <= 4; ++run) {
+    const auto starts = cell.TakeStarts();
+    CHECK_EQUAL(1, starts.size());
+    CHECK_EQUAL(run, starts.front().Run());
+    cell.Look("w1", {}, { CellFixture::Ended(run, CellFixture::Run("j", 0, run), RunEnd::Failed) });
+    cell.Pass(Time::FromSeconds(3));
+    cell.Settle();
+  }
+}
