Keep placement passes short, and ask for advice only through nodes that are free

After all nodes lost power the owner went over hundreds of ready steps and all workers on every event and queued questions for advice seconds deep at each node, so that answers came after their callers had given up and it fell ever further behind. Ruled out: the store (appends took 5 ms whenever the process got the processor). Change: a pass every 5 ms at most, ended after 60 steps that fit nowhere; a node has two questions open, long ones leave nodes free for short ones; a question needs room for the step; steps of late jobs come after those that can be on time.

--- a/modules/by_cell/AdviserRow.h
+++ b/modules/by_cell/AdviserRow.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <string>
+#include <vector>
 
 #include "by_core/Time.h"
 
@@ -11,8 +12,8 @@
 struct AdviserRow
 {
   std::string mNode;
-  /// When its open questions are answered, as far as known.
-  Time mBusyUntil{};
+  /// Questions that it has open, and until when each is waited for at most.
+  std::vector<Time> mOpen{};
 
   friend bool operator==(const AdviserRow&, const AdviserRow&) = default;
   friend auto operator<=>(const AdviserRow&, const AdviserRow&) = default;
--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -74,6 +74,8 @@
   bool mFenced{ false };
   /// Whether room or work changed since tasks were last placed.
   bool mPlaceAgain{ false };
+  /// Not before this time are tasks placed again.
+  Time mNextPlace{};
   /// When the last periodic check ran.
   Time mLastCheck{};
   /// Placements that the periodic check found and events had missed.
--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -457,7 +457,8 @@
   }
   auto& advice = occurrence->mSteps[aEvent.Step()].mAdvice;
   const auto& policy = detail::PolicyOf(aState, *job).Advice();
-  advice.mOpen = false;
+  detail::CloseQuestion(aState, advice);
+  aState.mPlaceAgain = true;
   detail::Log(aOut,
               "advice.answered",
               absl::StrCat(aEvent.Job(), ".", aEvent.Occurrence(), ".", aEvent.Step()),
@@ -478,7 +479,7 @@
     advice.mTickets[ticket.Worker()] = ticket.Text();
     advice.mValidUntil[ticket.Worker()] = aNow + policy->Validity();
   }
-  aState.mPlaceAgain = true;
+  advice.mNextAsk = aNow;
 }
 
 void
--- a/modules/by_cell/ReadyKey.h
+++ b/modules/by_cell/ReadyKey.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "by_cell/Urgency.h"
 #include "by_core/Time.h"
 
 namespace by {
@@ -11,6 +12,8 @@
 /// The order in which steps get room.
 struct ReadyKey
 {
+  /// What finishing the job is still worth.
+  Urgency mUrgency{ Urgency::OnTime };
   /// Zero comes first.
   std::uint32_t mPriority{ 0 };
   /// When its first task has to start at the latest for the job to meet its objective.
--- a/modules/by_cell/StepAdvice.h
+++ b/modules/by_cell/StepAdvice.h
@@ -20,6 +20,8 @@
   absl::flat_hash_set<std::string> mBarred;
   /// Whether a question is open, and when it is given up.
   bool mOpen{ false };
+  /// The node that it was asked through.
+  std::string mThrough;
   Time mGiveUpAt{};
   /// Not before this time is the next question asked.
   Time mNextAsk{};
--- a/modules/by_cell/StepRow.h
+++ b/modules/by_cell/StepRow.h
@@ -16,6 +16,8 @@
   std::uint32_t mCount{ 0 };
   /// The longest chain of work from here on.
   Time mChain{};
+  /// What finishing its job is still worth.
+  Urgency mUrgency{ Urgency::OnTime };
   /// Whether all tasks of the step are done.
   bool mDone{ false };
   /// Its place in the order of ready steps; absent while no task of it can be placed.
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -44,6 +44,17 @@
   }
 }
 
+/// Tickets that ran out are a reason to place again that no event tells of.
+bool
+HasExpiredAdvice(const CellState& aState, Time aNow)
+{
+  return std::any_of(aState.mReady.begin(), aState.mReady.end(), [&](const ReadyKey& aKey) {
+    const auto& job = aState.mJobs.at(aKey.mJob);
+    const auto& advice = job.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep].mAdvice;
+    return detail::PolicyOf(aState, job).Advice() && advice.mNextAsk <= aNow;
+  });
+}
+
 } // namespace
 
 void
@@ -52,7 +63,7 @@
   if (aState.mFenced) {
     return;
   }
-  if (aState.mPlaceAgain) {
+  if (aState.mPlaceAgain && aNow >= aState.mNextPlace) {
     detail::PlaceTasks(aState, aNow, aOut);
   }
   if (aState.mLookDue <= aNow) {
@@ -73,7 +84,8 @@
   aState.mLastCheck = aNow;
   DropOldOutcomes(aState, aNow);
   detail::StopHungRuns(aState, aNow, aOut);
-  const bool wasDue = aState.mPlaceAgain;
+  detail::UpdateUrgency(aState, aNow);
+  const bool wasDue = aState.mPlaceAgain || HasExpiredAdvice(aState, aNow);
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
   if (!wasDue && placed > 0) {
     ++aState.mMissedWakeups;
@@ -105,6 +117,9 @@
   if (!aState.mInFlight && HasUnstored(aState)) {
     next = std::min(next, aState.mNextAppend);
   }
+  if (aState.mPlaceAgain) {
+    next = std::min(next, aState.mNextPlace);
+  }
   return next;
 }
 
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -1,6 +1,7 @@
 #include "by_cell/detail/Advice.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "absl/strings/str_cat.h"
 
@@ -18,21 +19,43 @@
 /// What an answer takes beyond its own time: hops between nodes and waiting.
 constexpr Time kAdviceSlack = Time::FromMilliseconds(600);
 /// Pause between questions on one step.
-constexpr Time kAskPause = Time::FromMilliseconds(100);
+constexpr Time kAskPause = Time::FromMilliseconds(50);
+/// Pause after a question that nobody answered.
+constexpr Time kAskRetry = Time::FromMilliseconds(200);
 /// Workers asked about at least; a call's fixed time outweighs a few more names.
 constexpr std::size_t kFewestAsked = 6;
 /// Workers asked about at most; the queues' objectives count a call on this many.
 constexpr std::size_t kMostAsked = 30;
+/// The service answers one question of a node at a time; a second one waits there meanwhile.
+constexpr std::size_t kOpenQuestions = 2;
+/// A question that takes longer than this is kept off the last nodes that are free, so that short
+/// ones need not wait behind it.
+constexpr Time kLongQuestion = Time::FromMilliseconds(100);
 constexpr std::int64_t kMicrosInMilli = 1000;
 
+void
+ForgetLostQuestions(AdviserRow& aAdviser, Time aNow)
+{
+  std::erase_if(aAdviser.mOpen, [&](Time aGiveUpAt) { return aGiveUpAt < aNow; });
+}
+
+/// Picks the node with the fewest open questions.
 AdviserRow*
-LeastBusy(CellState& aState)
+FreeAdviser(CellState& aState, Time aTakes, Time aNow)
 {
-  const auto it = std::min_element(
-    aState.mAdvisers.begin(), aState.mAdvisers.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.mBusyUntil < aRight.mBusyUntil;
-    });
-  return it == aState.mAdvisers.end() ? nullptr : &*it;
+  const auto limit = aTakes > kLongQuestion ? std::size_t{ 1 } : kOpenQuestions;
+  std::size_t idle = 0;
+  AdviserRow* best = nullptr;
+  for (auto& adviser : aState.mAdvisers) {
+    ForgetLostQuestions(adviser, aNow);
+    idle += adviser.mOpen.empty() ? 1 : 0;
+    if (adviser.mOpen.size() < limit &&
+        (best == nullptr || adviser.mOpen.size() < best->mOpen.size())) {
+      best = &adviser;
+    }
+  }
+  const bool isLast = aTakes > kLongQuestion && idle < 2 && aState.mAdvisers.size() > 2;
+  return isLast ? nullptr : best;
 }
 
 std::size_t
@@ -49,36 +72,49 @@
   return Time::FromMilliseconds(us / kMicrosInMilli + 1);
 }
 
-/// Picks workers with room that are not known to be barred, those known to be allowed first.
+/// Picks workers that are not known to be barred: those with room first, of these the ones that
+/// are known to be allowed. Without enough room for the step there is nothing to ask.
 std::vector<std::string>
-WorkersToAsk(CellState& aState,
-             const JobRow& aJob,
-             const JobStep& aStep,
+WorkersToAsk(const JobStep& aStep,
              const StepAdvice& aAdvice,
+             const std::vector<WorkerRow*>& aCandidates,
              Time aNow)
 {
   struct Candidate
   {
-    bool mBarredBefore;
+    bool mFull;
+    bool mUnknown;
     std::int64_t mFreeCpu;
-    std::string mName;
+    const std::string* mName;
   };
   std::vector<Candidate> found;
-  for (auto* worker : UsableWorkers(aState, PolicyOf(aState, aJob).Pool(), aNow)) {
+  std::size_t withRoom = 0;
+  for (const auto* worker : aCandidates) {
     const auto& id = worker->mRegistration.Id();
     if (aAdvice.mBarred.contains(id) || HasTicket(aAdvice, id, aNow + kAdviceSlack) ||
-        !CanHost(*worker, aStep)) {
+        !HasLabel(*worker, aStep.RequiredLabel())) {
       continue;
     }
-    found.push_back({ !aAdvice.mTickets.contains(id), FreeOn(*worker).CpuMillis(), id });
+    const bool isFull = !CanHost(*worker, aStep);
+    withRoom += isFull ? 0 : 1;
+    found.push_back(
+      { isFull, !aAdvice.mTickets.contains(id), FreeOn(*worker).CpuMillis(), &id });
   }
-  std::sort(found.begin(), found.end(), [](const Candidate& aLeft, const Candidate& aRight) {
-    return std::tie(aLeft.mBarredBefore, aRight.mFreeCpu, aLeft.mName) <
-           std::tie(aRight.mBarredBefore, aLeft.mFreeCpu, aRight.mName);
-  });
+  if (withRoom == 0) {
+    return {};
+  }
+  const auto n = std::min(found.size(), CountToAsk(aStep));
+  std::partial_sort(
+    found.begin(),
+    found.begin() + static_cast<std::ptrdiff_t>(n),
+    found.end(),
+    [](const Candidate& aLeft, const Candidate& aRight) {
+      return std::tie(aLeft.mFull, aLeft.mUnknown, aRight.mFreeCpu, *aLeft.mName) <
+             std::tie(aRight.mFull, aRight.mUnknown, aLeft.mFreeCpu, *aRight.mName);
+    });
   std::vector<std::string> names;
-  for (std::size_t i = 0; i < std::min(found.size(), CountToAsk(aStep)); ++i) {
-    names.push_back(std::move(found[i].mName));
+  for (std::size_t i = 0; i < n; ++i) {
+    names.push_back(*found[i].mName);
   }
   return names;
 }
@@ -92,13 +128,48 @@
   return it != aAdvice.mValidUntil.end() && aNow + kTicketMargin < it->second;
 }
 
+bool
+CanAsk(const CellState& aState, Time aNow)
+{
+  return std::any_of(
+    aState.mAdvisers.begin(), aState.mAdvisers.end(), [&](const AdviserRow& aAdviser) {
+      const auto open = std::count_if(aAdviser.mOpen.begin(),
+                                      aAdviser.mOpen.end(),
+                                      [&](Time aGiveUpAt) { return aGiveUpAt >= aNow; });
+      return static_cast<std::size_t>(open) < kOpenQuestions;
+    });
+}
+
+void
+CloseQuestion(CellState& aState, StepAdvice& aAdvice)
+{
+  if (!aAdvice.mOpen) {
+    return;
+  }
+  aAdvice.mOpen = false;
+  for (auto& adviser : aState.mAdvisers) {
+    if (adviser.mNode == aAdvice.mThrough) {
+      const auto it =
+        std::find(adviser.mOpen.begin(), adviser.mOpen.end(), aAdvice.mGiveUpAt);
+      if (it != adviser.mOpen.end()) {
+        adviser.mOpen.erase(it);
+      }
+    }
+  }
+}
+
 void
 AskForFirstSteps(CellState& aState, JobRow& aJob, Time aNow, Effects& aOut)
 {
+  const auto& policy = PolicyOf(aState, aJob);
+  if (!policy.Advice() || !CanAsk(aState, aNow)) {
+    return;
+  }
+  const auto candidates = UsableWorkers(aState, policy.Pool(), aNow);
   for (auto& [index, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
       if (IsOpen(aJob, occurrence, s)) {
-        AskForStep(aState, aJob, index, s, aNow, aOut);
+        AskForStep(aState, aJob, index, s, candidates, aNow, aOut);
       }
     }
   }
@@ -109,25 +180,29 @@
            JobRow& aJob,
            std::uint32_t aOccurrence,
            std::uint32_t aStep,
+           const std::vector<WorkerRow*>& aCandidates,
            Time aNow,
            Effects& aOut)
 {
   const auto& policy = PolicyOf(aState, aJob).Advice();
   auto& advice = aJob.mOccurrences.at(aOccurrence).mSteps[aStep].mAdvice;
-  if (!policy || advice.mNextAsk > aNow || (advice.mOpen && aNow < advice.mGiveUpAt)) {
+  if (!policy || advice.mNextAsk > aNow || (advice.mOpen && aNow < advice.mGiveUpAt) ||
+      !CanAsk(aState, aNow)) {
     return;
   }
-  auto workers = WorkersToAsk(aState, aJob, StepOf(aJob, aStep), advice, aNow);
-  auto* adviser = LeastBusy(aState);
-  if (workers.empty() || adviser == nullptr) {
-    advice.mNextAsk = aNow + kAskPause;
+  auto workers = WorkersToAsk(StepOf(aJob, aStep), advice, aCandidates, aNow);
+  const auto takes = TimeOf(*policy, workers.size());
+  auto* adviser = workers.empty() ? nullptr : FreeAdviser(aState, takes, aNow);
+  advice.mNextAsk = aNow + kAskPause;
+  if (adviser == nullptr) {
     return;
   }
-  const auto takes = TimeOf(*policy, workers.size());
-  adviser->mBusyUntil = std::max(adviser->mBusyUntil, aNow) + takes;
-  const auto patience = adviser->mBusyUntil - aNow + kAdviceSlack;
+  const auto patience = takes * static_cast<std::int64_t>(adviser->mOpen.size() + 1) + kAdviceSlack;
   advice.mOpen = true;
+  advice.mThrough = adviser->mNode;
   advice.mGiveUpAt = aNow + patience;
+  advice.mNextAsk = aNow + kAskRetry;
+  adviser->mOpen.push_back(advice.mGiveUpAt);
   Log(aOut,
       "advice.asked",
       absl::StrCat(aJob.mJob.Id(), ".", aOccurrence, ".", aStep),
@@ -135,8 +210,10 @@
                    adviser->mNode,
                    " workers=",
                    workers.size(),
-                   " expected_ms=",
-                   (adviser->mBusyUntil - aNow).Milliseconds()));
+                   " ahead=",
+                   adviser->mOpen.size() - 1,
+                   " takes_ms=",
+                   takes.Milliseconds()));
   auto ask = by::AskAdvice::Create({ .mJob = aJob.mJob.Id(),
                                      .mOccurrence = aOccurrence,
                                      .mStep = aStep,
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "by_cell/CellState.h"
 #include "by_cell/Effects.h"
 
@@ -9,15 +11,25 @@
 void
 AskForFirstSteps(CellState& aState, JobRow& aJob, Time aNow, Effects& aOut);
 
-/// Asks which workers may run a step, unless a question is open or was asked just before.
+/// Asks which workers may run a step, if a node is free to ask and there is room for the step.
+/// @param aCandidates the workers that may be given new tasks.
 void
 AskForStep(CellState& aState,
            JobRow& aJob,
            std::uint32_t aOccurrence,
            std::uint32_t aStep,
+           const std::vector<WorkerRow*>& aCandidates,
            Time aNow,
            Effects& aOut);
 
+/// @returns whether a node is free to ask a question.
+bool
+CanAsk(const CellState& aState, Time aNow);
+
+/// Takes note that the question on a step is answered, so that its node is free for another.
+void
+CloseQuestion(CellState& aState, StepAdvice& aAdvice);
+
 /// @returns whether a worker holds a ticket of a step that is valid for long enough to use it.
 bool
 HasTicket(const StepAdvice& aAdvice, const std::string& aWorker, Time aNow);
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// A job is worth less past its objective, and nothing past this many times its objective.
+constexpr std::int64_t kLateObjectives = 3;
+
 std::pair<std::string, std::string>
 QueueKey(const JobRow& aJob)
 {
@@ -138,7 +141,8 @@
   }
   const auto& policy = PolicyOf(aState, aJob);
   const auto objective = ObjectiveOf(aJob.mJob.Definition(), policy);
-  ReadyKey key{ policy.Priority(),
+  ReadyKey key{ step.mUrgency,
+                policy.Priority(),
                 occurrence.mDue + objective - step.mChain,
                 aJob.mJob.Id(),
                 aOccurrence,
@@ -163,6 +167,30 @@
   }
 }
 
+void
+UpdateUrgency(CellState& aState, Time aNow)
+{
+  std::vector<ReadyKey> changed;
+  for (const auto& key : aState.mReady) {
+    const auto& job = aState.mJobs.at(key.mJob);
+    const auto objective = job.mObjective - job.mJob.Accepted();
+    const auto due = job.mOccurrences.at(key.mOccurrence).mDue + objective;
+    const auto worthless = due + objective * (kLateObjectives - 1);
+    const auto urgency = aNow > worthless ? Urgency::Overdue
+                         : aNow > due     ? Urgency::Late
+                                          : Urgency::OnTime;
+    if (urgency != key.mUrgency) {
+      changed.push_back(key);
+      changed.back().mUrgency = urgency;
+    }
+  }
+  for (const auto& key : changed) {
+    auto& job = aState.mJobs.at(key.mJob);
+    job.mOccurrences.at(key.mOccurrence).mSteps[key.mStep].mUrgency = key.mUrgency;
+    RefreshStep(aState, job, key.mOccurrence, key.mStep);
+  }
+}
+
 void
 NoteStarted(CellState& aState, JobRow& aJob)
 {
--- a/modules/by_cell/detail/Jobs.h
+++ b/modules/by_cell/detail/Jobs.h
@@ -23,6 +23,10 @@
 void
 RefreshOccurrence(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence);
 
+/// Moves steps back whose job has become late.
+void
+UpdateUrgency(CellState& aState, Time aNow);
+
 /// Notes that a task of a job was started.
 void
 NoteStarted(CellState& aState, JobRow& aJob);
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -19,6 +19,10 @@
 
 /// Steps looked at in one pass; further ones wait for the next, so that a pass stays short.
 constexpr std::size_t kStepsInPass = 400;
+/// Steps that fit nowhere or lack advice in one pass, after which the pass ends.
+constexpr std::size_t kMissesInPass = 60;
+/// Pause between passes, so that many events share one.
+constexpr Time kPassPause = Time::FromMilliseconds(5);
 /// Workers of about the same speed are told apart by room; this wide is a class of speed.
 constexpr double kSpeedClass = 0.25;
 /// An entry that the registry dropped may be back within this time while its worker answers.
@@ -26,13 +30,6 @@
 
 using Candidates = std::vector<WorkerRow*>;
 
-bool
-HasLabel(const WorkerRow& aWorker, const std::string& aLabel)
-{
-  const auto& labels = aWorker.mRegistration.Labels();
-  return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
-}
-
 bool
 IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow)
 {
@@ -84,6 +81,7 @@
   Effects& mOut;
   std::map<std::string, Candidates> mPools;
   std::size_t mPlaced{ 0 };
+  std::size_t mMisses{ 0 };
 
   Candidates& Pool(const std::string& aPool)
   {
@@ -95,6 +93,29 @@
   }
 };
 
+/// @returns how many tasks of a step the candidates could hold, counted up to a limit.
+std::size_t
+CountSlots(const Candidates& aCandidates,
+           const JobStep& aStep,
+           const StepAdvice* aAdvice,
+           Time aNow,
+           std::size_t aLimit)
+{
+  const auto cpu = aStep.Scavenging() ? 0 : aStep.Demand().CpuMillis();
+  std::size_t n = 0;
+  for (const auto* worker : aCandidates) {
+    if (n >= aLimit) {
+      return n;
+    }
+    if (!CanHost(*worker, aStep) ||
+        (aAdvice != nullptr && !HasTicket(*aAdvice, worker->mRegistration.Id(), aNow))) {
+      continue;
+    }
+    n += cpu == 0 ? aLimit : static_cast<std::size_t>(FreeOn(*worker).CpuMillis() / cpu);
+  }
+  return n;
+}
+
 WorkerRow*
 BestWorker(Pass& aPass,
            const Candidates& aCandidates,
@@ -286,7 +307,11 @@
   const auto& candidates = aPass.Pool(policy.Pool());
   auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
   const auto* advice = policy.Advice() ? &row.mAdvice : nullptr;
-  if (StepOf(*job, aKey.mStep).Gang()) {
+  const auto& step = StepOf(*job, aKey.mStep);
+  const std::size_t needed = step.Gang() ? step.Count() : 1;
+  if (CountSlots(candidates, step, advice, aPass.mNow, needed) < needed) {
+    ++aPass.mMisses;
+  } else if (step.Gang()) {
     PlaceGang(aPass, *job, aKey, candidates, advice);
   } else {
     PlaceSingles(aPass, *job, aKey, candidates, advice);
@@ -294,12 +319,19 @@
   RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
   if (advice != nullptr && row.mReady) {
     AskForStep(
-      aPass.mState, *job, aKey.mOccurrence, aKey.mStep, aPass.mNow, aPass.mOut);
+      aPass.mState, *job, aKey.mOccurrence, aKey.mStep, candidates, aPass.mNow, aPass.mOut);
   }
 }
 
 } // namespace
 
+bool
+HasLabel(const WorkerRow& aWorker, const std::string& aLabel)
+{
+  const auto& labels = aWorker.mRegistration.Labels();
+  return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
 std::vector<WorkerRow*>
 UsableWorkers(CellState& aState, const std::string& aPool, Time aNow)
 {
@@ -323,6 +355,7 @@
 PlaceTasks(CellState& aState, Time aNow, Effects& aOut)
 {
   aState.mPlaceAgain = false;
+  aState.mNextPlace = aNow + kPassPause;
   Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {}, .mPlaced = 0 };
   std::vector<ReadyKey> keys;
   for (const auto& key : aState.mReady) {
@@ -332,6 +365,9 @@
     }
   }
   for (const auto& key : keys) {
+    if (pass.mMisses >= kMissesInPass) {
+      break;
+    }
     PlaceStep(pass, key);
   }
   return pass.mPlaced;
--- a/modules/by_cell/detail/Placement.h
+++ b/modules/by_cell/detail/Placement.h
@@ -13,6 +13,10 @@
 std::vector<WorkerRow*>
 UsableWorkers(CellState& aState, const std::string& aPool, Time aNow);
 
+/// @returns whether a worker has a label; an empty one is had by all.
+bool
+HasLabel(const WorkerRow& aWorker, const std::string& aLabel);
+
 /// @returns whether a worker has the label and the room for one more task of a step.
 bool
 CanHost(const WorkerRow& aWorker, const JobStep& aStep);
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -168,7 +168,7 @@
   auto& advisers = aState.mCell->mAdvisers;
   std::erase_if(advisers, [&](const auto& aRow) { return aRow.mNode == aEvent.Node(); });
   if (aEvent.Up()) {
-    advisers.push_back({ .mNode = aEvent.Node(), .mBusyUntil = Time() });
+    advisers.push_back({ .mNode = aEvent.Node(), .mOpen = {} });
   } else {
     ForgetWaiters(*aState.mCell, aEvent.Node());
   }
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -185,9 +185,9 @@
   empty.mOwnerSince = aNow;
   // The first append of the epoch was the one that fenced earlier owners.
   empty.mNextSequence = 1;
-  empty.mAdvisers.push_back({ .mNode = aState.mSettings.Node(), .mBusyUntil = Time() });
+  empty.mAdvisers.push_back({ .mNode = aState.mSettings.Node(), .mOpen = {} });
   for (const auto& member : aState.mMembers) {
-    empty.mAdvisers.push_back({ .mNode = member, .mBusyUntil = Time() });
+    empty.mAdvisers.push_back({ .mNode = member, .mOpen = {} });
   }
   aState.mCell = RestoreCell(std::move(empty), aEvent.Records(), aNow, aOut);
   aState.mPhase = OwnerPhase::Owner;
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -70,7 +70,7 @@
   mCell.mOwnerSince = mNow;
   mCell.mConfig =
     ClusterConfig::Create({ .mVersion = 1, .mQueues = { mQueue }, .mPools = {} }).value();
-  mCell.mAdvisers.push_back({ .mNode = kNode, .mBusyUntil = Time() });
+  mCell.mAdvisers.push_back({ .mNode = kNode, .mOpen = {} });
   WorkersChanged::Fields workers;
   workers.mComplete = true;
   for (int n = 1; n <= aWorkers; ++n) {
@@ -172,6 +172,7 @@
 void
 CellFixture::Settle()
 {
+  mNow = mNow + Time::FromMilliseconds(20);
   Work();
   for (int i = 0; i < 20 && HasUnstored(mCell); ++i) {
     Store();
@@ -272,7 +273,7 @@
   empty.mConfirmedAt = mNow;
   empty.mOwnerSince = mNow;
   empty.mNextSequence = 1;
-  empty.mAdvisers.push_back({ .mNode = "successor", .mBusyUntil = Time() });
+  empty.mAdvisers.push_back({ .mNode = "successor", .mOpen = {} });
   next.mCell = RestoreCell(std::move(empty), Stored(), mNow, next.mOut);
   WorkersChanged::Fields workers;
   workers.mComplete = true;
