Keep an owner that works, and claim at once where it is gone

Cause: handovers. Change: the group only proposes. The owner acts until a newer claim is seen; the chosen node claims only where the owner is out of reach, leaving or without the store, and any node where the owner's machine says that its process is gone. Requests are handed on to the next owner. An append may take 1.2 s before the store counts as lost.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -65,6 +65,8 @@
   Time mNextAppend{};
   /// Since when the store has not answered; Never() while it does.
   Time mStoreLostAt{ Time::Never() };
+  /// Whether it turned the last append away.
+  bool mStoreRefuses{ false };
 
   /// When the store last confirmed that this node is the owner.
   Time mConfirmedAt{};
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -14,8 +14,6 @@
 
 /// Callers that are refused while the store is out of reach come back after this long.
 constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
-/// An append that takes longer than this shows that the store is not working as it should.
-constexpr Time kStoreDoubt = Time::FromMilliseconds(300);
 
 void
 Refuse(const CellState& aState,
@@ -64,7 +62,7 @@
     detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Malformed }, aOut);
     return;
   }
-  if (aState.mStoreLostAt + kStoreDoubt < aNow) {
+  if (aState.mStoreRefuses || aState.mStoreLostAt + aState.mSettings.StoreDoubt() < aNow) {
     Refuse(aState, aWaiter, aRequest, "store out of reach", aOut);
     return;
   }
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// An append that takes longer than this shows that the store is not working as it should.
-constexpr Time kStoreDoubt = Time::FromMilliseconds(300);
 /// Callers that are refused while the store is out of reach come back after this long.
 constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
 
@@ -285,6 +283,7 @@
                     absl::StrCat("lost_for_ms=", (aNow - aState.mStoreLostAt).Milliseconds()));
       }
       aState.mStoreLostAt = Time::Never();
+      aState.mStoreRefuses = false;
       aState.mConfirmedAt = std::max(aState.mConfirmedAt, batch.mLastSent);
       aState.mNextAppend = batch.mLastSent + aState.mSettings.AppendPause();
       JobsAreStored(aState, batch, aNow, aOut);
@@ -311,6 +310,7 @@
                     absl::StrCat("outcome=", std::string(ToString(aEvent.Outcome())),
                                  " sequence=", aEvent.Sequence()));
       }
+      aState.mStoreRefuses = aEvent.Outcome() == StoreOutcome::Refused;
       if (aEvent.Outcome() == StoreOutcome::Unanswered) {
         inFlight.mUncertain = true;
       } else {
@@ -323,7 +323,7 @@
 void
 AnswerStalledCallers(CellState& aState, Time aNow, Effects& aOut)
 {
-  if (!aState.mInFlight || aNow < aState.mInFlight->mFirstSent + kStoreDoubt) {
+  if (!aState.mInFlight || aNow < aState.mInFlight->mFirstSent + aState.mSettings.StoreDoubt()) {
     return;
   }
   if (aState.mStoreLostAt == Time::Never()) {
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -44,6 +44,17 @@
   std::optional<CellClaim> mOwner;
   /// The link to the owner.
   bool mLinkUp{ false };
+  /// Since when it has been down.
+  Time mLinkDownAt{};
+  /// Whether the owner said that it acts as one, that it is about to stop, and that it has lost the
+  /// store.
+  bool mOwnerActs{ false };
+  bool mOwnerLeaving{ false };
+  bool mOwnerLostStore{ false };
+  /// When the owner's machine answered that its process is gone; Never() otherwise.
+  Time mOwnerGoneAt{ Time::Never() };
+  /// When this node last claimed the cell without being chosen.
+  Time mBoldClaimAt{};
   Time mOwnerHeardAt{};
   Time mNextBeat{};
   Time mConnectedAt{};
@@ -56,7 +67,6 @@
   std::optional<bool> mReady;
   /// A planned stop: when it was asked for, and when the process ends at the latest.
   bool mStopping{ false };
-  bool mLeft{ false };
   Time mStopAskedAt{};
   Time mStopBy{ Time::Never() };
   bool mExited{ false };
--- a/modules/by_entry/OpenCall.h
+++ b/modules/by_entry/OpenCall.h
@@ -17,9 +17,10 @@
   Time mArrived{};
   /// When the caller gives up.
   Time mDeadline{};
-  /// Whether it was handed to the owner, under which epoch.
+  /// The epoch of the owner that has it now; absent while it waits for one.
   std::optional<std::uint64_t> mHandedTo;
-  Time mHandedAt{};
+  /// Whether any owner has had it, so that it may have been carried out.
+  bool mWasHanded{ false };
 
   friend bool operator==(const OpenCall&, const OpenCall&) = default;
   friend auto operator<=>(const OpenCall&, const OpenCall&) = default;
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -99,7 +99,7 @@
   }
   void operator()(const MemberChanged& aEvent) const
   {
-    detail::TakeMemberChanged(mState, aEvent, mOut);
+    detail::TakeMemberChanged(mState, aEvent, mNow, mOut);
   }
   void operator()(const StopAsked& aEvent) const { detail::BeginStop(mState, aEvent, mNow, mOut); }
 
@@ -140,6 +140,7 @@
   Effects out;
   std::visit(Taker{ aState, aNow, out }, aEvent.Body());
   detail::KeepJoined(aState, aNow, out);
+  detail::ConsiderClaim(aState, aNow, out);
   if (aState.mCell) {
     WorkOnCell(*aState.mCell, aNow, out);
     if (aState.mCell->mFenced) {
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -39,7 +39,7 @@
        const char* aReason,
        Effects& aOut)
 {
-  const bool mayHaveRun = aCall.mHandedTo && (aCall.mRequest.Kind() == JobCallKind::Submit ||
+  const bool mayHaveRun = aCall.mWasHanded && (aCall.mRequest.Kind() == JobCallKind::Submit ||
                                               aCall.mRequest.Kind() == JobCallKind::Cancel);
   Log(aOut,
       "call.given_up",
@@ -62,13 +62,13 @@
 bool
 CanHandOver(const EntryState& aState)
 {
-  return aState.mPhase == OwnerPhase::Owner || (aState.mLinkUp && aState.mOwner);
+  return aState.mPhase == OwnerPhase::Owner || (aState.mLinkUp && aState.mOwnerActs);
 }
 
 void
 HandOne(EntryState& aState, std::uint64_t aNumber, OpenCall& aCall, Time aNow, Effects& aOut)
 {
-  aCall.mHandedAt = aNow;
+  aCall.mWasHanded = true;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mHandedTo = aState.mEpoch;
     HandleRequest(
@@ -151,14 +151,11 @@
 }
 
 void
-GiveUpHanded(EntryState& aState, const char* aReason, Effects& aOut)
+TakeBackHanded(EntryState& aState)
 {
-  std::erase_if(aState.mCalls, [&](const auto& aEntry) {
-    if (aEntry.second.mHandedTo) {
-      GiveUp(aState, aEntry.first, aEntry.second, aReason, aOut);
-    }
-    return aEntry.second.mHandedTo.has_value();
-  });
+  for (auto& [number, call] : aState.mCalls) {
+    call.mHandedTo.reset();
+  }
 }
 
 void
@@ -166,10 +163,9 @@
 {
   std::erase_if(aState.mCalls, [&](const auto& aEntry) {
     const auto& call = aEntry.second;
-    const auto since = call.mHandedTo ? call.mHandedAt : call.mArrived;
     const auto wait =
       call.mHandedTo ? aState.mSettings.AnswerWait() : aState.mSettings.OwnerWait();
-    if (aNow < since + wait && aNow < call.mDeadline) {
+    if (aNow < call.mArrived + wait && aNow < call.mDeadline) {
       return false;
     }
     GiveUp(
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -19,9 +19,10 @@
 void
 HandOver(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Answers the requests that were handed to an owner which is gone.
+/// Takes the requests back that were handed to an owner which is out of reach. They are handed to
+/// the next one: a job's name makes a repeated request harmless.
 void
-GiveUpHanded(EntryState& aState, const char* aReason, Effects& aOut);
+TakeBackHanded(EntryState& aState);
 
 /// Answers the requests that waited long enough.
 void
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -1,6 +1,7 @@
 #include "by_entry/detail/Links.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -29,11 +30,36 @@
   return aClaim.Node() == aState.mSettings.Node();
 }
 
-/// A question for advice has no effect, so each node asks on behalf of any owner.
+/// The store is taken as lost once an append has been open for this long.
+constexpr Time kStoreLost = Time::FromMilliseconds(700);
+
+/// Tells a member whether this node acts as the owner.
 void
-AskFor(const AskAdvice& aAsk, Effects& aOut)
+TellMember(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
 {
-  Emit(aOut, aAsk);
+  const bool isOwner = aState.mPhase == OwnerPhase::Owner;
+  auto beat = LinkBeat::Create(
+                { .mEpoch = aState.mEpoch,
+                  .mOwner = isOwner,
+                  .mStoreLost = isOwner && aState.mCell->mStoreLostAt + kStoreLost < aNow })
+                .value();
+  Emit(aOut,
+       SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(beat)) }).value());
+}
+
+void
+TakeBeat(EntryState& aState, const LinkBeat& aBeat, Time aNow, Effects& aOut)
+{
+  if (aState.mOwnerLostStore != aBeat.StoreLost()) {
+    Log(aOut,
+        aBeat.StoreLost() ? "owner.lost_store" : "owner.regained_store",
+        aState.mOwner->Node(),
+        absl::StrCat("epoch=", aBeat.Epoch()));
+  }
+  aState.mOwnerLostStore = aBeat.StoreLost();
+  if (!std::exchange(aState.mOwnerActs, aBeat.Owner()) && aBeat.Owner()) {
+    HandOver(aState, aNow, aOut);
+  }
 }
 
 void
@@ -67,8 +93,13 @@
       absl::StrCat("node=", aClaim.Node(), " link=", aClaim.Link().Address()));
   aState.mOwner = aClaim;
   aState.mLinkUp = false;
+  aState.mLinkDownAt = aNow;
+  aState.mOwnerActs = false;
+  aState.mOwnerLeaving = false;
+  aState.mOwnerLostStore = false;
+  aState.mOwnerGoneAt = Time::Never();
   if (aState.mPhase != OwnerPhase::Owner) {
-    GiveUpHanded(aState, "the owner changed", aOut);
+    TakeBackHanded(aState);
   }
   if (IsOwnClaim(aState, aClaim)) {
     return;
@@ -79,7 +110,11 @@
 void
 Reconnect(EntryState& aState, Time aNow, Effects& aOut)
 {
+  if (aState.mLinkUp) {
+    aState.mLinkDownAt = aNow;
+  }
   aState.mLinkUp = false;
+  aState.mOwnerActs = false;
   aState.mConnectedAt = aNow;
   Emit(aOut, ConnectToOwner::Create({ .mPeer = aState.mOwner->Link() }).value());
 }
@@ -97,11 +132,20 @@
         aState.mOwner->Node(),
         absl::StrCat("epoch=", aState.mOwner->Epoch()));
   }
-  aState.mLinkUp = aEvent.Up();
+  const bool wasUp = std::exchange(aState.mLinkUp, aEvent.Up());
   if (!aEvent.Up()) {
-    GiveUpHanded(aState, "the link to the owner broke", aOut);
+    aState.mOwnerActs = false;
+    TakeBackHanded(aState);
+    if (aEvent.Refused() && aState.mOwnerGoneAt == Time::Never()) {
+      aState.mOwnerGoneAt = aNow;
+    }
+    if (wasUp) {
+      aState.mLinkDownAt = aNow;
+      Reconnect(aState, aNow, aOut);
+    }
     return;
   }
+  aState.mOwnerGoneAt = Time::Never();
   aState.mOwnerHeardAt = aNow;
   aState.mNextBeat = aNow + aState.mSettings.BeatPause();
   Emit(aOut,
@@ -111,7 +155,6 @@
                                                      .mEpoch = aState.mOwner->Epoch() })
                                    .value()) })
          .value());
-  HandOver(aState, aNow, aOut);
 }
 
 void
@@ -122,11 +165,14 @@
   if (const auto* reply = std::get_if<JobReply>(&body)) {
     TakeReply(aState, *reply, aOut);
   } else if (const auto* ask = std::get_if<AskAdvice>(&body)) {
-    AskFor(*ask, aOut);
+    // A question has no effect, so each node asks on behalf of any owner.
+    Emit(aOut, *ask);
   } else if (const auto* leaving = std::get_if<OwnerLeaving>(&body)) {
     Log(aOut, "owner.leaving", absl::StrCat("epoch ", leaving->Epoch()), "next=join at once");
     aState.mNextJoin = aNow;
-    aState.mLinkUp = false;
+    aState.mOwnerLeaving = true;
+  } else if (const auto* beat = std::get_if<LinkBeat>(&body)) {
+    TakeBeat(aState, *beat, aNow, aOut);
   }
 }
 
@@ -141,17 +187,12 @@
       HandleAdvice(*aState.mCell, *advice, aNow, aOut);
     }
   } else if (std::holds_alternative<LinkBeat>(body)) {
-    auto beat = LinkBeat::Create({ .mEpoch = aState.mEpoch,
-                                   .mOwner = aState.mPhase == OwnerPhase::Owner })
-                  .value();
-    Emit(aOut,
-         SendToMember::Create({ .mNode = aEvent.Node(), .mMessage = MessageOf(std::move(beat)) })
-           .value());
+    TellMember(aState, aEvent.Node(), aNow, aOut);
   }
 }
 
 void
-TakeMemberChanged(EntryState& aState, const MemberChanged& aEvent, Effects& aOut)
+TakeMemberChanged(EntryState& aState, const MemberChanged& aEvent, Time aNow, Effects& aOut)
 {
   Log(aOut,
       aEvent.Up() ? "member.linked" : "member.lost",
@@ -159,6 +200,7 @@
       absl::StrCat("members=", aState.mMembers.size()));
   if (aEvent.Up()) {
     aState.mMembers.insert(aEvent.Node());
+    TellMember(aState, aEvent.Node(), aNow, aOut);
   } else {
     aState.mMembers.erase(aEvent.Node());
   }
@@ -192,7 +234,7 @@
         "link.silent",
         aState.mOwner->Node(),
         absl::StrCat("silent_ms=", (aNow - aState.mOwnerHeardAt).Milliseconds()));
-    GiveUpHanded(aState, "the link to the owner fell silent", aOut);
+    TakeBackHanded(aState);
     Reconnect(aState, aNow, aOut);
     return;
   }
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -31,7 +31,7 @@
 
 /// Takes note that a member linked or went.
 void
-TakeMemberChanged(EntryState& aState, const MemberChanged& aEvent, Effects& aOut);
+TakeMemberChanged(EntryState& aState, const MemberChanged& aEvent, Time aNow, Effects& aOut);
 
 /// Sends signs of life and opens a silent link anew.
 void
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -15,6 +15,15 @@
 
 /// Pause before a failed step on the way to ownership is tried again.
 constexpr Time kClaimRetry = Time::FromMilliseconds(100);
+/// A link to the owner that was lost for this long is taken for the loss of the owner. A node that
+/// was just chosen has waited out the owner's membership before.
+constexpr Time kOwnerDoubt = Time::FromMilliseconds(300);
+/// Nodes that see the owner's process gone claim one after the other, this far apart.
+constexpr std::int64_t kBoldStepMs = 15;
+constexpr std::uint64_t kBoldSteps = 8;
+/// Pause between claims of a node that was not chosen, so that nodes that can't see each other
+/// don't take the cell from each other without end.
+constexpr Time kBoldPause = Time::FromMilliseconds(3000);
 
 std::string
 MemberName(const EntryState& aState)
@@ -104,16 +113,45 @@
   aState.mGeneration = aEvent.Generation();
   aState.mChosen = aEvent.Chosen();
   aState.mJoinedAt = std::max(aState.mJoinedAt, aEvent.Sent());
-  if (!aState.mChosen) {
-    if (aState.mPhase != OwnerPhase::Member) {
-      StepDown(aState, "the group gave the cell to another node", aNow, aOut);
-    }
+  if (aState.mCell && aState.mChosen) {
+    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aEvent.Sent());
+  }
+}
+
+void
+ConsiderClaim(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Member || !aState.mConfig || aState.mStopping ||
+      aState.mJoinedAt == Time()) {
     return;
   }
-  if (aState.mCell) {
-    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aEvent.Sent());
+  const bool isOrphan = !aState.mOwner || aState.mOwner->Node() == aState.mSettings.Node();
+  const bool isLost = !aState.mLinkUp && aNow > aState.mLinkDownAt + kOwnerDoubt;
+  const bool hasStoppedActing = aState.mLinkUp && !aState.mOwnerActs &&
+                                aNow > aState.mOwnerHeardAt + kOwnerDoubt;
+  if (aState.mChosen && (isOrphan || isLost || hasStoppedActing || aState.mOwnerLeaving ||
+                         aState.mOwnerLostStore)) {
+    Log(aOut,
+        "owner.claiming",
+        aState.mSettings.Node(),
+        absl::StrCat("chosen=1 orphan=",
+                     isOrphan,
+                     " lost=",
+                     isLost,
+                     " idle=",
+                     hasStoppedActing,
+                     " leaving=",
+                     aState.mOwnerLeaving,
+                     " store_lost=",
+                     aState.mOwnerLostStore));
+    BeginClaim(aState, aOut);
+    return;
   }
-  if (aState.mPhase == OwnerPhase::Member && aState.mConfig && !aState.mStopping) {
+  const auto turn = static_cast<std::int64_t>(aState.mSettings.Incarnation() % kBoldSteps);
+  const auto boldAt = aState.mOwnerGoneAt + Time::FromMilliseconds(turn * kBoldStepMs);
+  if (!isOrphan && boldAt <= aNow && aNow > aState.mBoldClaimAt + kBoldPause) {
+    aState.mBoldClaimAt = aNow;
+    Log(aOut, "owner.claiming", aState.mSettings.Node(), "chosen=0 reason=process of the owner is gone");
     BeginClaim(aState, aOut);
   }
 }
@@ -139,6 +177,11 @@
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
   }
+  if (claim && !aState.mChosen && !IsOwn(aState, *claim) && aState.mOwnerGoneAt == Time::Never()) {
+    // Another node was faster; its claim has just been taken for the owner's.
+    aState.mPhase = OwnerPhase::Member;
+    return;
+  }
   if (claim && IsOwn(aState, *claim) && claim->Epoch() > aState.mEpoch) {
     BeginLoad(aState, claim->Epoch(), aOut);
     return;
@@ -208,7 +251,7 @@
   aState.mRetryAt = Time::Never();
   aState.mCell.reset();
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
-  GiveUpHanded(aState, "this node no longer owns the cell", aOut);
+  TakeBackHanded(aState);
   if (aState.mOwner && !IsOwn(aState, *aState.mOwner)) {
     Reconnect(aState, aNow, aOut);
   }
--- a/modules/by_entry/detail/Ownership.h
+++ b/modules/by_entry/detail/Ownership.h
@@ -13,10 +13,15 @@
 void
 KeepJoined(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Takes the group's answer: begins to claim the cell, or gives it up.
+/// Takes the group's answer, which says whether this node should claim the cell if it has to.
 void
 TakeJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut);
 
+/// Claims the cell where its owner is gone, leaving or without the store: as the node that the
+/// group chose, or as any node that saw the owner's process gone.
+void
+ConsiderClaim(EntryState& aState, Time aNow, Effects& aOut);
+
 /// Takes the newest claim: follows its owner, or goes on claiming.
 void
 TakeClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut);
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -12,21 +12,14 @@
 
 namespace {
 
-/// The cell is handed over at the latest this long after a stop was asked for.
-constexpr Time kHandoverBound = Time::FromMilliseconds(500);
+/// An owner acts on until another node has claimed the cell, for this long at most.
+constexpr Time kHandoverBound = Time::FromMilliseconds(2000);
 /// Time that the last answers need to leave.
 constexpr Time kLastAnswers = Time::FromMilliseconds(700);
 
 void
-HandCellOver(EntryState& aState, Time aNow, Effects& aOut)
+TellLeaving(EntryState& aState, Effects& aOut)
 {
-  const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  const bool mustWait = isOwner && HasUnstored(*aState.mCell) &&
-                        aNow < aState.mStopAskedAt + kHandoverBound;
-  if (aState.mLeft || mustWait) {
-    return;
-  }
-  aState.mLeft = true;
   for (const auto& member : aState.mMembers) {
     auto leaving = OwnerLeaving::Create({ .mEpoch = aState.mEpoch }).value();
     Emit(aOut,
@@ -35,9 +28,6 @@
              .mMessage = LinkMessage::Create({ .mBody = std::move(leaving) }).value() })
            .value());
   }
-  if (aState.mPhase != OwnerPhase::Member) {
-    StepDown(aState, "planned stop", aNow, aOut);
-  }
   Emit(aOut,
        LeaveGroup::Create(
          { .mMember =
@@ -60,6 +50,7 @@
       "node.stopping",
       aState.mSettings.Node(),
       absl::StrCat("grace_ms=", aEvent.Grace().Milliseconds(), " calls=", aState.mCalls.size()));
+  TellLeaving(aState, aOut);
 }
 
 void
@@ -68,9 +59,11 @@
   if (!aState.mStopping || aState.mExited) {
     return;
   }
-  HandCellOver(aState, aNow, aOut);
+  if (aState.mPhase != OwnerPhase::Member && aNow >= aState.mStopAskedAt + kHandoverBound) {
+    StepDown(aState, "planned stop", aNow, aOut);
+  }
   const bool balancerKnows = aNow >= aState.mStopAskedAt + aState.mSettings.Drain();
-  const bool isIdle = aState.mCalls.empty() && aState.mLeft;
+  const bool isIdle = aState.mCalls.empty() && aState.mPhase == OwnerPhase::Member;
   if ((balancerKnows && isIdle) || aNow >= aState.mStopBy) {
     aState.mExited = true;
     Log(aOut,
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -64,8 +64,9 @@
 {
   mLink = LinkClient::Create(
     mTraffic,
-    [this](const Endpoint& aPeer, bool aUp) {
-      Deliver(EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp }).value()));
+    [this](const Endpoint& aPeer, bool aUp, bool aRefused) {
+      Deliver(EventOf(
+        LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
     },
     [this](const LinkMessage& aMessage) {
       Deliver(EventOf(FromOwner::Create({ .mMessage = aMessage }).value()));
--- a/modules/by_links/LinkClient.cpp
+++ b/modules/by_links/LinkClient.cpp
@@ -60,7 +60,7 @@
     }
     self->mTimer.cancel();
     if (aError) {
-      self->mChanged(self->mPeer, false);
+      self->mChanged(self->mPeer, false, aError == boost::asio::error::connection_refused);
       return;
     }
     self->mConnection = std::make_shared<detail::LinkConnection>(std::move(*socket));
@@ -68,10 +68,10 @@
       const auto link = weak.lock();
       if (link && link->mTry == attempt) {
         link->mConnection.reset();
-        link->mChanged(link->mPeer, false);
+        link->mChanged(link->mPeer, false, false);
       }
     });
-    self->mChanged(self->mPeer, true);
+    self->mChanged(self->mPeer, true, false);
   });
 }
 
--- a/modules/by_links/LinkClient.h
+++ b/modules/by_links/LinkClient.h
@@ -22,8 +22,8 @@
 class LinkClient : public std::enable_shared_from_this<LinkClient>
 {
 public:
-  /// Told that the link to a peer is up or down.
-  using Changed = std::function<void(const Endpoint&, bool)>;
+  /// Told that the link to a peer is up or down, and whether the peer's machine refused it.
+  using Changed = std::function<void(const Endpoint&, bool aUp, bool aRefused)>;
   /// Told of each message of the peer.
   using Received = std::function<void(const LinkMessage&)>;
 
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -38,7 +38,9 @@
     /// Pause after the store turned an append away.
     Time mAppendRetry{ Time::FromMilliseconds(100) };
     /// After this long without an answer of the store, callers are told that the outcome is open.
-    Time mAppendPatience{ Time::FromMilliseconds(700) };
+    Time mAppendPatience{ Time::FromMilliseconds(1500) };
+    /// An append that takes longer shows that the store is lost and not just slow.
+    Time mStoreDoubt{ Time::FromMilliseconds(1200) };
     /// Jobs that may be open at once; further ones are refused.
     std::uint64_t mJobLimit{ 50000 };
     /// How many times as long a task takes away from its data.
@@ -169,6 +171,16 @@
     return copy;
   }
 
+  /// An append that takes longer shows that the store is lost and not just slow.
+  Time StoreDoubt() const { return mFields.mStoreDoubt; }
+  /// @returns this value with another StoreDoubt.
+  [[nodiscard]] CellSettings WithStoreDoubt(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mStoreDoubt = std::move(aValue);
+    return copy;
+  }
+
   /// Jobs that may be open at once; further ones are refused.
   std::uint64_t JobLimit() const { return mFields.mJobLimit; }
   /// @returns this value with another JobLimit.
--- a/modules/by_schema/EntrySettings.h
+++ b/modules/by_schema/EntrySettings.h
@@ -35,10 +35,10 @@
     Time mBeatPause{ Time::FromMilliseconds(500) };
     /// A link without a sign of life for this long is opened anew.
     Time mLinkSilence{ Time::FromMilliseconds(1500) };
-    /// How long a caller's request waits for an owner to be known.
-    Time mOwnerWait{ Time::FromMilliseconds(300) };
-    /// How long a caller's request waits for the owner's answer.
-    Time mAnswerWait{ Time::FromMilliseconds(1500) };
+    /// How long a caller's request waits in all where no owner has it.
+    Time mOwnerWait{ Time::FromMilliseconds(800) };
+    /// How long a caller's request waits in all where an owner has it.
+    Time mAnswerWait{ Time::FromMilliseconds(2000) };
     /// When callers should come back after a refusal.
     Time mRetryAfter{ Time::FromMilliseconds(500) };
     /// How long the balancer needs to notice that the node is not ready.
@@ -133,7 +133,7 @@
     return copy;
   }
 
-  /// How long a caller's request waits for an owner to be known.
+  /// How long a caller's request waits in all where no owner has it.
   Time OwnerWait() const { return mFields.mOwnerWait; }
   /// @returns this value with another OwnerWait.
   [[nodiscard]] EntrySettings WithOwnerWait(Time aValue) const
@@ -143,7 +143,7 @@
     return copy;
   }
 
-  /// How long a caller's request waits for the owner's answer.
+  /// How long a caller's request waits in all where an owner has it.
   Time AnswerWait() const { return mFields.mAnswerWait; }
   /// @returns this value with another AnswerWait.
   [[nodiscard]] EntrySettings WithAnswerWait(Time aValue) const
--- a/modules/by_schema/LinkBeat.h
+++ b/modules/by_schema/LinkBeat.h
@@ -21,6 +21,8 @@
     std::uint64_t mEpoch{ 0 };
     /// Whether the sender acts as owner.
     bool mOwner{ false };
+    /// Whether the sender owns the cell and the store does not take its records.
+    bool mStoreLost{ false };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -56,6 +58,16 @@
     return copy;
   }
 
+  /// Whether the sender owns the cell and the store does not take its records.
+  bool StoreLost() const { return mFields.mStoreLost; }
+  /// @returns this value with another StoreLost.
+  [[nodiscard]] LinkBeat WithStoreLost(bool aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mStoreLost = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkBeat&, const LinkBeat&) = default;
   friend auto operator<=>(const LinkBeat&, const LinkBeat&) = default;
 
--- a/modules/by_schema/LinkChanged.h
+++ b/modules/by_schema/LinkChanged.h
@@ -23,6 +23,8 @@
     Endpoint mPeer{};
     /// Whether it is up.
     bool mUp{ false };
+    /// Whether the owner's machine answered that nothing listens there.
+    bool mRefused{ false };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -61,6 +63,16 @@
     return copy;
   }
 
+  /// Whether the owner's machine answered that nothing listens there.
+  bool Refused() const { return mFields.mRefused; }
+  /// @returns this value with another Refused.
+  [[nodiscard]] LinkChanged WithRefused(bool aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mRefused = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkChanged&, const LinkChanged&) = default;
   friend auto operator<=>(const LinkChanged&, const LinkChanged&) = default;
 
