Look at workers when ends are expected; append every 20 ms; any node claims from an owner that yields

Change: looks are timed by the progress that workers list, with the tolerance that the job's spare time allows; tasks are placed beside the storing of their job, and ordered after both are stored; an owner tells members at once that it lost the store or leaves, and any of them claims. The names JobTaskKey and JobTaskPhase replace two that by_intents uses.

--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -99,7 +99,7 @@
 }
 
 void
-RefuseSubmitters(CellState& aState, const std::string& aJob, Effects& aOut)
+RefuseSubmitters(CellState& aState, const std::string& aJob, Time aNow, Effects& aOut)
 {
   auto* job = detail::FindJob(aState, aJob);
   if (job == nullptr || job->mStored) {
@@ -110,8 +110,7 @@
       aState, waiter, { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry }, aOut);
   }
   detail::Log(aOut, "job.refused", aJob, "reason=store out of reach");
-  absl::erase_if(aState.mSchedule, [&](const auto& aEntry) { return aEntry.second == aJob; });
-  aState.mJobs.erase(aJob);
+  detail::ForgetJob(aState, aJob, aNow, aOut);
 }
 
 void
@@ -137,9 +136,6 @@
       detail::Reply(aState, waiter, { .mVerdict = JobVerdict::Accepted }, aOut);
     }
     job->mSubmitters.clear();
-    for (const auto& [index, occurrence] : job->mOccurrences) {
-      detail::RefreshOccurrence(aState, *job, index);
-    }
   }
 }
 
@@ -196,9 +192,22 @@
   }
 }
 
+/// Takes a job's records out of a batch that was not done.
+void
+DropRecordsOf(AppendBatch& aBatch, const std::string& aId, const JobRow& aJob)
+{
+  std::vector<std::string> keys{ JobRecordKey(aId) };
+  for (const auto& [index, occurrence] : aJob.mOccurrences) {
+    keys.push_back(ProgressRecordKey(aId, index));
+  }
+  std::erase_if(aBatch.mRecords, [&](const KeyedRecord& aRecord) {
+    return std::find(keys.begin(), keys.end(), aRecord.Key()) != keys.end();
+  });
+}
+
 /// Nothing of the batch was done: callers are told so, the rest is sent again.
 void
-KeepRefusedBatch(CellState& aState, Effects& aOut)
+KeepRefusedBatch(CellState& aState, Time aNow, Effects& aOut)
 {
   auto& batch = *aState.mInFlight;
   if (batch.mUncertain) {
@@ -209,10 +218,8 @@
     if (job == nullptr) {
       continue;
     }
-    std::erase_if(batch.mRecords, [key = JobRecordKey(id)](const KeyedRecord& aRecord) {
-      return aRecord.Key() == key;
-    });
-    RefuseSubmitters(aState, id, aOut);
+    DropRecordsOf(batch, id, *job);
+    RefuseSubmitters(aState, id, aNow, aOut);
   }
   if (batch.mRecords.empty()) {
     aState.mNextSequence = batch.mSequence;
@@ -314,7 +321,7 @@
       if (aEvent.Outcome() == StoreOutcome::Unanswered) {
         inFlight.mUncertain = true;
       } else {
-        KeepRefusedBatch(aState, aOut);
+        KeepRefusedBatch(aState, aNow, aOut);
       }
       return;
   }
@@ -330,7 +337,7 @@
     aState.mStoreLostAt = aState.mInFlight->mFirstSent;
   }
   for (const auto& id : std::exchange(aState.mNewJobs, {})) {
-    RefuseSubmitters(aState, id, aOut);
+    RefuseSubmitters(aState, id, aNow, aOut);
   }
   auto& batch = *aState.mInFlight;
   if (batch.mToldUncertain || aNow < batch.mFirstSent + aState.mSettings.AppendPatience()) {
--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Lists.h"
+#include "by_cell/detail/LookTimes.h"
 #include "by_cell/detail/Placement.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
@@ -84,7 +85,6 @@
   aWorker.mFailures = 0;
   aWorker.mAsideUntil = Time();
   aWorker.mSlowness = 1.0;
-  aWorker.mLookAtOnce = true;
   detail::LookBy(aState, aWorker, aNow);
 }
 
@@ -122,7 +122,6 @@
   worker.mRegistered = true;
   worker.mGoneAt = Time();
   if (moved && worker.mHealth == WorkerHealth::Unseen) {
-    worker.mLookAtOnce = true;
     detail::LookBy(aState, worker, aNow);
   }
   aState.mPlaceAgain = true;
@@ -140,7 +139,6 @@
   detail::Log(
     aOut, "worker.gone", aId, absl::StrCat("runs=", it->second.mRuns.size(), " by=registry"));
   if (!it->second.mRuns.empty()) {
-    it->second.mLookAtOnce = true;
     detail::LookBy(aState, it->second, aNow);
   }
 }
@@ -149,7 +147,6 @@
 CountFailedLook(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
   ++aWorker.mLookFailures;
-  aWorker.mLookAtOnce = true;
   if (aWorker.mLookFailures >= kLookTries) {
     BeginLapse(aState, aWorker, aOut);
   }
@@ -251,8 +248,7 @@
                                .mEpoch = aState.mEpoch,
                                .mAcknowledged = aWorker.mEndStored,
                                .mLeaseUntil = std::nullopt,
-                               .mWait = aWorker.mLookAtOnce ? Time()
-                                                            : aState.mSettings.LookWait() };
+                               .mWait = Time() };
   if (renews) {
     fields.mLeaseUntil = detail::LeaseFor(aState, aWorker, aNow);
     aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, *fields.mLeaseUntil);
@@ -336,17 +332,16 @@
   if (lists.Born() > Time()) {
     worker.mBorn = lists.Born();
   }
+  const bool wasUnseen = worker.mHealth != WorkerHealth::Reachable;
   RegainWorker(aState, worker, lists, aOut);
   worker.mClock = lists.Clock();
   worker.mClockRead = aNow;
-  const bool wasAtOnce = worker.mLookAtOnce;
-  worker.mLookAtOnce = false;
   detail::TakeLists(aState, worker, lists, aNow, aOut);
-  if (!worker.mRuns.empty()) {
-    const bool owesRenewal = wasAtOnce;
-    detail::LookBy(
-      aState, worker, owesRenewal ? aNow : aNow + aState.mSettings.LookPause());
+  if (worker.mRuns.empty()) {
+    return;
   }
+  // The first look under this epoch carried no lease.
+  detail::LookBy(aState, worker, wasUnseen ? aNow : detail::NextLook(aState, worker, aNow));
 }
 
 void
@@ -370,8 +365,8 @@
         row->mSince = aNow;
         row->mProgressAt = aNow;
       }
-      if (worker.mNextLook == Time::Never() && !worker.mLookOpen) {
-        detail::LookBy(aState, worker, aNow + aState.mSettings.LookPause());
+      if (!worker.mLookOpen) {
+        detail::LookBy(aState, worker, detail::NextLook(aState, worker, aNow));
       }
       return;
     case OrderOutcome::Unanswered:
@@ -382,7 +377,6 @@
                   absl::StrCat("worker=", aEvent.Worker(), " sent=",
                                aEvent.Outcome() == OrderOutcome::Unanswered));
       row->mStartLost = row->mStartLost || aEvent.Outcome() == OrderOutcome::Unanswered;
-      worker.mLookAtOnce = true;
       detail::LookBy(aState, worker, aNow);
       if (!row->mStartLost) {
         StartFailed(aState, worker, run, aEvent.Outcome(), aNow, aOut);
@@ -392,13 +386,11 @@
       return;
     case OrderOutcome::Late:
       // The estimate of the worker's clock was off; the look reads it anew.
-      worker.mLookAtOnce = true;
       detail::LookBy(aState, worker, aNow);
       row->mStartAgain = row->mStopWanted ? Time::Never() : aNow + aState.mSettings.OrderPause();
       return;
     case OrderOutcome::Obsolete:
       // The run has ended or was stopped there; the lists tell how.
-      worker.mLookAtOnce = true;
       row->mPhase = RunPhase::Confirmed;
       row->mSince = aNow;
       detail::LookBy(aState, worker, aNow);
@@ -436,7 +428,6 @@
   }
   if (aEvent.Outcome() == OrderOutcome::Accepted) {
     row->mBarredAt = aNow;
-    worker.mLookAtOnce = true;
     detail::LookBy(aState, worker, aNow + aState.mSettings.LookPause());
     return;
   }
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -43,7 +43,7 @@
 }
 
 void
-RestoreRun(CellState& aState, const JobRow& aJob, const TaskKey& aTask, Time aNow)
+RestoreRun(CellState& aState, const JobRow& aJob, const JobTaskKey& aTask, Time aNow)
 {
   const auto* task = detail::FindTask(aState, aTask);
   const auto& id = task->mProgress.Worker();
@@ -79,12 +79,12 @@
     step.mDone = true;
     for (std::uint32_t i = 0; i < step.mCount; ++i) {
       const auto phase = occurrence.mTasks[step.mFirst + i].mProgress.Phase();
-      step.mDone = step.mDone && phase == TaskPhase::Done;
-      if (phase == TaskPhase::Assigned) {
+      step.mDone = step.mDone && phase == JobTaskPhase::Done;
+      if (phase == JobTaskPhase::Assigned) {
         RestoreRun(
           aState,
           aJob,
-          TaskKey::Create(
+          JobTaskKey::Create(
             { .mJob = aProgress.Job(), .mOccurrence = aProgress.Index(), .mStep = s, .mIndex = i })
             .value(),
           aNow);
--- a/modules/by_cell/RunId.h
+++ b/modules/by_cell/RunId.h
@@ -3,14 +3,14 @@
 #include <compare>
 #include <cstdint>
 
-#include "by_schema/TaskKey.h"
+#include "by_schema/JobTaskKey.h"
 
 namespace by {
 
 /// One run of one task.
 struct RunId
 {
-  TaskKey mTask;
+  JobTaskKey mTask;
   std::uint32_t mRun{ 0 };
 
   friend bool operator==(const RunId&, const RunId&) = default;
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -39,7 +39,6 @@
   /// When to look next; Never() where nothing asks for it.
   Time mNextLook{};
   /// Whether the next look is to answer at once.
-  bool mLookAtOnce{ true };
   /// Looks in a row that failed.
   std::uint32_t mLookFailures{ 0 };
   /// The last end that was taken note of, and the last one that is stored.
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -25,7 +25,7 @@
 bool
 CanBePlaced(const TaskRow& aTask)
 {
-  return aTask.mProgress.Phase() == TaskPhase::Waiting && aTask.mLiveRuns == 0;
+  return aTask.mProgress.Phase() == JobTaskPhase::Waiting && aTask.mLiveRuns == 0;
 }
 
 /// A gang needs all of its members free; any other step needs one.
@@ -48,7 +48,7 @@
         if (task.mLiveRuns > 0) {
           runs.emplace_back(
             task.mProgress.Worker(),
-            RunId{ TaskKey::Create(
+            RunId{ JobTaskKey::Create(
                      { .mJob = aJob.mJob.Id(), .mOccurrence = index, .mStep = s, .mIndex = i })
                      .value(),
                    task.mProgress.Run() });
@@ -130,7 +130,7 @@
   auto& occurrence = aJob.mOccurrences.at(aOccurrence);
   auto& step = occurrence.mSteps[aStep];
   const auto& definition = StepOf(aJob, aStep);
-  const bool ready = aJob.mStored && !step.mDone && IsOpen(aJob, occurrence, aStep) &&
+  const bool ready = !step.mDone && IsOpen(aJob, occurrence, aStep) &&
                      HasTasksToPlace(occurrence, step, definition.Gang());
   if (!ready) {
     if (step.mReady) {
@@ -191,6 +191,24 @@
   }
 }
 
+void
+ForgetJob(CellState& aState, const std::string& aJob, Time aNow, Effects& aOut)
+{
+  const auto it = aState.mJobs.find(aJob);
+  if (it == aState.mJobs.end()) {
+    return;
+  }
+  const std::string id = aJob;
+  ForgetReady(aState, it->second);
+  StopRunsOf(aState, it->second, aNow, aOut);
+  for (const auto& [index, occurrence] : it->second.mOccurrences) {
+    aState.mNewProgress.erase({ id, index });
+  }
+  absl::erase_if(aState.mSchedule, [&](const auto& aEntry) { return aEntry.second == id; });
+  std::erase(aState.mNewJobs, id);
+  aState.mJobs.erase(it);
+}
+
 void
 NoteStarted(CellState& aState, JobRow& aJob)
 {
@@ -216,7 +234,7 @@
   auto& step = occurrence.mSteps[aStep];
   const auto first = occurrence.mTasks.begin() + step.mFirst;
   step.mDone = std::all_of(first, first + step.mCount, [](const TaskRow& aTask) {
-    return aTask.mProgress.Phase() == TaskPhase::Done;
+    return aTask.mProgress.Phase() == JobTaskPhase::Done;
   });
   if (!step.mDone) {
     return;
--- a/modules/by_cell/detail/Jobs.h
+++ b/modules/by_cell/detail/Jobs.h
@@ -44,6 +44,10 @@
 void
 EndJob(CellState& aState, const std::string& aJob, JobState aOutcome, Time aNow, Effects& aOut);
 
+/// Forgets a job that is not stored and never will be; none of its runs was ordered.
+void
+ForgetJob(CellState& aState, const std::string& aJob, Time aNow, Effects& aOut);
+
 /// @returns whether all steps that a step follows are done.
 bool
 IsOpen(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep);
--- a/modules/by_cell/detail/Lists.cpp
+++ b/modules/by_cell/detail/Lists.cpp
@@ -126,7 +126,7 @@
     const auto task = run.mTask;
     DropRun(aState, aWorker, run);
     const auto* row = FindTask(aState, task);
-    if (row != nullptr && row->mProgress.Phase() == TaskPhase::Assigned &&
+    if (row != nullptr && row->mProgress.Phase() == JobTaskPhase::Assigned &&
         row->mProgress.Run() == run.mRun) {
       Requeue(aState, task, aNow, aOut);
     }
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -58,7 +58,7 @@
 }
 
 std::uint32_t
-RunsOfStep(const WorkerRow& aWorker, const TaskKey& aTask)
+RunsOfStep(const WorkerRow& aWorker, const JobTaskKey& aTask)
 {
   std::uint32_t n = 0;
   const RunId first{ aTask.WithIndex(0), 0 };
@@ -121,7 +121,7 @@
            const Candidates& aCandidates,
            const JobStep& aStep,
            const StepAdvice* aAdvice,
-           const TaskKey& aTask,
+           const JobTaskKey& aTask,
            const RackId* aRack)
 {
   WorkerRow* best = nullptr;
@@ -149,11 +149,11 @@
 }
 
 void
-Assign(Pass& aPass, JobRow& aJob, const TaskKey& aTask, WorkerRow& aWorker, std::uint32_t aRun)
+Assign(Pass& aPass, JobRow& aJob, const JobTaskKey& aTask, WorkerRow& aWorker, std::uint32_t aRun)
 {
   auto* task = FindTask(aPass.mState, aTask);
   ChangeProgress(*task, [&](auto& aFields) {
-    aFields.mPhase = TaskPhase::Assigned;
+    aFields.mPhase = JobTaskPhase::Assigned;
     aFields.mRun = aRun;
     aFields.mWorker = aWorker.mRegistration.Id();
     aFields.mWorkerBorn = aWorker.mBorn;
@@ -191,13 +191,13 @@
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
                                         .mOccurrence = aKey.mOccurrence,
                                         .mStep = aKey.mStep,
                                         .mIndex = i })
                         .value();
     const auto* row = FindTask(aPass.mState, task);
-    if (row->mProgress.Phase() != TaskPhase::Waiting || row->mLiveRuns > 0) {
+    if (row->mProgress.Phase() != JobTaskPhase::Waiting || row->mLiveRuns > 0) {
       continue;
     }
     auto* worker = BestWorker(aPass, aCandidates, step, aAdvice, task, nullptr);
@@ -220,7 +220,7 @@
   const auto& step = StepOf(aJob, aKey.mStep);
   std::vector<WorkerRow*> hosts;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
                                         .mOccurrence = aKey.mOccurrence,
                                         .mStep = aKey.mStep,
                                         .mIndex = i })
@@ -234,7 +234,7 @@
     hosts.push_back(worker);
   }
   for (std::uint32_t i = 0; i < hosts.size(); ++i) {
-    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
                                         .mOccurrence = aKey.mOccurrence,
                                         .mStep = aKey.mStep,
                                         .mIndex = i })
@@ -287,7 +287,7 @@
     run = std::max(run, occurrence.mTasks[first + i].mProgress.Run());
   }
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = TaskKey::Create({ .mJob = aKey.mJob,
+    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
                                         .mOccurrence = aKey.mOccurrence,
                                         .mStep = aKey.mStep,
                                         .mIndex = i })
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -19,10 +19,10 @@
 /// The least that is believed of a worker's speed.
 constexpr double kSlownessFloor = 0.3;
 
-std::vector<TaskKey>
-MembersOf(const TaskKey& aTask, const StepRow& aStep)
+std::vector<JobTaskKey>
+MembersOf(const JobTaskKey& aTask, const StepRow& aStep)
 {
-  std::vector<TaskKey> members;
+  std::vector<JobTaskKey> members;
   for (std::uint32_t i = 0; i < aStep.mCount; ++i) {
     members.push_back(aTask.WithIndex(i));
   }
@@ -30,20 +30,20 @@
 }
 
 bool
-IsGang(CellState& aState, const TaskKey& aTask)
+IsGang(CellState& aState, const JobTaskKey& aTask)
 {
   const auto* job = FindJob(aState, aTask.Job());
   return job != nullptr && StepOf(*job, aTask.Step()).Gang();
 }
 
 StepRow&
-StepRowOf(JobRow& aJob, const TaskKey& aTask)
+StepRowOf(JobRow& aJob, const JobTaskKey& aTask)
 {
   return aJob.mOccurrences.at(aTask.Occurrence()).mSteps[aTask.Step()];
 }
 
 void
-MarkProgress(CellState& aState, const TaskKey& aTask)
+MarkProgress(CellState& aState, const JobTaskKey& aTask)
 {
   aState.mNewProgress.emplace(aTask.Job(), aTask.Occurrence());
 }
@@ -88,18 +88,18 @@
 
 /// One end of a member stands for all of them.
 void
-FinishGang(CellState& aState, JobRow& aJob, const TaskKey& aTask)
+FinishGang(CellState& aState, JobRow& aJob, const JobTaskKey& aTask)
 {
   for (const auto& member : MembersOf(aTask, StepRowOf(aJob, aTask))) {
     ChangeProgress(*FindTask(aState, member), [](auto& aFields) {
-      aFields.mPhase = TaskPhase::Done;
+      aFields.mPhase = JobTaskPhase::Done;
       aFields.mCheckpoint.clear();
     });
   }
 }
 
 void
-FinishTask(CellState& aState, JobRow& aJob, const TaskKey& aTask, Time aNow, Effects& aOut)
+FinishTask(CellState& aState, JobRow& aJob, const JobTaskKey& aTask, Time aNow, Effects& aOut)
 {
   const auto& step = StepOf(aJob, aTask.Step());
   if (step.LongRunning()) {
@@ -111,7 +111,7 @@
     FinishGang(aState, aJob, aTask);
   } else {
     ChangeProgress(*FindTask(aState, aTask), [](auto& aFields) {
-      aFields.mPhase = TaskPhase::Done;
+      aFields.mPhase = JobTaskPhase::Done;
       aFields.mCheckpoint.clear();
     });
   }
@@ -120,7 +120,7 @@
 
 /// @returns how many runs failed, of a task or of all members of its gang.
 std::size_t
-FailuresOf(CellState& aState, JobRow& aJob, const TaskKey& aTask)
+FailuresOf(CellState& aState, JobRow& aJob, const JobTaskKey& aTask)
 {
   if (!StepOf(aJob, aTask.Step()).Gang()) {
     return FindTask(aState, aTask)->mProgress.FailedRuns().size();
@@ -157,7 +157,7 @@
 }
 
 void
-KeepCheckpoint(CellState& aState, const TaskKey& aTask, const std::string& aCheckpoint)
+KeepCheckpoint(CellState& aState, const JobTaskKey& aTask, const std::string& aCheckpoint)
 {
   auto* job = FindJob(aState, aTask.Job());
   if (aCheckpoint.empty() || job == nullptr || !StepOf(*job, aTask.Step()).Checkpointing()) {
@@ -165,7 +165,7 @@
   }
   const auto members = StepOf(*job, aTask.Step()).Gang()
                          ? MembersOf(aTask, StepRowOf(*job, aTask))
-                         : std::vector<TaskKey>{ aTask };
+                         : std::vector<JobTaskKey>{ aTask };
   for (const auto& member : members) {
     ChangeProgress(*FindTask(aState, member),
                    [&](auto& aFields) { aFields.mCheckpoint = aCheckpoint; });
@@ -238,13 +238,13 @@
   }
   auto* job = FindJob(aState, aRun.mTask.Job());
   auto* task = FindTask(aState, aRun.mTask);
-  if (job == nullptr || task == nullptr || task->mProgress.Phase() == TaskPhase::Done) {
+  if (job == nullptr || task == nullptr || task->mProgress.Phase() == JobTaskPhase::Done) {
     return;
   }
-  const bool isCurrent = task->mProgress.Phase() == TaskPhase::Assigned &&
+  const bool isCurrent = task->mProgress.Phase() == JobTaskPhase::Assigned &&
                          task->mProgress.Run() == aRun.mRun &&
                          task->mProgress.Worker() == aWorker.mRegistration.Id();
-  const bool isLateDone = aHow == RunEnd::Done && task->mProgress.Phase() == TaskPhase::Waiting &&
+  const bool isLateDone = aHow == RunEnd::Done && task->mProgress.Phase() == JobTaskPhase::Waiting &&
                           task->mLiveRuns == 0;
   if (aHow == RunEnd::Failed) {
     FailTask(aState, *job, aRun, aNow, aOut);
@@ -351,23 +351,23 @@
 }
 
 void
-Requeue(CellState& aState, const TaskKey& aTask, Time aNow, Effects& aOut)
+Requeue(CellState& aState, const JobTaskKey& aTask, Time aNow, Effects& aOut)
 {
   auto* job = FindJob(aState, aTask.Job());
   if (job == nullptr) {
     return;
   }
   const auto members = IsGang(aState, aTask) ? MembersOf(aTask, StepRowOf(*job, aTask))
-                                             : std::vector<TaskKey>{ aTask };
+                                             : std::vector<JobTaskKey>{ aTask };
   for (const auto& member : members) {
     auto* task = FindTask(aState, member);
-    if (task->mProgress.Phase() != TaskPhase::Assigned) {
+    if (task->mProgress.Phase() != JobTaskPhase::Assigned) {
       continue;
     }
     const auto worker = task->mProgress.Worker();
     const RunId run{ member, task->mProgress.Run() };
     ChangeProgress(*task, [](auto& aFields) {
-      aFields.mPhase = TaskPhase::Waiting;
+      aFields.mPhase = JobTaskPhase::Waiting;
       aFields.mWorker.clear();
     });
     WantStop(aState, worker, run, aNow, aOut);
--- a/modules/by_cell/detail/Runs.h
+++ b/modules/by_cell/detail/Runs.h
@@ -50,7 +50,7 @@
 
 /// Puts a task back to the tasks that wait, with the other members of its gang.
 void
-Requeue(CellState& aState, const TaskKey& aTask, Time aNow, Effects& aOut);
+Requeue(CellState& aState, const JobTaskKey& aTask, Time aNow, Effects& aOut);
 
 /// @returns until when a worker's lease may be renewed now, on its clock.
 Time
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -21,7 +21,7 @@
 }
 
 TaskRow*
-FindTask(CellState& aState, const TaskKey& aTask)
+FindTask(CellState& aState, const JobTaskKey& aTask)
 {
   auto* occurrence = FindOccurrence(aState, aTask.Job(), aTask.Occurrence());
   if (occurrence == nullptr || aTask.Step() >= occurrence->mSteps.size()) {
--- a/modules/by_cell/detail/Tables.h
+++ b/modules/by_cell/detail/Tables.h
@@ -18,7 +18,7 @@
 
 /// @returns the task's row, or nullptr.
 TaskRow*
-FindTask(CellState& aState, const TaskKey& aTask);
+FindTask(CellState& aState, const JobTaskKey& aTask);
 
 /// @returns the step's definition; the job must be known.
 const JobStep&
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -51,8 +51,10 @@
   bool mOwnerActs{ false };
   bool mOwnerLeaving{ false };
   bool mOwnerLostStore{ false };
-  /// When the owner's machine answered that its process is gone; Never() otherwise.
-  Time mOwnerGoneAt{ Time::Never() };
+  /// Since when the owner is known to be gone, leaving or without the store; Never() otherwise.
+  Time mOwnerYieldsAt{ Time::Never() };
+  /// What members were last told of the store.
+  bool mToldStoreLost{ false };
   /// When this node last claimed the cell without being chosen.
   Time mBoldClaimAt{};
   Time mOwnerHeardAt{};
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -147,6 +147,7 @@
       detail::StepDown(aState, "a newer owner was seen", aNow, out);
     }
   }
+  detail::TellStoreLost(aState, aNow, out);
   detail::GoOnStopping(aState, aNow, out);
   detail::TellReady(aState, aNow, out);
   CloseAnsweredCalls(aState, out);
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -30,8 +30,20 @@
   return aClaim.Node() == aState.mSettings.Node();
 }
 
-/// The store is taken as lost once an append has been open for this long.
-constexpr Time kStoreLost = Time::FromMilliseconds(700);
+/// The store is taken as lost once an append has been open for this long, and sooner where it
+/// turns appends away.
+constexpr Time kStoreLost = Time::FromMilliseconds(900);
+constexpr Time kStoreRefuses = Time::FromMilliseconds(200);
+
+bool
+HasLostStore(const EntryState& aState, Time aNow)
+{
+  if (aState.mPhase != OwnerPhase::Owner) {
+    return false;
+  }
+  const auto& cell = *aState.mCell;
+  return cell.mStoreLostAt + (cell.mStoreRefuses ? kStoreRefuses : kStoreLost) < aNow;
+}
 
 /// Tells a member whether this node acts as the owner.
 void
@@ -41,7 +53,7 @@
   auto beat = LinkBeat::Create(
                 { .mEpoch = aState.mEpoch,
                   .mOwner = isOwner,
-                  .mStoreLost = isOwner && aState.mCell->mStoreLostAt + kStoreLost < aNow })
+                  .mStoreLost = HasLostStore(aState, aNow) })
                 .value();
   Emit(aOut,
        SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(beat)) }).value());
@@ -57,6 +69,11 @@
         absl::StrCat("epoch=", aBeat.Epoch()));
   }
   aState.mOwnerLostStore = aBeat.StoreLost();
+  if (aBeat.StoreLost()) {
+    aState.mOwnerYieldsAt = std::min(aState.mOwnerYieldsAt, aNow);
+  } else if (!aState.mOwnerLeaving) {
+    aState.mOwnerYieldsAt = Time::Never();
+  }
   if (!std::exchange(aState.mOwnerActs, aBeat.Owner()) && aBeat.Owner()) {
     HandOver(aState, aNow, aOut);
   }
@@ -97,7 +114,7 @@
   aState.mOwnerActs = false;
   aState.mOwnerLeaving = false;
   aState.mOwnerLostStore = false;
-  aState.mOwnerGoneAt = Time::Never();
+  aState.mOwnerYieldsAt = Time::Never();
   if (aState.mPhase != OwnerPhase::Owner) {
     TakeBackHanded(aState);
   }
@@ -136,8 +153,8 @@
   if (!aEvent.Up()) {
     aState.mOwnerActs = false;
     TakeBackHanded(aState);
-    if (aEvent.Refused() && aState.mOwnerGoneAt == Time::Never()) {
-      aState.mOwnerGoneAt = aNow;
+    if (aEvent.Refused() && aState.mOwnerYieldsAt == Time::Never()) {
+      aState.mOwnerYieldsAt = aNow;
     }
     if (wasUp) {
       aState.mLinkDownAt = aNow;
@@ -145,7 +162,9 @@
     }
     return;
   }
-  aState.mOwnerGoneAt = Time::Never();
+  if (!aState.mOwnerLeaving) {
+    aState.mOwnerYieldsAt = Time::Never();
+  }
   aState.mOwnerHeardAt = aNow;
   aState.mNextBeat = aNow + aState.mSettings.BeatPause();
   Emit(aOut,
@@ -171,6 +190,7 @@
     Log(aOut, "owner.leaving", absl::StrCat("epoch ", leaving->Epoch()), "next=join at once");
     aState.mNextJoin = aNow;
     aState.mOwnerLeaving = true;
+    aState.mOwnerYieldsAt = std::min(aState.mOwnerYieldsAt, aNow);
   } else if (const auto* beat = std::get_if<LinkBeat>(&body)) {
     TakeBeat(aState, *beat, aNow, aOut);
   }
@@ -216,6 +236,18 @@
   }
 }
 
+void
+TellStoreLost(EntryState& aState, Time aNow, Effects& aOut)
+{
+  const bool isLost = HasLostStore(aState, aNow);
+  if (std::exchange(aState.mToldStoreLost, isLost) == isLost) {
+    return;
+  }
+  for (const auto& member : aState.mMembers) {
+    TellMember(aState, member, aNow, aOut);
+  }
+}
+
 void
 KeepLink(EntryState& aState, Time aNow, Effects& aOut)
 {
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -33,6 +33,10 @@
 void
 TakeMemberChanged(EntryState& aState, const MemberChanged& aEvent, Time aNow, Effects& aOut);
 
+/// Tells members at once where this node, as owner, lost or regained the store.
+void
+TellStoreLost(EntryState& aState, Time aNow, Effects& aOut);
+
 /// Sends signs of life and opens a silent link anew.
 void
 KeepLink(EntryState& aState, Time aNow, Effects& aOut);
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -18,7 +18,7 @@
 /// A link to the owner that was lost for this long is taken for the loss of the owner. A node that
 /// was just chosen has waited out the owner's membership before.
 constexpr Time kOwnerDoubt = Time::FromMilliseconds(300);
-/// Nodes that see the owner's process gone claim one after the other, this far apart.
+/// Nodes that know that the owner yields claim one after the other, this far apart.
 constexpr std::int64_t kBoldStepMs = 15;
 constexpr std::uint64_t kBoldSteps = 8;
 /// Pause between claims of a node that was not chosen, so that nodes that can't see each other
@@ -148,10 +148,18 @@
     return;
   }
   const auto turn = static_cast<std::int64_t>(aState.mSettings.Incarnation() % kBoldSteps);
-  const auto boldAt = aState.mOwnerGoneAt + Time::FromMilliseconds(turn * kBoldStepMs);
+  const auto boldAt = aState.mOwnerYieldsAt + Time::FromMilliseconds(turn * kBoldStepMs);
   if (!isOrphan && boldAt <= aNow && aNow > aState.mBoldClaimAt + kBoldPause) {
     aState.mBoldClaimAt = aNow;
-    Log(aOut, "owner.claiming", aState.mSettings.Node(), "chosen=0 reason=process of the owner is gone");
+    Log(aOut,
+        "owner.claiming",
+        aState.mSettings.Node(),
+        absl::StrCat("chosen=0 leaving=",
+                     aState.mOwnerLeaving,
+                     " store_lost=",
+                     aState.mOwnerLostStore,
+                     " link_up=",
+                     aState.mLinkUp));
     BeginClaim(aState, aOut);
   }
 }
@@ -177,7 +185,7 @@
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
   }
-  if (claim && !aState.mChosen && !IsOwn(aState, *claim) && aState.mOwnerGoneAt == Time::Never()) {
+  if (claim && !aState.mChosen && !IsOwn(aState, *claim) && aState.mOwnerYieldsAt == Time::Never()) {
     // Another node was faster; its claim has just been taken for the owner's.
     aState.mPhase = OwnerPhase::Member;
     return;
--- a/modules/by_entry/detail/Ownership.h
+++ b/modules/by_entry/detail/Ownership.h
@@ -18,7 +18,7 @@
 TakeJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut);
 
 /// Claims the cell where its owner is gone, leaving or without the store: as the node that the
-/// group chose, or as any node that saw the owner's process gone.
+/// group chose, or as any node that knows that the owner yields.
 void
 ConsiderClaim(EntryState& aState, Time aNow, Effects& aOut);
 
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -25,16 +25,16 @@
     Time mLongestLease{ Time::FromMilliseconds(10000) };
     /// How long the owner goes on renewing without a word from the store.
     Time mAuthority{ Time::FromMilliseconds(5000) };
-    /// How long a look may wait at the worker for an end.
-    Time mLookWait{ Time::FromMilliseconds(1000) };
-    /// Pause between an answered look and the next.
+    /// Longest pause between looks at a worker with runs; also how late an early end is seen.
+    Time mLookInterval{ Time::FromMilliseconds(500) };
+    /// Shortest pause between looks at a worker.
     Time mLookPause{ Time::FromMilliseconds(20) };
     /// Bound on the answer to an order, and on what a look takes beyond its wait.
     Time mOrderPatience{ Time::FromMilliseconds(500) };
     /// Pause before an unanswered order is sent again.
     Time mOrderPause{ Time::FromMilliseconds(100) };
     /// Pause between appends, so that one call carries many records.
-    Time mAppendPause{ Time::FromMilliseconds(8) };
+    Time mAppendPause{ Time::FromMilliseconds(20) };
     /// Pause after the store turned an append away.
     Time mAppendRetry{ Time::FromMilliseconds(100) };
     /// After this long without an answer of the store, callers are told that the outcome is open.
@@ -101,17 +101,17 @@
     return copy;
   }
 
-  /// How long a look may wait at the worker for an end.
-  Time LookWait() const { return mFields.mLookWait; }
-  /// @returns this value with another LookWait.
-  [[nodiscard]] CellSettings WithLookWait(Time aValue) const
+  /// Longest pause between looks at a worker with runs; also how late an early end is seen.
+  Time LookInterval() const { return mFields.mLookInterval; }
+  /// @returns this value with another LookInterval.
+  [[nodiscard]] CellSettings WithLookInterval(Time aValue) const
   {
     auto copy = *this;
-    copy.mFields.mLookWait = std::move(aValue);
+    copy.mFields.mLookInterval = std::move(aValue);
     return copy;
   }
 
-  /// Pause between an answered look and the next.
+  /// Shortest pause between looks at a worker.
   Time LookPause() const { return mFields.mLookPause; }
   /// @returns this value with another LookPause.
   [[nodiscard]] CellSettings WithLookPause(Time aValue) const
--- a/modules/by_schema/EndedRun.h
+++ b/modules/by_schema/EndedRun.h
@@ -8,8 +8,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_schema/JobTaskKey.h"
 #include "by_schema/RunEnd.h"
-#include "by_schema/TaskKey.h"
 
 namespace by {
 
@@ -23,7 +23,7 @@
     /// Counts ends of one life of the worker, from 1.
     std::uint64_t mNumber{ 0 };
     /// The task.
-    TaskKey mTask{};
+    JobTaskKey mTask{};
     /// The number of the run.
     std::uint32_t mRun{ 0 };
     /// How it ended.
@@ -56,9 +56,9 @@
   }
 
   /// The task.
-  const TaskKey& Task() const { return mFields.mTask; }
+  const JobTaskKey& Task() const { return mFields.mTask; }
   /// @returns this value with another Task.
-  [[nodiscard]] EndedRun WithTask(TaskKey aValue) const
+  [[nodiscard]] EndedRun WithTask(JobTaskKey aValue) const
   {
     auto copy = *this;
     copy.mFields.mTask = std::move(aValue);
--- a/modules/by_schema/TaskKey.h
+++ b/modules/by_schema/JobTaskKey.h
@@ -11,7 +11,7 @@
 namespace by {
 
 /// Names one task of one occurrence of a job.
-class TaskKey
+class JobTaskKey
 {
 public:
   /// The fields by name, for Create().
@@ -31,11 +31,14 @@
   };
 
   /// The value with every field at its default.
-  TaskKey() = default;
+  JobTaskKey() = default;
 
   /// Builds a value from its fields.
   /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
-  static absl::StatusOr<TaskKey> Create(Fields aFields) { return TaskKey(std::move(aFields)); }
+  static absl::StatusOr<JobTaskKey> Create(Fields aFields)
+  {
+    return JobTaskKey(std::move(aFields));
+  }
 
   /// Copies the fields, to build a changed value from them.
   Fields ToFields() const { return mFields; }
@@ -43,7 +46,7 @@
   /// The job.
   const std::string& Job() const { return mFields.mJob; }
   /// @returns this value with another Job.
-  [[nodiscard]] TaskKey WithJob(std::string aValue) const
+  [[nodiscard]] JobTaskKey WithJob(std::string aValue) const
   {
     auto copy = *this;
     copy.mFields.mJob = std::move(aValue);
@@ -53,7 +56,7 @@
   /// The occurrence, from 0.
   std::uint32_t Occurrence() const { return mFields.mOccurrence; }
   /// @returns this value with another Occurrence.
-  [[nodiscard]] TaskKey WithOccurrence(std::uint32_t aValue) const
+  [[nodiscard]] JobTaskKey WithOccurrence(std::uint32_t aValue) const
   {
     auto copy = *this;
     copy.mFields.mOccurrence = std::move(aValue);
@@ -63,7 +66,7 @@
   /// The step, from 0.
   std::uint32_t Step() const { return mFields.mStep; }
   /// @returns this value with another Step.
-  [[nodiscard]] TaskKey WithStep(std::uint32_t aValue) const
+  [[nodiscard]] JobTaskKey WithStep(std::uint32_t aValue) const
   {
     auto copy = *this;
     copy.mFields.mStep = std::move(aValue);
@@ -73,18 +76,18 @@
   /// The task within its step, from 0.
   std::uint32_t Index() const { return mFields.mIndex; }
   /// @returns this value with another Index.
-  [[nodiscard]] TaskKey WithIndex(std::uint32_t aValue) const
+  [[nodiscard]] JobTaskKey WithIndex(std::uint32_t aValue) const
   {
     auto copy = *this;
     copy.mFields.mIndex = std::move(aValue);
     return copy;
   }
 
-  friend bool operator==(const TaskKey&, const TaskKey&) = default;
-  friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+  friend bool operator==(const JobTaskKey&, const JobTaskKey&) = default;
+  friend auto operator<=>(const JobTaskKey&, const JobTaskKey&) = default;
 
 private:
-  explicit TaskKey(Fields aFields)
+  explicit JobTaskKey(Fields aFields)
     : mFields(std::move(aFields))
   {
   }
--- a/modules/by_schema/TaskPhase.h
+++ b/modules/by_schema/JobTaskPhase.h
@@ -11,7 +11,7 @@
 namespace by {
 
 /// Where one task stands.
-enum class TaskPhase : std::uint8_t
+enum class JobTaskPhase : std::uint8_t
 {
   Waiting = 0,
   Assigned = 1,
@@ -21,14 +21,14 @@
 /// Names a value as it stands in settings and messages.
 /// @returns the name in lower case, or "unknown".
 constexpr std::string_view
-ToString(TaskPhase aValue)
+ToString(JobTaskPhase aValue)
 {
   switch (aValue) {
-    case TaskPhase::Waiting:
+    case JobTaskPhase::Waiting:
       return "waiting";
-    case TaskPhase::Assigned:
+    case JobTaskPhase::Assigned:
       return "assigned";
-    case TaskPhase::Done:
+    case JobTaskPhase::Done:
       return "done";
   }
   return "unknown";
@@ -36,17 +36,17 @@
 
 /// Reads a value from its name.
 /// @returns the value, or InvalidArgument for a name that is not one.
-inline absl::StatusOr<TaskPhase>
-ParseTaskPhase(std::string_view aText)
+inline absl::StatusOr<JobTaskPhase>
+ParseJobTaskPhase(std::string_view aText)
 {
   if (aText == "waiting") {
-    return TaskPhase::Waiting;
+    return JobTaskPhase::Waiting;
   }
   if (aText == "assigned") {
-    return TaskPhase::Assigned;
+    return JobTaskPhase::Assigned;
   }
   if (aText == "done") {
-    return TaskPhase::Done;
+    return JobTaskPhase::Done;
   }
   return absl::InvalidArgumentError(
     absl::StrCat("'", std::string(aText), "' is not one of waiting, assigned, done"));
--- a/modules/by_schema/RunningRun.h
+++ b/modules/by_schema/RunningRun.h
@@ -8,7 +8,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
-#include "by_schema/TaskKey.h"
+#include "by_schema/JobTaskKey.h"
 
 namespace by {
 
@@ -20,7 +20,7 @@
   struct Fields
   {
     /// The task.
-    TaskKey mTask{};
+    JobTaskKey mTask{};
     /// The number of the run.
     std::uint32_t mRun{ 0 };
     /// Its newest checkpoint.
@@ -48,9 +48,9 @@
   Fields ToFields() const { return mFields; }
 
   /// The task.
-  const TaskKey& Task() const { return mFields.mTask; }
+  const JobTaskKey& Task() const { return mFields.mTask; }
   /// @returns this value with another Task.
-  [[nodiscard]] RunningRun WithTask(TaskKey aValue) const
+  [[nodiscard]] RunningRun WithTask(JobTaskKey aValue) const
   {
     auto copy = *this;
     copy.mFields.mTask = std::move(aValue);
--- a/modules/by_schema/StartAnswered.h
+++ b/modules/by_schema/StartAnswered.h
@@ -8,8 +8,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_schema/JobTaskKey.h"
 #include "by_schema/OrderOutcome.h"
-#include "by_schema/TaskKey.h"
 
 namespace by {
 
@@ -23,7 +23,7 @@
     /// The worker.
     std::string mWorker{};
     /// The task.
-    TaskKey mTask{};
+    JobTaskKey mTask{};
     /// The number of the run.
     std::uint32_t mRun{ 0 };
     /// What became of it.
@@ -57,9 +57,9 @@
   }
 
   /// The task.
-  const TaskKey& Task() const { return mFields.mTask; }
+  const JobTaskKey& Task() const { return mFields.mTask; }
   /// @returns this value with another Task.
-  [[nodiscard]] StartAnswered WithTask(TaskKey aValue) const
+  [[nodiscard]] StartAnswered WithTask(JobTaskKey aValue) const
   {
     auto copy = *this;
     copy.mFields.mTask = std::move(aValue);
--- a/modules/by_schema/StartRun.h
+++ b/modules/by_schema/StartRun.h
@@ -10,7 +10,7 @@
 
 #include "by_core/Time.h"
 #include "by_schema/Endpoint.h"
-#include "by_schema/TaskKey.h"
+#include "by_schema/JobTaskKey.h"
 
 namespace by {
 
@@ -26,7 +26,7 @@
     /// Where it takes orders.
     by::Endpoint mEndpoint{};
     /// The task.
-    TaskKey mTask{};
+    JobTaskKey mTask{};
     /// The number of the run.
     std::uint32_t mRun{ 0 };
     /// Passed to the task.
@@ -75,9 +75,9 @@
   }
 
   /// The task.
-  const TaskKey& Task() const { return mFields.mTask; }
+  const JobTaskKey& Task() const { return mFields.mTask; }
   /// @returns this value with another Task.
-  [[nodiscard]] StartRun WithTask(TaskKey aValue) const
+  [[nodiscard]] StartRun WithTask(JobTaskKey aValue) const
   {
     auto copy = *this;
     copy.mFields.mTask = std::move(aValue);
--- a/modules/by_schema/StopRun.h
+++ b/modules/by_schema/StopRun.h
@@ -9,7 +9,7 @@
 #include "absl/status/statusor.h"
 
 #include "by_schema/Endpoint.h"
-#include "by_schema/TaskKey.h"
+#include "by_schema/JobTaskKey.h"
 
 namespace by {
 
@@ -25,7 +25,7 @@
     /// Where it takes orders.
     by::Endpoint mEndpoint{};
     /// The task.
-    TaskKey mTask{};
+    JobTaskKey mTask{};
     /// The number of the run.
     std::uint32_t mRun{ 0 };
     /// The owner's epoch.
@@ -66,9 +66,9 @@
   }
 
   /// The task.
-  const TaskKey& Task() const { return mFields.mTask; }
+  const JobTaskKey& Task() const { return mFields.mTask; }
   /// @returns this value with another Task.
-  [[nodiscard]] StopRun WithTask(TaskKey aValue) const
+  [[nodiscard]] StopRun WithTask(JobTaskKey aValue) const
   {
     auto copy = *this;
     copy.mFields.mTask = std::move(aValue);
--- a/modules/by_schema/TaskProgress.h
+++ b/modules/by_schema/TaskProgress.h
@@ -10,7 +10,7 @@
 #include "absl/status/statusor.h"
 
 #include "by_core/Time.h"
-#include "by_schema/TaskPhase.h"
+#include "by_schema/JobTaskPhase.h"
 
 namespace by {
 
@@ -22,7 +22,7 @@
   struct Fields
   {
     /// Where it stands.
-    TaskPhase mPhase{};
+    JobTaskPhase mPhase{};
     /// The highest number given to a run of it; zero before the first.
     std::uint32_t mRun{ 0 };
     /// The runs that ended by a fault, each once, however often a worker lists them.
@@ -52,9 +52,9 @@
   Fields ToFields() const { return mFields; }
 
   /// Where it stands.
-  TaskPhase Phase() const { return mFields.mPhase; }
+  JobTaskPhase Phase() const { return mFields.mPhase; }
   /// @returns this value with another Phase.
-  [[nodiscard]] TaskProgress WithPhase(TaskPhase aValue) const
+  [[nodiscard]] TaskProgress WithPhase(JobTaskPhase aValue) const
   {
     auto copy = *this;
     copy.mFields.mPhase = std::move(aValue);
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -326,7 +326,7 @@
                  std::uint32_t aRun,
                  std::uint32_t aStep)
 {
-  return { TaskKey::Create(
+  return { JobTaskKey::Create(
              { .mJob = aJob, .mOccurrence = 0, .mStep = aStep, .mIndex = aIndex })
              .value(),
            aRun };
--- a/tests/by_client/HttpClientTest.cpp
+++ b/tests/by_client/HttpClientTest.cpp
@@ -8,9 +8,9 @@
 #include "by_web/WebServer.h"
 
 using namespace by;
-using standins::WebRequest;
+using by::WebRequest;
 using by::WebServer;
-using standins::WebSession;
+using by::WebSession;
 
 namespace {
 
