Keep the room of unknown runs, and leave nothing ready of a job that ended

Change: a run of an unknown job takes the whole worker until its end is listed; ready steps are forgotten after the runs were stopped; an entry of the registry older than the known one is left aside. Work that can wait goes to the slowest worker that is quick enough.

--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -98,6 +98,16 @@
 Register(CellState& aState, const WorkerRegistration& aEntry, Time aNow, Effects& aOut)
 {
   auto& worker = aState.mWorkers[aEntry.Id()];
+  if (aEntry.Born() > Time() && aEntry.Born() < worker.mBorn) {
+    detail::Log(aOut,
+                "worker.stale_entry",
+                aEntry.Id(),
+                absl::StrCat("born=",
+                             aEntry.Born().Milliseconds(),
+                             " known=",
+                             worker.mBorn.Milliseconds()));
+    return;
+  }
   const bool isNew = !worker.mRegistered;
   const bool moved = worker.mRegistration.Endpoint() != aEntry.Endpoint();
   if (!SameLife(worker, aEntry.Born())) {
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -75,7 +75,9 @@
 /// Picks workers that are not known to be barred: those with room first, of these the ones that
 /// are known to be allowed. Without enough room for the step there is nothing to ask.
 std::vector<std::string>
-WorkersToAsk(const JobStep& aStep,
+WorkersToAsk(const CellState& aState,
+             const JobStep& aStep,
+             double aSpare,
              const StepAdvice& aAdvice,
              const std::vector<WorkerRow*>& aCandidates,
              Time aNow)
@@ -84,6 +86,7 @@
   {
     bool mFull;
     bool mUnknown;
+    Suitability mSuitability;
     std::int64_t mFreeCpu;
     const std::string* mName;
   };
@@ -98,7 +101,11 @@
     const bool isFull = !CanHost(*worker, aStep);
     withRoom += isFull ? 0 : 1;
     found.push_back(
-      { isFull, !aAdvice.mTickets.contains(id), FreeOn(*worker).CpuMillis(), &id });
+      { isFull,
+        !aAdvice.mTickets.contains(id),
+        SuitabilityOf(aState, *worker, aStep, aSpare),
+        FreeOn(*worker).CpuMillis(),
+        &id });
   }
   if (withRoom == 0) {
     return {};
@@ -109,8 +116,15 @@
     found.begin() + static_cast<std::ptrdiff_t>(n),
     found.end(),
     [](const Candidate& aLeft, const Candidate& aRight) {
-      return std::tie(aLeft.mFull, aLeft.mUnknown, aRight.mFreeCpu, *aLeft.mName) <
-             std::tie(aRight.mFull, aRight.mUnknown, aLeft.mFreeCpu, *aRight.mName);
+      return std::tie(aLeft.mFull,
+                      aLeft.mUnknown,
+                      aLeft.mSuitability,
+                      aRight.mFreeCpu,
+                      *aLeft.mName) < std::tie(aRight.mFull,
+                                               aRight.mUnknown,
+                                               aRight.mSuitability,
+                                               aLeft.mFreeCpu,
+                                               *aRight.mName);
     });
   std::vector<std::string> names;
   for (std::size_t i = 0; i < n; ++i) {
@@ -190,7 +204,9 @@
       !CanAsk(aState, aNow)) {
     return;
   }
-  auto workers = WorkersToAsk(StepOf(aJob, aStep), advice, aCandidates, aNow);
+  const auto spare = SpareFactor(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow);
+  auto workers =
+    WorkersToAsk(aState, StepOf(aJob, aStep), spare, advice, aCandidates, aNow);
   const auto takes = TimeOf(*policy, workers.size());
   auto* adviser = workers.empty() ? nullptr : FreeAdviser(aState, takes, aNow);
   advice.mNextAsk = aNow + kAskPause;
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -199,8 +199,9 @@
     return;
   }
   const std::string id = aJob;
-  ForgetReady(aState, it->second);
   StopRunsOf(aState, it->second, aNow, aOut);
+  // Runs that were dropped may have made steps ready again.
+  ForgetReady(aState, it->second);
   for (const auto& [index, occurrence] : it->second.mOccurrences) {
     aState.mNewProgress.erase({ id, index });
   }
@@ -271,10 +272,11 @@
                    " objective_ms=",
                    (job.mObjective - job.mJob.Accepted()).Milliseconds()));
   NoteStarted(aState, job);
-  ForgetReady(aState, job);
   if (aOutcome != JobState::Completed) {
     StopRunsOf(aState, job, aNow, aOut);
   }
+  // Runs that were dropped may have made steps ready again.
+  ForgetReady(aState, job);
   auto& outcome = aState.mOutcomes[id];
   outcome.mState = aOutcome;
   outcome.mEnded = aNow;
--- a/modules/by_cell/detail/Lists.cpp
+++ b/modules/by_cell/detail/Lists.cpp
@@ -52,6 +52,8 @@
   RunRow row;
   row.mPhase = RunPhase::Confirmed;
   row.mStopWanted = true;
+  // What a run of a job that has ended takes is not known any more.
+  row.mDemand = aWorker.mRegistration.Capacity();
   if (const auto* job = FindJob(aState, run.mTask.Job())) {
     if (run.mTask.Step() < job->mJob.Definition().Steps().size()) {
       row.mDemand = StepOf(*job, run.mTask.Step()).Demand();
--- a/modules/by_cell/detail/LookTimes.cpp
+++ b/modules/by_cell/detail/LookTimes.cpp
@@ -1,7 +1,6 @@
 #include "by_cell/detail/LookTimes.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "by_cell/detail/Tables.h"
 
@@ -11,20 +10,19 @@
 
 /// An end is looked for this much after it is expected, since estimates are a little short or long.
 constexpr Time kEndSlack = Time::FromMilliseconds(10);
-/// The end of a run whose job can wait is looked for up to this much later.
-constexpr Time kMostTolerance = Time::FromMilliseconds(200);
+/// The end of a run whose job can wait is looked for up to this much later, and less while work
+/// waits for the room.
+constexpr Time kMostTolerance = Time::FromMilliseconds(350);
+constexpr Time kBusyTolerance = Time::FromMilliseconds(60);
 /// Part of the time left to a job that a late look may use up.
 constexpr std::int64_t kToleranceShare = 4;
-/// Before the first progress is listed, the declared time is trusted up to this part.
-constexpr double kFirstLookShare = 0.8;
 constexpr std::uint32_t kAllWork = 100;
 
 Time
 ExpectedEnd(const WorkerRow& aWorker, const RunRow& aRun, Time aNow)
 {
   if (aRun.mPercent == 0 || aRun.mPercent >= kAllWork || aRun.mOrderedAt == Time()) {
-    const auto declared = static_cast<double>(aRun.mEstimate.Milliseconds()) * kFirstLookShare;
-    return std::max(aNow, aRun.mSince + Time::FromMilliseconds(std::llround(declared)));
+    return std::max(aNow, aRun.mSince + aRun.mEstimate);
   }
   const auto seen = aWorker.mClockRead - aRun.mOrderedAt;
   return aRun.mOrderedAt + seen * kAllWork / aRun.mPercent;
@@ -33,13 +31,14 @@
 Time
 ToleranceOf(CellState& aState, const RunId& aRun, Time aEnd)
 {
+  const auto most = aState.mReady.empty() ? kMostTolerance : kBusyTolerance;
   const auto* job = FindJob(aState, aRun.mTask.Job());
   if (job == nullptr) {
-    return kMostTolerance;
+    return most;
   }
   const auto spare = (job->mObjective - aEnd) / kToleranceShare;
   // A job that is late already gains nothing by a few milliseconds.
-  return spare < Time() ? kMostTolerance : std::min(spare, kMostTolerance);
+  return spare < Time() ? most : std::min(spare, most);
 }
 
 } // namespace
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -24,7 +24,9 @@
 /// Pause between passes, so that many events share one.
 constexpr Time kPassPause = Time::FromMilliseconds(5);
 /// Workers of about the same speed are told apart by room; this wide is a class of speed.
-constexpr double kSpeedClass = 0.25;
+constexpr double kSpeedClass = 0.15;
+/// Declared times are off by about a fifth, and a step waits for its slowest task.
+constexpr double kSpeedMargin = 1.35;
 /// An entry that the registry dropped may be back within this time while its worker answers.
 constexpr Time kRegistryGrace = Time::FromMilliseconds(2000);
 
@@ -46,17 +48,6 @@
   return true;
 }
 
-/// How much longer a task takes there, in classes; zero is best.
-std::int64_t
-SpeedClass(const CellState& aState, const WorkerRow& aWorker, const JobStep& aStep)
-{
-  auto slowness = aWorker.mSlowness;
-  if (!aStep.DataRack().IsEmpty() && aStep.DataRack() != aWorker.mRegistration.Rack()) {
-    slowness *= aState.mSettings.RemoteFactor();
-  }
-  return std::llround(slowness / kSpeedClass);
-}
-
 std::uint32_t
 RunsOfStep(const WorkerRow& aWorker, const JobTaskKey& aTask)
 {
@@ -124,9 +115,11 @@
            const JobTaskKey& aTask,
            const RackId* aRack)
 {
+  const auto& job = aPass.mState.mJobs.at(aTask.Job());
+  const auto spare =
+    SpareFactor(job, job.mOccurrences.at(aTask.Occurrence()), aTask.Step(), aPass.mNow);
   WorkerRow* best = nullptr;
-  auto bestScore = std::make_pair(std::numeric_limits<std::int64_t>::max(),
-                                  std::numeric_limits<std::int64_t>::max());
+  std::pair<Suitability, std::int64_t> bestScore;
   for (auto* worker : aCandidates) {
     if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack) ||
         (aAdvice != nullptr && !HasTicket(*aAdvice, worker->mRegistration.Id(), aPass.mNow))) {
@@ -138,9 +131,9 @@
     if (aStep.SpreadLimit() > 0 && RunsOfStep(*worker, aTask) >= aStep.SpreadLimit()) {
       continue;
     }
-    const auto score =
-      std::make_pair(SpeedClass(aPass.mState, *worker, aStep), FreeOn(*worker).CpuMillis());
-    if (score < bestScore) {
+    const auto score = std::make_pair(SuitabilityOf(aPass.mState, *worker, aStep, spare),
+                                      FreeOn(*worker).CpuMillis());
+    if (best == nullptr || score < bestScore) {
       best = worker;
       bestScore = score;
     }
@@ -332,6 +325,32 @@
   return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
+double
+SpareFactor(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow)
+{
+  const auto estimate = StepOf(aJob, aStep).Estimate();
+  const auto objective = aJob.mObjective - aJob.mJob.Accepted();
+  const auto after = aOccurrence.mSteps[aStep].mChain - estimate;
+  const auto left = aOccurrence.mDue + objective - after - aNow;
+  return static_cast<double>(left.Milliseconds()) /
+         static_cast<double>(std::max<std::int64_t>(1, estimate.Milliseconds()));
+}
+
+Suitability
+SuitabilityOf(const CellState& aState,
+              const WorkerRow& aWorker,
+              const JobStep& aStep,
+              double aSpare)
+{
+  auto slowness = aWorker.mSlowness;
+  if (!aStep.DataRack().IsEmpty() && aStep.DataRack() != aWorker.mRegistration.Rack()) {
+    slowness *= aState.mSettings.RemoteFactor();
+  }
+  const auto speed = std::llround(slowness / kSpeedClass);
+  const bool isQuickEnough = slowness * kSpeedMargin <= aSpare;
+  return isQuickEnough ? Suitability{ 0, -speed } : Suitability{ 1, speed };
+}
+
 std::vector<WorkerRow*>
 UsableWorkers(CellState& aState, const std::string& aPool, Time aNow)
 {
--- a/modules/by_cell/detail/Placement.h
+++ b/modules/by_cell/detail/Placement.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "by_cell/CellState.h"
@@ -21,6 +23,23 @@
 bool
 CanHost(const WorkerRow& aWorker, const JobStep& aStep);
 
+/// How well a worker suits a step; lower is better.
+using Suitability = std::pair<std::int64_t, std::int64_t>;
+
+/// Computes how much longer than declared a step may take for its job to be on time.
+/// @returns the factor; at or below zero where the job is late.
+double
+SpareFactor(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow);
+
+/// Rates a worker's speed for a step: of the workers that are quick enough the slowest comes first,
+/// so that quick ones stay free for work that needs them; of the others the quickest.
+/// @param aSpare what SpareFactor() gives.
+Suitability
+SuitabilityOf(const CellState& aState,
+              const WorkerRow& aWorker,
+              const JobStep& aStep,
+              double aSpare);
+
 /// Places tasks of ready steps, in their order, wherever there is room.
 /// @returns how many tasks were placed.
 std::size_t
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -45,7 +45,7 @@
                Resources::Create({ .mCpuMillis = kWorkerCpu, .mMemoryMb = kWorkerMemory }).value(),
              .mLabels = { "a", "r" + n },
              .mRack = RackId("r" + n),
-             .mBorn = Time::FromMilliseconds(aNumber),
+             .mBorn = Time::FromMilliseconds(1000 + aNumber),
              .mRemaining = {} })
     .value();
 }
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -365,7 +365,7 @@
   cell.Submit("j", { CellFixture::Step(1) });
   cell.TakeStarts();
   cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
-  cell.Look("w1", {}, {}, Time::FromMilliseconds(77));
+  cell.Look("w1", {}, {}, Time::FromMilliseconds(7777));
   cell.Settle();
   const auto starts = cell.TakeStarts();
   CHECK_EQUAL(1, starts.size());
@@ -450,3 +450,58 @@
     cell.Settle();
   }
 }
+
+TEST(Cell, RoomOfAnUnknownRunIsNotGivenAwayAfterATakeover)
+{
+  // The job was cancelled under the earlier owner; how much its run takes is not known any more.
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.Ask(JobCallKind::Cancel, "j");
+  cell.Settle();
+  auto next = cell.Successor();
+  next.Look("w1", { CellFixture::Running(CellFixture::Run("j", 0, 1)) }, {});
+  next.Submit("k", { CellFixture::Step(1) });
+  CHECK(next.TakeStarts().empty());
+  next.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Stopped) });
+  next.Settle();
+  CHECK_EQUAL(1, next.TakeStarts().size());
+}
+
+TEST(Cell, JobThatEndsWhileItsRunsArePlannedLeavesNothingReady)
+{
+  // Dropping a planned run looked at the step again and put it back among the ready ones.
+  CellFixture cell(1);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                cell.Submission("j", { CellFixture::Step(8) }),
+                cell.mNow,
+                cell.mOut);
+  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
+  cell.Work();
+  cell.Ask(JobCallKind::Cancel, "j");
+  CHECK(cell.mCell.mReady.empty());
+  cell.Pass(Time::FromSeconds(1));
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+}
+
+TEST(Cell, OldEntryOfTheRegistryDoesNotEndAWorker)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  auto old = cell.mCell.mWorkers.at("w1").mRegistration;
+  cell.Look("w1",
+            { CellFixture::Running(CellFixture::Run("j", 0, 1)) },
+            {},
+            cell.mCell.mWorkers.at("w1").mBorn);
+  HandleWorkersChanged(
+    cell.mCell,
+    WorkersChanged::Create({ .mPresent = { old.WithBorn(old.Born() - Time::FromMilliseconds(1)) } })
+      .value(),
+    cell.mNow,
+    cell.mOut);
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+}
