Let looks wait at the worker, begun just before an end that can't wait

Change: a look waits for an end; it begins 40 ms before the next end of a job with little time to spare, else 250 ms after the last, sooner while work waits for room. Acknowledgements ride on it.

--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -187,7 +187,8 @@
     const auto worker = aState.mWorkers.find(id);
     if (worker != aState.mWorkers.end()) {
       worker->second.mEndStored = std::max(worker->second.mEndStored, number);
-      detail::LookBy(aState, worker->second, aNow);
+      // The next look acknowledges them; without runs there is none yet.
+      detail::LookBy(aState, worker->second, aNow + aState.mSettings.LookInterval());
     }
   }
 }
--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -258,7 +258,7 @@
                                .mEpoch = aState.mEpoch,
                                .mAcknowledged = aWorker.mEndStored,
                                .mLeaseUntil = std::nullopt,
-                               .mWait = Time() };
+                               .mWait = renews ? aState.mSettings.LookWait() : Time() };
   if (renews) {
     fields.mLeaseUntil = detail::LeaseFor(aState, aWorker, aNow);
     aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, *fields.mLeaseUntil);
--- a/modules/by_cell/detail/LookTimes.cpp
+++ b/modules/by_cell/detail/LookTimes.cpp
@@ -8,14 +8,12 @@
 
 namespace {
 
-/// An end is looked for this much after it is expected, since estimates are a little short or long.
-constexpr Time kEndSlack = Time::FromMilliseconds(10);
-/// The end of a run whose job can wait is looked for up to this much later, and less while work
-/// waits for the room.
-constexpr Time kMostTolerance = Time::FromMilliseconds(350);
-constexpr Time kBusyTolerance = Time::FromMilliseconds(60);
-/// Part of the time left to a job that a late look may use up.
-constexpr std::int64_t kToleranceShare = 4;
+/// A look waits at the worker from this long before an end is expected whose job can't wait.
+constexpr Time kEndLead = Time::FromMilliseconds(40);
+/// A job with less time to spare than this past an end can't wait for the end to be seen.
+constexpr Time kTightSpare = Time::FromMilliseconds(600);
+/// Pause between looks while work waits for room.
+constexpr Time kBusyPause = Time::FromMilliseconds(60);
 constexpr std::uint32_t kAllWork = 100;
 
 Time
@@ -28,17 +26,12 @@
   return aRun.mOrderedAt + seen * kAllWork / aRun.mPercent;
 }
 
-Time
-ToleranceOf(CellState& aState, const RunId& aRun, Time aEnd)
+/// A job that is late already gains nothing by a few milliseconds.
+bool
+IsTight(CellState& aState, const RunId& aRun, Time aEnd, Time aNow)
 {
-  const auto most = aState.mReady.empty() ? kMostTolerance : kBusyTolerance;
   const auto* job = FindJob(aState, aRun.mTask.Job());
-  if (job == nullptr) {
-    return most;
-  }
-  const auto spare = (job->mObjective - aEnd) / kToleranceShare;
-  // A job that is late already gains nothing by a few milliseconds.
-  return spare < Time() ? most : std::min(spare, most);
+  return job != nullptr && job->mObjective > aNow && aEnd + kTightSpare > job->mObjective;
 }
 
 } // namespace
@@ -46,17 +39,15 @@
 Time
 NextLook(CellState& aState, const WorkerRow& aWorker, Time aNow)
 {
-  auto next = aNow + aState.mSettings.LookInterval();
+  auto next = aNow + (aState.mReady.empty() ? aState.mSettings.LookInterval() : kBusyPause);
   for (const auto& [run, row] : aWorker.mRuns) {
     if (row.mPhase == RunPhase::Planned) {
       continue;
     }
-    if (row.mStopWanted) {
-      next = std::min(next, aNow + kMostTolerance);
-      continue;
+    const auto end = ExpectedEnd(aWorker, row, aNow);
+    if (IsTight(aState, run, end, aNow)) {
+      next = std::min(next, end - kEndLead);
     }
-    const auto end = ExpectedEnd(aWorker, row, aNow) + kEndSlack;
-    next = std::min(next, end + ToleranceOf(aState, run, end));
   }
   return std::max(next, aNow + aState.mSettings.LookPause());
 }
--- a/modules/by_cell/detail/LookTimes.h
+++ b/modules/by_cell/detail/LookTimes.h
@@ -4,8 +4,9 @@
 
 namespace by::detail {
 
-/// Finds out when a look at a worker is worth its price: when the first of its runs is expected to
-/// have ended, a little later where the job can wait, so that one look shows several ends.
+/// Finds out when the next look at a worker should begin to wait for an end: a little before the
+/// first end is expected whose job can't wait, and else after a pause, so that one look shows
+/// several ends.
 Time
 NextLook(CellState& aState, const WorkerRow& aWorker, Time aNow);
 
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -26,9 +26,9 @@
     /// How long the owner goes on renewing without a word from the store.
     Time mAuthority{ Time::FromMilliseconds(5000) };
     /// Longest pause between looks at a worker with runs; also how late an early end is seen.
-    Time mLookInterval{ Time::FromMilliseconds(500) };
-    /// Shortest pause between looks at a worker.
-    Time mLookPause{ Time::FromMilliseconds(20) };
+    Time mLookInterval{ Time::FromMilliseconds(250) };
+    /// Shortest pause between looks at a worker; by then the ends of the last one are stored.
+    Time mLookPause{ Time::FromMilliseconds(30) };
     /// Bound on the answer to an order, and on what a look takes beyond its wait.
     Time mOrderPatience{ Time::FromMilliseconds(500) };
     /// Pause before an unanswered order is sent again.
@@ -41,6 +41,8 @@
     Time mAppendPatience{ Time::FromMilliseconds(1500) };
     /// An append that takes longer shows that the store is lost and not just slow.
     Time mStoreDoubt{ Time::FromMilliseconds(1200) };
+    /// How long a look may wait at the worker for an end.
+    Time mLookWait{ Time::FromMilliseconds(1000) };
     /// Jobs that may be open at once; further ones are refused.
     std::uint64_t mJobLimit{ 50000 };
     /// How many times as long a task takes away from its data.
@@ -111,7 +113,7 @@
     return copy;
   }
 
-  /// Shortest pause between looks at a worker.
+  /// Shortest pause between looks at a worker; by then the ends of the last one are stored.
   Time LookPause() const { return mFields.mLookPause; }
   /// @returns this value with another LookPause.
   [[nodiscard]] CellSettings WithLookPause(Time aValue) const
@@ -181,6 +183,16 @@
     return copy;
   }
 
+  /// How long a look may wait at the worker for an end.
+  Time LookWait() const { return mFields.mLookWait; }
+  /// @returns this value with another LookWait.
+  [[nodiscard]] CellSettings WithLookWait(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLookWait = std::move(aValue);
+    return copy;
+  }
+
   /// Jobs that may be open at once; further ones are refused.
   std::uint64_t JobLimit() const { return mFields.mJobLimit; }
   /// @returns this value with another JobLimit.
