Test the entry node's decisions and the platform's encodings

Change: tests of by_entry (claims, handover, refusals that are true) and of platform/ (settings, jobs, lists, records, outcomes); hooks in a header of their own.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -24,10 +24,7 @@
 {
   detail::Log(aOut, "job.refused", aRequest.Job(), absl::StrCat("reason=", aReason));
   detail::Reply(
-    aState,
-    aWaiter,
-    { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry },
-    aOut);
+    aState, aWaiter, { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry }, aOut);
 }
 
 void
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -91,11 +91,11 @@
 {
   aBatch.mOpen = true;
   aBatch.mLastSent = aNow;
-  detail::Emit(aOut,
-               AppendToCell::Create({ .mEpoch = aState.mEpoch,
-                                      .mSequence = aBatch.mSequence,
-                                      .mRecords = aBatch.mRecords })
-                 .value());
+  detail::Emit(
+    aOut,
+    AppendToCell::Create(
+      { .mEpoch = aState.mEpoch, .mSequence = aBatch.mSequence, .mRecords = aBatch.mRecords })
+      .value());
 }
 
 void
@@ -312,11 +312,12 @@
     case StoreOutcome::Unanswered:
       if (aState.mStoreLostAt == Time::Never()) {
         aState.mStoreLostAt = inFlight.mFirstSent;
-        detail::Log(aOut,
-                    "store.lost",
-                    "append",
-                    absl::StrCat("outcome=", std::string(ToString(aEvent.Outcome())),
-                                 " sequence=", aEvent.Sequence()));
+        detail::Log(
+          aOut,
+          "store.lost",
+          "append",
+          absl::StrCat(
+            "outcome=", std::string(ToString(aEvent.Outcome())), " sequence=", aEvent.Sequence()));
       }
       aState.mStoreRefuses = aEvent.Outcome() == StoreOutcome::Refused;
       if (aEvent.Outcome() == StoreOutcome::Unanswered) {
--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -99,13 +99,11 @@
 {
   auto& worker = aState.mWorkers[aEntry.Id()];
   if (aEntry.Born() > Time() && aEntry.Born() < worker.mBorn) {
-    detail::Log(aOut,
-                "worker.stale_entry",
-                aEntry.Id(),
-                absl::StrCat("born=",
-                             aEntry.Born().Milliseconds(),
-                             " known=",
-                             worker.mBorn.Milliseconds()));
+    detail::Log(
+      aOut,
+      "worker.stale_entry",
+      aEntry.Id(),
+      absl::StrCat("born=", aEntry.Born().Milliseconds(), " known=", worker.mBorn.Milliseconds()));
     return;
   }
   const bool isNew = !worker.mRegistered;
@@ -171,10 +169,11 @@
     aWorker.mLeaseSent = aLists.Clock() + aState.mSettings.Lease();
   }
   if (aWorker.mHealth != WorkerHealth::Reachable) {
-    detail::Log(aOut,
-                "worker.reachable",
-                aWorker.mRegistration.Id(),
-                absl::StrCat("was=", std::string(ToString(aWorker.mHealth)), " runs=", aWorker.mRuns.size()));
+    detail::Log(
+      aOut,
+      "worker.reachable",
+      aWorker.mRegistration.Id(),
+      absl::StrCat("was=", std::string(ToString(aWorker.mHealth)), " runs=", aWorker.mRuns.size()));
     aState.mPlaceAgain = true;
   }
   aWorker.mHealth = WorkerHealth::Reachable;
@@ -251,8 +250,8 @@
 void
 SendLook(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
-  const bool renews = aWorker.mHealth == WorkerHealth::Reachable && !aWorker.mRuns.empty() &&
-                      MayRenew(aState, aNow);
+  const bool renews =
+    aWorker.mHealth == WorkerHealth::Reachable && !aWorker.mRuns.empty() && MayRenew(aState, aNow);
   LookAtWorker::Fields fields{ .mWorker = aWorker.mRegistration.Id(),
                                .mEndpoint = aWorker.mRegistration.Endpoint(),
                                .mEpoch = aState.mEpoch,
@@ -381,11 +380,12 @@
       return;
     case OrderOutcome::Unanswered:
     case OrderOutcome::NotSent:
-      detail::Log(aOut,
-                  "start.unanswered",
-                  detail::Named(run),
-                  absl::StrCat("worker=", aEvent.Worker(), " sent=",
-                               aEvent.Outcome() == OrderOutcome::Unanswered));
+      detail::Log(
+        aOut,
+        "start.unanswered",
+        detail::Named(run),
+        absl::StrCat(
+          "worker=", aEvent.Worker(), " sent=", aEvent.Outcome() == OrderOutcome::Unanswered));
       row->mStartLost = row->mStartLost || aEvent.Outcome() == OrderOutcome::Unanswered;
       detail::LookBy(aState, worker, aNow);
       if (!row->mStartLost) {
@@ -441,10 +441,11 @@
     detail::LookBy(aState, worker, aNow + aState.mSettings.LookPause());
     return;
   }
-  detail::Log(aOut,
-              "stop.unanswered",
-              detail::Named(run),
-              absl::StrCat("worker=", aEvent.Worker(), " outcome=", std::string(ToString(aEvent.Outcome()))));
+  detail::Log(
+    aOut,
+    "stop.unanswered",
+    detail::Named(run),
+    absl::StrCat("worker=", aEvent.Worker(), " outcome=", std::string(ToString(aEvent.Outcome()))));
   row->mStopAgain = aNow + aState.mSettings.OrderPause();
 }
 
@@ -494,8 +495,7 @@
     }
     if (worker.mHealth == WorkerHealth::Lapsing && worker.mLapseAt <= aNow) {
       worker.mHealth = WorkerHealth::Lapsed;
-      detail::Log(
-        aOut, "worker.lapsed", id, absl::StrCat("runs=", worker.mRuns.size()));
+      detail::Log(aOut, "worker.lapsed", id, absl::StrCat("runs=", worker.mRuns.size()));
       detail::EndAllRuns(aState, worker, RunEnd::Lapsed, aNow, aOut);
     }
     if (!worker.mRegistered && worker.mRuns.empty() && !worker.mLookOpen) {
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -116,8 +116,7 @@
     auto& job = state.mJobs[accepted->Id()];
     job.mJob = *accepted;
     job.mStored = true;
-    job.mObjective =
-      accepted->Accepted() + ObjectiveOf(accepted->Definition(), accepted->Queue());
+    job.mObjective = accepted->Accepted() + ObjectiveOf(accepted->Definition(), accepted->Queue());
     detail::OpenDueOccurrences(state, job, aNow);
   }
   for (const auto* progress : sorted.mProgress) {
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -100,12 +100,11 @@
     }
     const bool isFull = !CanHost(*worker, aStep);
     withRoom += isFull ? 0 : 1;
-    found.push_back(
-      { isFull,
-        !aAdvice.mTickets.contains(id),
-        SuitabilityOf(aState, *worker, aStep, aSpare),
-        FreeOn(*worker).CpuMillis(),
-        &id });
+    found.push_back({ isFull,
+                      !aAdvice.mTickets.contains(id),
+                      SuitabilityOf(aState, *worker, aStep, aSpare),
+                      FreeOn(*worker).CpuMillis(),
+                      &id });
   }
   if (withRoom == 0) {
     return {};
@@ -116,15 +115,10 @@
     found.begin() + static_cast<std::ptrdiff_t>(n),
     found.end(),
     [](const Candidate& aLeft, const Candidate& aRight) {
-      return std::tie(aLeft.mFull,
-                      aLeft.mUnknown,
-                      aLeft.mSuitability,
-                      aRight.mFreeCpu,
-                      *aLeft.mName) < std::tie(aRight.mFull,
-                                               aRight.mUnknown,
-                                               aRight.mSuitability,
-                                               aLeft.mFreeCpu,
-                                               *aRight.mName);
+      return std::tie(
+               aLeft.mFull, aLeft.mUnknown, aLeft.mSuitability, aRight.mFreeCpu, *aLeft.mName) <
+             std::tie(
+               aRight.mFull, aRight.mUnknown, aRight.mSuitability, aLeft.mFreeCpu, *aRight.mName);
     });
   std::vector<std::string> names;
   for (std::size_t i = 0; i < n; ++i) {
@@ -163,8 +157,7 @@
   aAdvice.mOpen = false;
   for (auto& adviser : aState.mAdvisers) {
     if (adviser.mNode == aAdvice.mThrough) {
-      const auto it =
-        std::find(adviser.mOpen.begin(), adviser.mOpen.end(), aAdvice.mGiveUpAt);
+      const auto it = std::find(adviser.mOpen.begin(), adviser.mOpen.end(), aAdvice.mGiveUpAt);
       if (it != adviser.mOpen.end()) {
         adviser.mOpen.erase(it);
       }
@@ -205,8 +198,7 @@
     return;
   }
   const auto spare = SpareFactor(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow);
-  auto workers =
-    WorkersToAsk(aState, StepOf(aJob, aStep), spare, advice, aCandidates, aNow);
+  auto workers = WorkersToAsk(aState, StepOf(aJob, aStep), spare, advice, aCandidates, aNow);
   const auto takes = TimeOf(*policy, workers.size());
   auto* adviser = workers.empty() ? nullptr : FreeAdviser(aState, takes, aNow);
   advice.mNextAsk = aNow + kAskPause;
@@ -240,11 +232,11 @@
     Emit(aOut, std::move(ask));
     return;
   }
-  Emit(aOut,
-       SendToMember::Create(
-         { .mNode = adviser->mNode,
-           .mMessage = LinkMessage::Create({ .mBody = std::move(ask) }).value() })
-         .value());
+  Emit(
+    aOut,
+    SendToMember::Create({ .mNode = adviser->mNode,
+                           .mMessage = LinkMessage::Create({ .mBody = std::move(ask) }).value() })
+      .value());
 }
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Hangs.cpp
+++ b/modules/by_cell/detail/Hangs.cpp
@@ -18,7 +18,11 @@
 constexpr std::int64_t kPercentSteps = 30;
 
 bool
-IsHung(CellState& aState, const WorkerRow& aWorker, const RunId& aRun, const RunRow& aRow, Time aNow)
+IsHung(CellState& aState,
+       const WorkerRow& aWorker,
+       const RunId& aRun,
+       const RunRow& aRow,
+       Time aNow)
 {
   const auto* job = FindJob(aState, aRun.mTask.Job());
   if (job == nullptr || aRow.mPhase != RunPhase::Confirmed || aRow.mStopWanted) {
@@ -28,8 +32,7 @@
   if (step.LongRunning() || step.Gang() || step.Scavenging()) {
     return false;
   }
-  const auto limit =
-    std::max(aState.mSettings.HangLimit(), aRow.mEstimate / kPercentSteps);
+  const auto limit = std::max(aState.mSettings.HangLimit(), aRow.mEstimate / kPercentSteps);
   // Only a look that came after the limit shows that there was no progress.
   return aWorker.mClockRead > aRow.mProgressAt + limit && aNow > aRow.mProgressAt + limit;
 }
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -141,12 +141,8 @@
   }
   const auto& policy = PolicyOf(aState, aJob);
   const auto objective = ObjectiveOf(aJob.mJob.Definition(), policy);
-  ReadyKey key{ step.mUrgency,
-                policy.Priority(),
-                occurrence.mDue + objective - step.mChain,
-                aJob.mJob.Id(),
-                aOccurrence,
-                aStep };
+  ReadyKey key{ step.mUrgency,  policy.Priority(), occurrence.mDue + objective - step.mChain,
+                aJob.mJob.Id(), aOccurrence,       aStep };
   if (step.mReady == key) {
     return;
   }
--- a/modules/by_cell/detail/Lists.cpp
+++ b/modules/by_cell/detail/Lists.cpp
@@ -15,11 +15,7 @@
 namespace {
 
 void
-TakeEnds(CellState& aState,
-         WorkerRow& aWorker,
-         const WorkerLists& aLists,
-         Time aNow,
-         Effects& aOut)
+TakeEnds(CellState& aState, WorkerRow& aWorker, const WorkerLists& aLists, Time aNow, Effects& aOut)
 {
   const auto before = aWorker.mEndSeen;
   for (const auto& end : aLists.Ended()) {
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -184,11 +184,10 @@
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
-                                        .mOccurrence = aKey.mOccurrence,
-                                        .mStep = aKey.mStep,
-                                        .mIndex = i })
-                        .value();
+    const auto task =
+      JobTaskKey::Create(
+        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
+        .value();
     const auto* row = FindTask(aPass.mState, task);
     if (row->mProgress.Phase() != JobTaskPhase::Waiting || row->mLiveRuns > 0) {
       continue;
@@ -213,11 +212,10 @@
   const auto& step = StepOf(aJob, aKey.mStep);
   std::vector<WorkerRow*> hosts;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
-                                        .mOccurrence = aKey.mOccurrence,
-                                        .mStep = aKey.mStep,
-                                        .mIndex = i })
-                        .value();
+    const auto task =
+      JobTaskKey::Create(
+        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
+        .value();
     auto* worker = BestWorker(aPass, aCandidates, step, aAdvice, task, aRack);
     if (worker == nullptr) {
       break;
@@ -227,11 +225,10 @@
     hosts.push_back(worker);
   }
   for (std::uint32_t i = 0; i < hosts.size(); ++i) {
-    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
-                                        .mOccurrence = aKey.mOccurrence,
-                                        .mStep = aKey.mStep,
-                                        .mIndex = i })
-                        .value();
+    const auto task =
+      JobTaskKey::Create(
+        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
+        .value();
     hosts[i]->mRuns.erase(RunId{ task, std::numeric_limits<std::uint32_t>::max() });
     hosts[i]->mUsed = Minus(hosts[i]->mUsed, step.Demand());
   }
@@ -280,11 +277,10 @@
     run = std::max(run, occurrence.mTasks[first + i].mProgress.Run());
   }
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = JobTaskKey::Create({ .mJob = aKey.mJob,
-                                        .mOccurrence = aKey.mOccurrence,
-                                        .mStep = aKey.mStep,
-                                        .mIndex = i })
-                        .value();
+    const auto task =
+      JobTaskKey::Create(
+        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
+        .value();
     Assign(aPass, aJob, task, *hosts[i], run + 1);
   }
 }
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -51,14 +51,12 @@
 void
 LearnSpeed(WorkerRow& aWorker, const RunRow& aRun, Time aNow)
 {
-  if (aRun.mPhase != RunPhase::Confirmed || aRun.mEstimate <= Time() ||
-      aRun.mOrderedAt <= Time()) {
+  if (aRun.mPhase != RunPhase::Confirmed || aRun.mEstimate <= Time() || aRun.mOrderedAt <= Time()) {
     return;
   }
   const auto took = static_cast<double>((aNow - aRun.mOrderedAt).Milliseconds());
-  const auto ratio = std::clamp(took / static_cast<double>(aRun.mEstimate.Milliseconds()),
-                                kSlownessFloor,
-                                kSlownessCap);
+  const auto ratio = std::clamp(
+    took / static_cast<double>(aRun.mEstimate.Milliseconds()), kSlownessFloor, kSlownessCap);
   aWorker.mSlowness += kSlownessWeight * (ratio - aWorker.mSlowness);
 }
 
@@ -147,10 +145,8 @@
                  [&](auto& aFields) { aFields.mFailedRuns.push_back(aRun.mRun); });
   const auto attempts = std::max<std::size_t>(1, PolicyOf(aState, aJob).MaxAttempts());
   const auto failures = FailuresOf(aState, aJob, task);
-  Log(aOut,
-      "task.failed",
-      Named(aRun),
-      absl::StrCat("failures=", failures, " attempts=", attempts));
+  Log(
+    aOut, "task.failed", Named(aRun), absl::StrCat("failures=", failures, " attempts=", attempts));
   if (!StepOf(aJob, task.Step()).LongRunning() && failures >= attempts) {
     EndJob(aState, task.Job(), JobState::Failed, aNow, aOut);
   }
@@ -163,9 +159,8 @@
   if (aCheckpoint.empty() || job == nullptr || !StepOf(*job, aTask.Step()).Checkpointing()) {
     return;
   }
-  const auto members = StepOf(*job, aTask.Step()).Gang()
-                         ? MembersOf(aTask, StepRowOf(*job, aTask))
-                         : std::vector<JobTaskKey>{ aTask };
+  const auto members = StepOf(*job, aTask.Step()).Gang() ? MembersOf(aTask, StepRowOf(*job, aTask))
+                                                         : std::vector<JobTaskKey>{ aTask };
   for (const auto& member : members) {
     ChangeProgress(*FindTask(aState, member),
                    [&](auto& aFields) { aFields.mCheckpoint = aCheckpoint; });
@@ -200,10 +195,8 @@
   auto* task = FindTask(aState, aRun.mTask);
   if (task != nullptr && task->mLiveRuns > 0) {
     --task->mLiveRuns;
-    RefreshStep(aState,
-                *FindJob(aState, aRun.mTask.Job()),
-                aRun.mTask.Occurrence(),
-                aRun.mTask.Step());
+    RefreshStep(
+      aState, *FindJob(aState, aRun.mTask.Job()), aRun.mTask.Occurrence(), aRun.mTask.Step());
   }
 }
 
@@ -244,8 +237,8 @@
   const bool isCurrent = task->mProgress.Phase() == JobTaskPhase::Assigned &&
                          task->mProgress.Run() == aRun.mRun &&
                          task->mProgress.Worker() == aWorker.mRegistration.Id();
-  const bool isLateDone = aHow == RunEnd::Done && task->mProgress.Phase() == JobTaskPhase::Waiting &&
-                          task->mLiveRuns == 0;
+  const bool isLateDone = aHow == RunEnd::Done &&
+                          task->mProgress.Phase() == JobTaskPhase::Waiting && task->mLiveRuns == 0;
   if (aHow == RunEnd::Failed) {
     FailTask(aState, *job, aRun, aNow, aOut);
   }
@@ -273,11 +266,7 @@
 }
 
 void
-WantStop(CellState& aState,
-         const std::string& aWorker,
-         const RunId& aRun,
-         Time aNow,
-         Effects& aOut)
+WantStop(CellState& aState, const std::string& aWorker, const RunId& aRun, Time aNow, Effects& aOut)
 {
   const auto worker = aState.mWorkers.find(aWorker);
   if (worker == aState.mWorkers.end()) {
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -25,9 +25,7 @@
 Refuse(const EntryState& aState, std::uint64_t aCall, Effects& aOut)
 {
   Answer(
-    aCall,
-    { .mVerdict = JobVerdict::Refused, .mRetryAfter = aState.mSettings.RetryAfter() },
-    aOut);
+    aCall, { .mVerdict = JobVerdict::Refused, .mRetryAfter = aState.mSettings.RetryAfter() }, aOut);
 }
 
 /// A submission or a cancelling that was handed over may have been carried out; a question has no
@@ -40,7 +38,7 @@
        Effects& aOut)
 {
   const bool mayHaveRun = aCall.mWasHanded && (aCall.mRequest.Kind() == JobCallKind::Submit ||
-                                              aCall.mRequest.Kind() == JobCallKind::Cancel);
+                                               aCall.mRequest.Kind() == JobCallKind::Cancel);
   Log(aOut,
       "call.given_up",
       aCall.mRequest.Job(),
@@ -71,14 +69,12 @@
   aCall.mWasHanded = true;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mHandedTo = aState.mEpoch;
-    HandleRequest(
-      *aState.mCell, { aState.mSettings.Node(), aNumber }, aCall.mRequest, aNow, aOut);
+    HandleRequest(*aState.mCell, { aState.mSettings.Node(), aNumber }, aCall.mRequest, aNow, aOut);
     return;
   }
   aCall.mHandedTo = aState.mOwner->Epoch();
   Emit(aOut,
-       SendToOwner::Create(
-         { .mMessage = LinkMessage::Create({ .mBody = aCall.mRequest }).value() })
+       SendToOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = aCall.mRequest }).value() })
          .value());
 }
 
@@ -92,8 +88,8 @@
     return;
   }
   const auto* queue = FindQueue(*aState.mConfig, aCall.Host(), aCall.Path());
-  const auto rest = queue == nullptr ? std::string()
-                                     : aCall.Path().substr(queue->PathPrefix().size());
+  const auto rest =
+    queue == nullptr ? std::string() : aCall.Path().substr(queue->PathPrefix().size());
   const bool isCount = aCall.Kind() == JobCallKind::Show && rest.empty();
   if (queue == nullptr || (!isCount && !IsJobName(rest))) {
     Log(aOut,
@@ -163,8 +159,7 @@
 {
   std::erase_if(aState.mCalls, [&](const auto& aEntry) {
     const auto& call = aEntry.second;
-    const auto wait =
-      call.mHandedTo ? aState.mSettings.AnswerWait() : aState.mSettings.OwnerWait();
+    const auto wait = call.mHandedTo ? aState.mSettings.AnswerWait() : aState.mSettings.OwnerWait();
     if (aNow < call.mArrived + wait && aNow < call.mDeadline) {
       return false;
     }
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -50,11 +50,10 @@
 TellMember(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
 {
   const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  auto beat = LinkBeat::Create(
-                { .mEpoch = aState.mEpoch,
-                  .mOwner = isOwner,
-                  .mStoreLost = HasLostStore(aState, aNow) })
-                .value();
+  auto beat =
+    LinkBeat::Create(
+      { .mEpoch = aState.mEpoch, .mOwner = isOwner, .mStoreLost = HasLostStore(aState, aNow) })
+      .value();
   Emit(aOut,
        SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(beat)) }).value());
 }
@@ -251,8 +250,7 @@
 void
 KeepLink(EntryState& aState, Time aNow, Effects& aOut)
 {
-  if (!aState.mOwner || IsOwnClaim(aState, *aState.mOwner) ||
-      aState.mPhase == OwnerPhase::Owner) {
+  if (!aState.mOwner || IsOwnClaim(aState, *aState.mOwner) || aState.mPhase == OwnerPhase::Owner) {
     return;
   }
   if (!aState.mLinkUp) {
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -127,10 +127,10 @@
   }
   const bool isOrphan = !aState.mOwner || aState.mOwner->Node() == aState.mSettings.Node();
   const bool isLost = !aState.mLinkUp && aNow > aState.mLinkDownAt + kOwnerDoubt;
-  const bool hasStoppedActing = aState.mLinkUp && !aState.mOwnerActs &&
-                                aNow > aState.mOwnerHeardAt + kOwnerDoubt;
-  if (aState.mChosen && (isOrphan || isLost || hasStoppedActing || aState.mOwnerLeaving ||
-                         aState.mOwnerLostStore)) {
+  const bool hasStoppedActing =
+    aState.mLinkUp && !aState.mOwnerActs && aNow > aState.mOwnerHeardAt + kOwnerDoubt;
+  if (aState.mChosen &&
+      (isOrphan || isLost || hasStoppedActing || aState.mOwnerLeaving || aState.mOwnerLostStore)) {
     Log(aOut,
         "owner.claiming",
         aState.mSettings.Node(),
@@ -185,7 +185,8 @@
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
   }
-  if (claim && !aState.mChosen && !IsOwn(aState, *claim) && aState.mOwnerYieldsAt == Time::Never()) {
+  if (claim && !aState.mChosen && !IsOwn(aState, *claim) &&
+      aState.mOwnerYieldsAt == Time::Never()) {
     // Another node was faster; its claim has just been taken for the owner's.
     aState.mPhase = OwnerPhase::Member;
     return;
--- a/modules/by_entry/detail/Routing.cpp
+++ b/modules/by_entry/detail/Routing.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "absl/strings/match.h"
 #include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 
 namespace by::detail {
 
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -30,8 +30,7 @@
   }
   Emit(aOut,
        LeaveGroup::Create(
-         { .mMember =
-             absl::StrCat(aState.mSettings.Node(), "/", aState.mSettings.Incarnation()) })
+         { .mMember = absl::StrCat(aState.mSettings.Node(), "/", aState.mSettings.Incarnation()) })
          .value());
 }
 
--- a/modules/by_entryd/EntryPorts.h
+++ b/modules/by_entryd/EntryPorts.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include <functional>
-#include <string>
 
 #include <boost/asio/io_context.hpp>
 
 #include "absl/status/statusor.h"
 
+#include "by_entryd/EntryHooks.h"
 #include "by_schema/EntryEffect.h"
-#include "by_schema/EntryEvent.h"
 
 namespace by {
 
@@ -23,17 +22,6 @@
   std::function<void()> mStop;
 };
 
-/// What an entry node gives a front end.
-struct EntryHooks
-{
-  /// Posts an event to the control thread; may be called from any thread.
-  std::function<void(EntryEvent)> mDeliver;
-  /// Writes a line to the log; may be called from any thread.
-  std::function<void(LogLine)> mLog;
-  /// Writes the metrics in Prometheus' text format; may be called from any thread.
-  std::function<std::string()> mMetricsText;
-};
-
 /// Opens a front end.
 /// @param aTraffic runs all of its work.
 using OpenPorts =
--- a/modules/by_entryd/by_entryd.h
+++ b/modules/by_entryd/by_entryd.h
@@ -7,4 +7,5 @@
 /// Dependencies: by_entry, by_links, by_telemetry, by_runtime, Boost.Asio.
 
 #include "by_entryd/EntryDaemon.h"
+#include "by_entryd/EntryHooks.h"
 #include "by_entryd/EntryPorts.h"
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -65,8 +65,8 @@
   mLink = LinkClient::Create(
     mTraffic,
     [this](const Endpoint& aPeer, bool aUp, bool aRefused) {
-      Deliver(EventOf(
-        LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
+      Deliver(
+        EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
     },
     [this](const LinkMessage& aMessage) {
       Deliver(EventOf(FromOwner::Create({ .mMessage = aMessage }).value()));
@@ -84,12 +84,11 @@
     return members.status();
   }
   mMembers = *std::move(members);
-  EntryHooks hooks{ .mDeliver = [this](EntryEvent aEvent) { Deliver(std::move(aEvent)); },
-                    .mLog =
-                      [this](LogLine aLine) {
-                        boost::asio::post(mControl, [this, aLine] { Write(aLine); });
-                      },
-                    .mMetricsText = [this] { return mMetrics.Text(); } };
+  EntryHooks hooks{
+    .mDeliver = [this](EntryEvent aEvent) { Deliver(std::move(aEvent)); },
+    .mLog = [this](LogLine aLine) { boost::asio::post(mControl, [this, aLine] { Write(aLine); }); },
+    .mMetricsText = [this] { return mMetrics.Text(); }
+  };
   auto ports = aOpen(mTraffic, std::move(hooks));
   if (!ports.ok()) {
     return ports.status();
@@ -103,8 +102,7 @@
 {
   Write(LogLine::Create({ .mEvent = "node.started",
                           .mSubject = mState.mSettings.Node(),
-                          .mDetail =
-                            absl::StrCat("incarnation=", mState.mSettings.Incarnation()) })
+                          .mDetail = absl::StrCat("incarnation=", mState.mSettings.Incarnation()) })
           .value());
   WatchSignals();
   boost::asio::post(mTraffic, [this] { mPorts.mStart(); });
--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -14,8 +14,8 @@
 
 constexpr double kMillisInSecond = 1000.0;
 /// Bounds of the buckets, from a hop between nodes to the longest work. [s]
-const prometheus::Histogram::BucketBoundaries kBounds{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5,
-                                                       1.0,   2.0,  5.0,  10.0, 30.0 };
+const prometheus::Histogram::BucketBoundaries kBounds{ 0.005, 0.01, 0.02, 0.05, 0.1,  0.2,
+                                                       0.5,   1.0,  2.0,  5.0,  10.0, 30.0 };
 
 /// Which time in the detail of a line is worth a histogram.
 struct TimedEvent
--- a/modules/by_entryd/detail/EntryMetrics.h
+++ b/modules/by_entryd/detail/EntryMetrics.h
@@ -16,7 +16,8 @@
 
 namespace by::detail {
 
-/// The metrics of an entry node: how often each decision was taken, and how long jobs and runs took.
+/// The metrics of an entry node: how often each decision was taken, and how long jobs and runs
+/// took.
 class EntryMetrics
 {
 public:
--- a/modules/by_jobs/Chains.cpp
+++ b/modules/by_jobs/Chains.cpp
@@ -28,7 +28,8 @@
   for (const auto chain : ChainsFrom(aDefinition)) {
     longest = std::max(longest, chain);
   }
-  const auto stretched = std::llround(aQueue.Stretch() * static_cast<double>(longest.Milliseconds()));
+  const auto stretched =
+    std::llround(aQueue.Stretch() * static_cast<double>(longest.Milliseconds()));
   return Time::FromMilliseconds(stretched) + aQueue.Slack();
 }
 
--- a/modules/by_jobs/RecordKeys.h
+++ b/modules/by_jobs/RecordKeys.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <string>
 
-
 namespace by {
 
 /// @returns the key of the record of an accepted job.
--- a/modules/by_links/detail/LinkConnection.cpp
+++ b/modules/by_links/detail/LinkConnection.cpp
@@ -93,8 +93,7 @@
 {
   mBody.resize(aLength);
   auto read = [self = shared_from_this()](error_code aError, std::size_t) {
-    const auto message = aError ? absl::InvalidArgumentError("broken")
-                                : DecodeMessage(self->mBody);
+    const auto message = aError ? absl::InvalidArgumentError("broken") : DecodeMessage(self->mBody);
     if (!message.ok()) {
       self->Fail();
       return;
--- a/modules/by_web/WebServer.cpp
+++ b/modules/by_web/WebServer.cpp
@@ -30,10 +30,10 @@
 
 absl::StatusOr<std::shared_ptr<WebServer>>
 WebServer::Create(boost::asio::io_context& aContext,
-                   const Endpoint& aListen,
-                   std::int64_t aMaxConnections,
-                   WebSession::Handler aHandler,
-                   std::vector<std::string> aKeptHeaders)
+                  const Endpoint& aListen,
+                  std::int64_t aMaxConnections,
+                  WebSession::Handler aHandler,
+                  std::vector<std::string> aKeptHeaders)
 {
   std::shared_ptr<WebServer> server(
     new WebServer(aContext, aMaxConnections, std::move(aHandler), std::move(aKeptHeaders)));
@@ -45,9 +45,9 @@
 }
 
 WebServer::WebServer(boost::asio::io_context& aContext,
-                       std::int64_t aMaxConnections,
-                       WebSession::Handler aHandler,
-                       std::vector<std::string> aKeptHeaders)
+                     std::int64_t aMaxConnections,
+                     WebSession::Handler aHandler,
+                     std::vector<std::string> aKeptHeaders)
   : mAcceptor(aContext)
   , mMaxConnections(aMaxConnections)
   , mHandler(std::move(aHandler))
@@ -117,11 +117,10 @@
       server->mSessions.erase(aSession);
     }
   };
-  auto session = std::make_shared<WebSession>(
-    std::move(aSocket),
-    mKeptHeaders,
-    hasRoom ? mHandler : WebSession::Handler(RefuseCall),
-    std::move(closed));
+  auto session = std::make_shared<WebSession>(std::move(aSocket),
+                                              mKeptHeaders,
+                                              hasRoom ? mHandler : WebSession::Handler(RefuseCall),
+                                              std::move(closed));
   if (hasRoom) {
     mSessions.emplace(session.get(), session);
   }
--- a/modules/by_web/WebServer.h
+++ b/modules/by_web/WebServer.h
@@ -28,12 +28,12 @@
   /// @param aKeptHeaders names of the headers that calls are given with.
   /// @param aMaxConnections calls on connections beyond these are answered 503.
   /// @returns the server, or Unavailable where the port can't be had.
-  static absl::StatusOr<std::shared_ptr<WebServer>> Create(boost::asio::io_context& aContext,
-                                                            const Endpoint& aListen,
-                                                            std::int64_t aMaxConnections,
-                                                            WebSession::Handler aHandler,
-                                                            std::vector<std::string> aKeptHeaders =
-                                                              {});
+  static absl::StatusOr<std::shared_ptr<WebServer>> Create(
+    boost::asio::io_context& aContext,
+    const Endpoint& aListen,
+    std::int64_t aMaxConnections,
+    WebSession::Handler aHandler,
+    std::vector<std::string> aKeptHeaders = {});
 
   /// @returns where it listens, with the port that the system chose.
   const Endpoint& Listening() const { return mListening; }
@@ -55,8 +55,8 @@
 
 private:
   WebServer(boost::asio::io_context& aContext,
-             std::int64_t aMaxConnections,
-             WebSession::Handler aHandler,
+            std::int64_t aMaxConnections,
+            WebSession::Handler aHandler,
             std::vector<std::string> aKeptHeaders);
 
   absl::Status Listen(const Endpoint& aListen);
--- a/standins/platform/PlatformService.cpp
+++ b/standins/platform/PlatformService.cpp
@@ -8,8 +8,8 @@
 #include "by_json/generated/platform_json.h"
 #include "by_json/generated/standins_json.h"
 #include "by_runtime/MachineClock.h"
-#include "common/Answers.h"
 #include "by_web/QueryText.h"
+#include "common/Answers.h"
 #include "platform/LogFunctions.h"
 
 namespace by::standins {
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -37,8 +37,8 @@
   return WorkerRegistration::Create(
            { .mId = "w" + n,
              .mPool = kPool,
-             .mEndpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9000 + aNumber })
-                            .value(),
+             .mEndpoint =
+               Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9000 + aNumber }).value(),
              .mZone = {},
              .mDraining = false,
              .mCapacity =
@@ -102,11 +102,12 @@
   for (auto& step : aSteps) {
     definition.mSteps.push_back(JobStep::Create(std::move(step)).value());
   }
-  return CellRequest::Create({ .mCall = 1,
-                               .mKind = JobCallKind::Submit,
-                               .mQueue = mQueue,
-                               .mJob = aJob,
-                               .mDefinition = JobDefinition::Create(std::move(definition)).value() })
+  return CellRequest::Create(
+           { .mCall = 1,
+             .mKind = JobCallKind::Submit,
+             .mQueue = mQueue,
+             .mJob = aJob,
+             .mDefinition = JobDefinition::Create(std::move(definition)).value() })
     .value();
 }
 
@@ -189,18 +190,18 @@
 {
   mCell.mWorkers.at(aWorker).mLookSent = mNow;
   mNow = mNow + Time::FromMilliseconds(1);
-  HandleLooked(mCell,
-               WorkerLooked::Create(
-                 { .mWorker = aWorker,
-                   .mOutcome = OrderOutcome::Accepted,
-                   .mLists = WorkerLists::Create({ .mClock = mNow,
-                                                   .mBorn = aBorn,
-                                                   .mRunning = std::move(aRunning),
-                                                   .mEnded = std::move(aEnded) })
-                               .value() })
-                 .value(),
-               mNow,
-               mOut);
+  HandleLooked(
+    mCell,
+    WorkerLooked::Create({ .mWorker = aWorker,
+                           .mOutcome = OrderOutcome::Accepted,
+                           .mLists = WorkerLists::Create({ .mClock = mNow,
+                                                           .mBorn = aBorn,
+                                                           .mRunning = std::move(aRunning),
+                                                           .mEnded = std::move(aEnded) })
+                                       .value() })
+      .value(),
+    mNow,
+    mOut);
   Work();
 }
 
@@ -326,8 +327,7 @@
                  std::uint32_t aRun,
                  std::uint32_t aStep)
 {
-  return { JobTaskKey::Create(
-             { .mJob = aJob, .mOccurrence = 0, .mStep = aStep, .mIndex = aIndex })
+  return { JobTaskKey::Create({ .mJob = aJob, .mOccurrence = 0, .mStep = aStep, .mIndex = aIndex })
              .value(),
            aRun };
 }
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -38,8 +38,11 @@
 TEST(Cell, JobIsAcceptedOnlyOnceItIsStored)
 {
   CellFixture cell;
-  HandleRequest(
-    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                cell.Submission("j", { CellFixture::Step(1) }),
+                cell.mNow,
+                cell.mOut);
   cell.Work();
   CHECK(cell.TakeReplies().empty());
   cell.Store();
@@ -49,8 +52,11 @@
 TEST(Cell, StartIsSentOnlyOnceItsAssignmentIsStored)
 {
   CellFixture cell;
-  HandleRequest(
-    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                cell.Submission("j", { CellFixture::Step(1) }),
+                cell.mNow,
+                cell.mOut);
   cell.Work();
   cell.Store();
   cell.mNow = cell.mNow + Time::FromMilliseconds(20);
@@ -330,8 +336,11 @@
 TEST(Cell, SubmissionWhoseAppendIsUnansweredIsNeverRefused)
 {
   CellFixture cell;
-  HandleRequest(
-    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                cell.Submission("j", { CellFixture::Step(1) }),
+                cell.mNow,
+                cell.mOut);
   cell.Work();
   for (int i = 0; i < 20; ++i) {
     cell.Store(StoreOutcome::Unanswered);
@@ -348,8 +357,11 @@
 TEST(Cell, SubmissionThatTheStoreTurnedAwayIsRefusedAndNeverRuns)
 {
   CellFixture cell;
-  HandleRequest(
-    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                cell.Submission("j", { CellFixture::Step(1) }),
+                cell.mNow,
+                cell.mOut);
   cell.Work();
   cell.Store(StoreOutcome::Refused);
   CHECK(Has(cell.TakeReplies(), JobVerdict::Refused));
@@ -375,8 +387,11 @@
 TEST(Cell, DrainingWorkerGetsNoStartThatWasPlannedBefore)
 {
   CellFixture cell(1);
-  HandleRequest(
-    cell.mCell, { "owner", 1 }, cell.Submission("j", { CellFixture::Step(1) }), cell.mNow, cell.mOut);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                cell.Submission("j", { CellFixture::Step(1) }),
+                cell.mNow,
+                cell.mOut);
   cell.Work();
   cell.Store();
   cell.mNow = cell.mNow + Time::FromMilliseconds(20);
@@ -394,11 +409,10 @@
 TEST(Cell, FencedOwnerSendsNothingMore)
 {
   CellFixture cell(1);
-  HandleLooked(
-    cell.mCell,
-    WorkerLooked::Create({ .mWorker = "w1", .mOutcome = OrderOutcome::Fenced }).value(),
-    cell.mNow,
-    cell.mOut);
+  HandleLooked(cell.mCell,
+               WorkerLooked::Create({ .mWorker = "w1", .mOutcome = OrderOutcome::Fenced }).value(),
+               cell.mNow,
+               cell.mOut);
   CHECK(cell.mCell.mFenced);
   cell.Submit("j", { CellFixture::Step(1) });
   CHECK(cell.TakeStarts().empty());
--- /dev/null
+++ b/tests/by_entry/EntryFixture.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "by_entry/by_entry.h"
+
+namespace by {
+
+/// One entry node, and what the store, the group and other nodes tell it.
+struct EntryFixture
+{
+  explicit EntryFixture(const std::string& aNode = "n1");
+
+  /// Delivers an event and collects the effects.
+  template<class Body>
+  void Deliver(Body aBody)
+  {
+    const auto out =
+      StepEntry(mState, EntryEvent::Create({ .mBody = std::move(aBody) }).value(), mNow);
+    mOut.insert(mOut.end(), out.begin(), out.end());
+  }
+
+  /// Gives the node a configuration with one queue, and an answer of the group.
+  void Configure(std::uint64_t aVersion = 1);
+  void Join(bool aChosen);
+  /// Lets another node be the owner, with the link to it up.
+  void Follow(std::uint64_t aEpoch, const std::string& aNode = "n2");
+  /// Makes this node the owner.
+  void Own(std::uint64_t aEpoch);
+  /// Lets time pass.
+  void Pass(Time aTime);
+  /// Sends a caller's request.
+  void Call(std::uint64_t aNumber, JobCallKind aKind, const std::string& aPath);
+
+  /// @returns the effects of a kind since the last call for it.
+  template<class Body>
+  std::vector<Body> Take()
+  {
+    std::vector<Body> found;
+    Effects rest;
+    for (auto& effect : mOut) {
+      if (const auto* body = std::get_if<Body>(&effect.Body())) {
+        found.push_back(*body);
+      } else {
+        rest.push_back(std::move(effect));
+      }
+    }
+    mOut = std::move(rest);
+    return found;
+  }
+  /// @returns the verdicts of the answers to callers since the last call.
+  std::vector<JobVerdict> TakeVerdicts();
+
+  EntryState mState;
+  Time mNow{ Time::FromMilliseconds(1000000) };
+  Effects mOut;
+};
+
+} // namespace by
