--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -25,6 +25,8 @@
 constexpr std::int64_t kSlowClockPercent = 98;
 /// A worker that was frozen may notice this late that its lease has passed.
 constexpr Time kLapseSlack = Time::FromMilliseconds(500);
+/// An order without an answer may be carried out this much later.
+constexpr Time kLateOrders = Time::FromMilliseconds(12000);
 /// A worker that turns starts away is not offered others for this long.
 constexpr Time kRefusalPause = Time::FromMilliseconds(500);
 
@@ -39,7 +41,8 @@
 LapseOf(const CellState& aState, const WorkerRow& aWorker)
 {
   if (aWorker.mClockRead == Time()) {
-    return aState.mOwnerSince + aState.mSettings.Authority() +
+    const auto inherited = aState.mOwnerSince + aState.mSettings.Authority();
+    return std::max(inherited, aWorker.mLateOrdersUntil) +
            OnFastClock(aState.mSettings.Lease()) + kLapseSlack;
   }
   const auto left = std::max(Time(), aWorker.mLeaseSent - aWorker.mClock);
@@ -75,7 +78,27 @@
               "worker.over",
               aWorker.mRegistration.Id(),
               absl::StrCat("reason=", aReason, " runs=", aWorker.mRuns.size()));
-  detail::EndAllRuns(aState, aWorker, RunEnd::Lapsed, aNow, aOut);
+  std::vector<RunId> over;
+  std::vector<RunId> doubtful;
+  for (const auto& [run, row] : aWorker.mRuns) {
+    // A start that went without an answer may be carried out by the next life, which has seen no
+    // epoch yet; such a run is barred there before its task is placed again.
+    const bool mayComeLate =
+      row.mStartOpen || row.mStartLost || row.mPhase == RunPhase::Inherited;
+    (mayComeLate ? doubtful : over).push_back(run);
+  }
+  for (const auto& run : over) {
+    detail::EndRun(aState, aWorker, run, RunEnd::Lapsed, "", aNow, aOut);
+  }
+  aWorker.mLateOrdersUntil = aNow + kLateOrders;
+  aWorker.mLifeSince = aNow;
+  for (const auto& run : doubtful) {
+    if (aWorker.mRuns.at(run).mPhase != RunPhase::Inherited) {
+      aWorker.mRuns.at(run).mBarredAt = Time::Never();
+      aWorker.mRuns.at(run).mStopAgain = aNow;
+      detail::Requeue(aState, run.mTask, aNow, aOut);
+    }
+  }
   aWorker.mHealth = WorkerHealth::Unseen;
   aWorker.mClock = Time();
   aWorker.mClockRead = Time();
@@ -277,7 +300,7 @@
   }
   for (auto& [run, row] : aWorker.mRuns) {
     if (!row.mStopOpen && row.mStopAgain <= aNow) {
-      detail::SendStop(aState, aWorker, run, aOut);
+      detail::SendStop(aState, aWorker, run, aNow, aOut);
     }
     if (!row.mStartOpen && row.mStartAgain <= aNow && MayRenew(aState, aNow)) {
       detail::SendStart(aState, aWorker, run, aNow, aOut);
@@ -436,7 +459,7 @@
     EndLife(aState, worker, "another worker answers there", aNow, aOut);
     return;
   }
-  if (aEvent.Outcome() == OrderOutcome::Accepted) {
+  if (aEvent.Outcome() == OrderOutcome::Accepted && row->mStopSent >= worker.mLifeSince) {
     row->mBarredAt = aNow;
     detail::LookBy(aState, worker, aNow + aState.mSettings.LookPause());
     return;
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -55,6 +55,8 @@
   const auto& step = detail::StepOf(aJob, aTask.Step());
   RunRow row;
   row.mPhase = RunPhase::Inherited;
+  // A task that waits although a worker is named was taken back and has to be stopped there.
+  row.mStopWanted = task->mProgress.Phase() == JobTaskPhase::Waiting;
   row.mDemand = step.Scavenging() ? step.Demand().WithCpuMillis(0) : step.Demand();
   row.mSince = aNow;
   row.mEstimate = step.Estimate();
@@ -80,7 +82,8 @@
     for (std::uint32_t i = 0; i < step.mCount; ++i) {
       const auto phase = occurrence.mTasks[step.mFirst + i].mProgress.Phase();
       step.mDone = step.mDone && phase == JobTaskPhase::Done;
-      if (phase == JobTaskPhase::Assigned) {
+      const auto& progress = occurrence.mTasks[step.mFirst + i].mProgress;
+      if (phase != JobTaskPhase::Done && !progress.Worker().empty()) {
         RestoreRun(
           aState,
           aJob,
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -29,6 +29,7 @@
   bool mStopWanted{ false };
   /// Whether a stop is on its way.
   bool mStopOpen{ false };
+  Time mStopSent{};
   /// When to send the stop again.
   Time mStopAgain{ Time::Never() };
   /// When the worker confirmed a stop; from then on a look that does not list the run ends it.
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -31,6 +31,10 @@
   Time mClockRead{};
   /// The latest lease that was sent to it, on its clock.
   Time mLeaseSent{};
+  /// When its present life was first heard of.
+  Time mLifeSince{};
+  /// Until when orders to its earlier life may still be carried out.
+  Time mLateOrdersUntil{};
   /// When its lease has passed for certain, while it is lapsing.
   Time mLapseAt{ Time::Never() };
   /// Whether a look is on its way, and when it was sent.
--- a/modules/by_cell/detail/Lists.cpp
+++ b/modules/by_cell/detail/Lists.cpp
@@ -38,7 +38,11 @@
 
 /// A run that nobody assigned to this worker, or one whose job has ended.
 void
-StopStray(CellState& aState, WorkerRow& aWorker, const RunningRun& aRunning, Effects& aOut)
+StopStray(CellState& aState,
+          WorkerRow& aWorker,
+          const RunningRun& aRunning,
+          Time aNow,
+          Effects& aOut)
 {
   const RunId run{ aRunning.Task(), aRunning.Run() };
   Log(aOut,
@@ -56,7 +60,7 @@
     }
   }
   AddRun(aState, aWorker, run, std::move(row));
-  SendStop(aState, aWorker, run, aOut);
+  SendStop(aState, aWorker, run, aNow, aOut);
 }
 
 void
@@ -69,7 +73,7 @@
   const RunId run{ aRunning.Task(), aRunning.Run() };
   const auto it = aWorker.mRuns.find(run);
   if (it == aWorker.mRuns.end()) {
-    StopStray(aState, aWorker, aRunning, aOut);
+    StopStray(aState, aWorker, aRunning, aNow, aOut);
     return;
   }
   auto& row = it->second;
@@ -84,7 +88,7 @@
     row.mProgressAt = aNow;
   }
   if (row.mStopWanted && !row.mStopOpen && row.mBarredAt == Time::Never()) {
-    SendStop(aState, aWorker, run, aOut);
+    SendStop(aState, aWorker, run, aNow, aOut);
   }
 }
 
@@ -133,7 +137,7 @@
     Log(aOut, "run.missing", Named(run), "reason=confirmed but not listed");
     auto& row = aWorker.mRuns.at(run);
     row.mStopWanted = true;
-    SendStop(aState, aWorker, run, aOut);
+    SendStop(aState, aWorker, run, aNow, aOut);
   }
 }
 
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -152,6 +152,19 @@
   }
 }
 
+void
+ForgetWorker(TaskRow& aTask)
+{
+  ChangeProgress(aTask, [](auto& aFields) { aFields.mWorker.clear(); });
+}
+
+bool
+HasRun(const CellState& aState, const std::string& aWorker, const RunId& aRun)
+{
+  const auto it = aState.mWorkers.find(aWorker);
+  return it != aState.mWorkers.end() && it->second.mRuns.contains(aRun);
+}
+
 void
 KeepCheckpoint(CellState& aState, const JobTaskKey& aTask, const std::string& aCheckpoint)
 {
@@ -195,6 +208,12 @@
   auto* task = FindTask(aState, aRun.mTask);
   if (task != nullptr && task->mLiveRuns > 0) {
     --task->mLiveRuns;
+    if (task->mProgress.Phase() == JobTaskPhase::Waiting &&
+        task->mProgress.Run() == aRun.mRun &&
+        task->mProgress.Worker() == aWorker.mRegistration.Id()) {
+      ForgetWorker(*task);
+      MarkProgress(aState, aRun.mTask);
+    }
     RefreshStep(
       aState, *FindJob(aState, aRun.mTask.Job()), aRun.mTask.Occurrence(), aRun.mTask.Step());
   }
@@ -237,8 +256,8 @@
   const bool isCurrent = task->mProgress.Phase() == JobTaskPhase::Assigned &&
                          task->mProgress.Run() == aRun.mRun &&
                          task->mProgress.Worker() == aWorker.mRegistration.Id();
-  const bool isLateDone = aHow == RunEnd::Done &&
-                          task->mProgress.Phase() == JobTaskPhase::Waiting && task->mLiveRuns == 0;
+  // Work that was done is done, also where its worker had been given up and another run was begun.
+  const bool isLateDone = aHow == RunEnd::Done && !isCurrent;
   if (aHow == RunEnd::Failed) {
     FailTask(aState, *job, aRun, aNow, aOut);
   }
@@ -246,6 +265,9 @@
     return;
   }
   KeepCheckpoint(aState, aRun.mTask, aCheckpoint);
+  if (isLateDone) {
+    Requeue(aState, aRun.mTask, aNow, aOut);
+  }
   if (aHow == RunEnd::Done) {
     FinishTask(aState, *job, aRun.mTask, aNow, aOut);
   } else {
@@ -283,7 +305,7 @@
   it->second.mStopWanted = true;
   it->second.mStartAgain = Time::Never();
   if (it->second.mPhase != RunPhase::Inherited) {
-    SendStop(aState, worker->second, aRun, aOut);
+    SendStop(aState, worker->second, aRun, aNow, aOut);
   }
   LookBy(aState, worker->second, aNow);
 }
@@ -325,10 +347,11 @@
 }
 
 void
-SendStop(CellState& aState, WorkerRow& aWorker, const RunId& aRun, Effects& aOut)
+SendStop(CellState& aState, WorkerRow& aWorker, const RunId& aRun, Time aNow, Effects& aOut)
 {
   auto& row = aWorker.mRuns.at(aRun);
   row.mStopOpen = true;
+  row.mStopSent = aNow;
   row.mStopAgain = Time::Never();
   Emit(aOut,
        StopRun::Create({ .mWorker = aWorker.mRegistration.Id(),
@@ -355,11 +378,13 @@
     }
     const auto worker = task->mProgress.Worker();
     const RunId run{ member, task->mProgress.Run() };
-    ChangeProgress(*task, [](auto& aFields) {
-      aFields.mPhase = JobTaskPhase::Waiting;
-      aFields.mWorker.clear();
-    });
-    WantStop(aState, worker, run, aNow, aOut);
+    // The record names the worker until the run is over, so that a successor knows of it.
+    ChangeProgress(*task, [](auto& aFields) { aFields.mPhase = JobTaskPhase::Waiting; });
+    if (HasRun(aState, worker, run)) {
+      WantStop(aState, worker, run, aNow, aOut);
+    } else {
+      ForgetWorker(*task);
+    }
   }
   MarkProgress(aState, aTask);
   RefreshStep(aState, *job, aTask.Occurrence(), aTask.Step());
--- a/modules/by_cell/detail/Runs.h
+++ b/modules/by_cell/detail/Runs.h
@@ -46,7 +46,7 @@
 
 /// Sends the stop of a run.
 void
-SendStop(CellState& aState, WorkerRow& aWorker, const RunId& aRun, Effects& aOut);
+SendStop(CellState& aState, WorkerRow& aWorker, const RunId& aRun, Time aNow, Effects& aOut);
 
 /// Puts a task back to the tasks that wait, with the other members of its gang.
 void
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -188,6 +188,7 @@
                   std::vector<EndedRun> aEnded,
                   Time aBorn)
 {
+  mNow = mNow + Time::FromMilliseconds(1);
   mCell.mWorkers.at(aWorker).mLookSent = mNow;
   mNow = mNow + Time::FromMilliseconds(1);
   HandleLooked(
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -519,3 +519,68 @@
   cell.Settle();
   CHECK(cell.TakeStarts().empty());
 }
+
+TEST(Cell, StartWithoutAnAnswerIsBarredAtTheWorkersNextLife)
+{
+  // The next life has seen no epoch and no stop, and would carry the late start out.
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  const auto run = CellFixture::Run("j", 0, 1);
+  cell.Started(worker, run, OrderOutcome::Unanswered);
+  cell.Look(worker, {}, {}, Time::FromMilliseconds(7777));
+  cell.Settle();
+  CHECK(cell.TakeStarts().empty());
+  CHECK_EQUAL(1, cell.TakeStops().size());
+  cell.Stopped(worker, run, OrderOutcome::Accepted);
+  cell.Look(worker, {}, {}, Time::FromMilliseconds(7777));
+  cell.Settle();
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  CHECK_EQUAL(2, starts.front().Run());
+}
+
+TEST(Cell, DoneRunCountsAlthoughItsWorkerWasGivenUp)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  cell.Started(worker, CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.LoseWorker(worker);
+  cell.Pass(Time::FromSeconds(6));
+  cell.Settle();
+  CHECK_EQUAL(1, cell.TakeStarts().size());
+  cell.Look(worker, {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Done) });
+  cell.Settle();
+  CHECK(ShownState(cell, "j") == JobState::Completed);
+}
+
+TEST(Cell, SuccessorKnowsOfARunThatWasTakenBackAndMayStillRun)
+{
+  // The stop may not have reached the worker when the owner was lost.
+  CellFixture cell;
+  auto gang = CellFixture::Step(2);
+  gang.mGang = true;
+  gang.mDemand = Resources::Create({ .mCpuMillis = 3000, .mMemoryMb = 128 }).value();
+  cell.Submit("j", { gang });
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(2, starts.size());
+  const auto& lost = starts[0];
+  const auto& kept = starts[1];
+  const RunId keptRun{ kept.Task(), 1 };
+  cell.Started(lost.Worker(), { lost.Task(), 1 }, OrderOutcome::Accepted);
+  cell.Started(kept.Worker(), keptRun, OrderOutcome::Accepted);
+  cell.Look(lost.Worker(), {}, { CellFixture::Ended(1, { lost.Task(), 1 }, RunEnd::Stopped) });
+  cell.Settle();
+  auto next = cell.Successor();
+  next.Look(lost.Worker(), {}, {});
+  next.Settle();
+  CHECK(next.TakeStarts().empty());
+  next.Look(kept.Worker(), { CellFixture::Running(keptRun) }, {});
+  next.Settle();
+  CHECK(next.TakeStarts().empty());
+  CHECK_EQUAL(1, next.TakeStops().size());
+  next.Look(kept.Worker(), {}, { CellFixture::Ended(1, keptRun, RunEnd::Stopped) });
+  next.Settle();
+  CHECK_EQUAL(2, next.TakeStarts().size());
+}
--- /dev/null
+++ b/tests/properties/CellWorld.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "by_cell/by_cell.h"
+
+namespace by {
+
+/// What a history does to the cell.
+struct CellFaults
+{
+  /// Orders, in a hundred, that get no answer; half of them are carried out late.
+  int mLostOrders{ 0 };
+  /// Appends, in a hundred, that get no answer or are turned away.
+  int mLostAppends{ 0 };
+  /// Mean time between takeovers, crashes and cuts of workers; zero for none. [ms]
+  int mTakeoverEvery{ 0 };
+  int mCrashEvery{ 0 };
+  int mCutEvery{ 0 };
+};
+
+/// A cell under faults: owners that follow each other, workers that carry orders out late, and a
+/// store that fences, checked against the rules by what workers and callers see.
+class CellWorld
+{
+public:
+  CellWorld(std::uint32_t aSeed, CellFaults aFaults);
+
+  /// Lets callers and faults act for a time, then only time pass until all jobs have ended.
+  void Play(int aMilliseconds);
+  /// @returns the rules that were broken, each with what was seen.
+  const std::vector<std::string>& Broken() const { return mBroken; }
+  /// @returns how many runs workers began.
+  int Starts() const { return mStarts; }
+
+private:
+  struct Run
+  {
+    JobTaskKey mTask;
+    std::uint32_t mRun;
+    int mWork;
+    bool mFails;
+    Time mBegan;
+  };
+  struct Worker
+  {
+    std::string mId;
+    Time mBorn;
+    double mRate{ 1.0 };
+    bool mUp{ true };
+    Time mCutUntil{};
+    Time mDownUntil{};
+    std::uint64_t mToken{ 0 };
+    double mClock{ 0 };
+    double mLease{ 0 };
+    std::vector<Run> mRuns;
+    std::vector<EndedRun> mEnded;
+    std::uint64_t mLastEnd{ 0 };
+    std::map<std::uint64_t, Time> mEndTimes;
+    std::map<JobTaskKey, std::uint32_t> mBarred;
+    /// When the lease was last found to have run out.
+    Time mLapsedAt{};
+  };
+  struct Owner
+  {
+    CellState mCell;
+    bool mOver{ false };
+  };
+  struct Later
+  {
+    Time mAt;
+    std::function<void()> mDo;
+  };
+  /// What is true of a task, whoever believes what.
+  struct Truth
+  {
+    std::set<std::uint32_t> mFailed;
+    std::set<std::uint32_t> mFailedNoted;
+    bool mDone{ false };
+    bool mDoneNoted{ false };
+  };
+
+  int Draw(int aBelow) { return static_cast<int>(mRandom() % static_cast<unsigned>(aBelow)); }
+  bool Chance(int aPercent) { return Draw(100) < aPercent; }
+  bool Every(int aMean) { return aMean > 0 && Draw(aMean) < kStep; }
+  void After(int aMilliseconds, std::function<void()> aDo);
+  void Break(const std::string& aRule, const std::string& aSeen);
+
+  void Step(bool aCalm);
+  void SubmitSome();
+  void Perform(const std::shared_ptr<Owner>& aOwner, Effects aEffects);
+  void Deliver(const std::shared_ptr<Owner>& aOwner,
+               const std::function<void(CellState&, Effects&)>& aEvent);
+  void Append(const std::shared_ptr<Owner>& aOwner, const AppendToCell& aAppend);
+  void Order(const std::shared_ptr<Owner>& aOwner,
+             const std::string& aWorker,
+             const std::function<OrderOutcome(Worker&)>& aDo,
+             const std::function<void(CellState&, Effects&, OrderOutcome)>& aAnswer);
+  void Look(const std::shared_ptr<Owner>& aOwner, const LookAtWorker& aLook);
+  OrderOutcome Start(Worker& aWorker, const StartRun& aStart, bool aLate);
+  OrderOutcome Stop(Worker& aWorker, const StopRun& aStop);
+  void CheckStart(const Worker& aWorker, const StartRun& aStart, bool aLate);
+  void TakeOver();
+  void Work(Worker& aWorker);
+  void EndRunOf(Worker& aWorker, std::size_t aIndex, RunEnd aHow);
+  void WorkGangs();
+  void Crash(Worker& aWorker);
+  void Reply(const JobReply& aReply);
+  const JobStep& StepOf(const JobTaskKey& aTask) const;
+  WorkerRegistration Registration(const Worker& aWorker) const;
+
+  static constexpr int kStep = 5;
+
+  std::mt19937 mRandom;
+  CellFaults mFaults;
+  Time mNow{ Time::FromMilliseconds(1000000) };
+  std::uint64_t mEpoch{ 1 };
+  std::shared_ptr<Owner> mOwner;
+  std::vector<Later> mLater;
+  std::map<std::string, Worker> mWorkers;
+  std::map<std::string, KeyedRecord> mRecords;
+  std::uint64_t mStoreEpoch{ 0 };
+  std::uint64_t mStoreSequence{ 0 };
+  std::map<std::string, CellRequest> mRequests;
+  std::map<std::uint64_t, std::string> mCalls;
+  std::map<std::uint64_t, JobCallKind> mKinds;
+  std::uint64_t mLastCall{ 0 };
+  std::set<std::string> mAccepted;
+  std::set<std::string> mRefused;
+  std::set<std::string> mMaybe;
+  std::map<std::string, Time> mCancelled;
+  std::map<JobTaskKey, Truth> mTruth;
+  std::vector<std::string> mBroken;
+  int mStarts{ 0 };
+};
+
+} // namespace by
