--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -392,11 +392,7 @@
   row->mStartOpen = false;
   switch (aEvent.Outcome()) {
     case OrderOutcome::Accepted:
-      if (row->mPhase == RunPhase::Ordered) {
-        row->mPhase = RunPhase::Confirmed;
-        row->mSince = aNow;
-        row->mProgressAt = aNow;
-      }
+      detail::ConfirmRun(aState, run, *row, aNow);
       if (!worker.mLookOpen) {
         detail::LookBy(aState, worker, detail::NextLook(aState, worker, aNow));
       }
@@ -424,8 +420,7 @@
       return;
     case OrderOutcome::Obsolete:
       // The run has ended or was stopped there; the lists tell how.
-      row->mPhase = RunPhase::Confirmed;
-      row->mSince = aNow;
+      detail::ConfirmRun(aState, run, *row, aNow);
       detail::LookBy(aState, worker, aNow);
       return;
     case OrderOutcome::WrongWorker:
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -73,7 +73,8 @@
   auto& occurrence = it->second;
   for (std::size_t i = 0; i < occurrence.mTasks.size(); ++i) {
     occurrence.mTasks[i].mProgress = aProgress.Tasks()[i];
-    aJob.mStarted = aJob.mStarted || aProgress.Tasks()[i].Run() > 0;
+    aJob.mStarted = aJob.mStarted || aProgress.Tasks()[i].Phase() == JobTaskPhase::Done ||
+                    !aProgress.Tasks()[i].FailedRuns().empty();
   }
   occurrence.mDone = true;
   for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
--- a/modules/by_cell/detail/Lists.cpp
+++ b/modules/by_cell/detail/Lists.cpp
@@ -77,12 +77,7 @@
     return;
   }
   auto& row = it->second;
-  if (row.mPhase != RunPhase::Confirmed) {
-    row.mPhase = RunPhase::Confirmed;
-    row.mSince = aNow;
-    row.mProgressAt = aNow;
-    row.mStartAgain = Time::Never();
-  }
+  ConfirmRun(aState, run, row, aNow);
   if (aRunning.Percent() != row.mPercent) {
     row.mPercent = aRunning.Percent();
     row.mProgressAt = aNow;
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -195,6 +195,21 @@
   return it->second;
 }
 
+void
+ConfirmRun(CellState& aState, const RunId& aRun, RunRow& aRow, Time aNow)
+{
+  if (aRow.mPhase == RunPhase::Confirmed) {
+    return;
+  }
+  aRow.mPhase = RunPhase::Confirmed;
+  aRow.mSince = aNow;
+  aRow.mProgressAt = aNow;
+  aRow.mStartAgain = Time::Never();
+  if (auto* job = FindJob(aState, aRun.mTask.Job())) {
+    NoteStarted(aState, *job);
+  }
+}
+
 void
 DropRun(CellState& aState, WorkerRow& aWorker, const RunId& aRun)
 {
@@ -250,6 +265,9 @@
   }
   auto* job = FindJob(aState, aRun.mTask.Job());
   auto* task = FindTask(aState, aRun.mTask);
+  if (job != nullptr) {
+    NoteStarted(aState, *job);
+  }
   if (job == nullptr || task == nullptr || task->mProgress.Phase() == JobTaskPhase::Done) {
     return;
   }
@@ -331,7 +349,6 @@
   }
   row.mStartOpen = true;
   row.mStartAgain = Time::Never();
-  NoteStarted(aState, *job);
   Emit(aOut,
        StartRun::Create(
          { .mWorker = aWorker.mRegistration.Id(),
--- a/modules/by_cell/detail/Runs.h
+++ b/modules/by_cell/detail/Runs.h
@@ -13,6 +13,10 @@
 RunRow&
 AddRun(CellState& aState, WorkerRow& aWorker, const RunId& aRun, RunRow aRow);
 
+/// Takes note that a worker has begun a run.
+void
+ConfirmRun(CellState& aState, const RunId& aRun, RunRow& aRow, Time aNow);
+
 /// Frees the room of a run; the run is over for certain, or was never ordered.
 void
 DropRun(CellState& aState, WorkerRow& aWorker, const RunId& aRun);
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -584,3 +584,18 @@
   next.Settle();
   CHECK_EQUAL(2, next.TakeStarts().size());
 }
+
+TEST(Cell, JobCountsAsWaitingUntilAWorkerHasBegunATask)
+{
+  // A start that was sent may be refused or lost.
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeReplies();
+  cell.Ask(JobCallKind::Count, "");
+  CHECK_EQUAL(1, cell.TakeReplies().front().Waiting());
+  CHECK(ShownState(cell, "j") == JobState::Queued);
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.Ask(JobCallKind::Count, "");
+  CHECK_EQUAL(0, cell.TakeReplies().front().Waiting());
+  CHECK(ShownState(cell, "j") == JobState::Running);
+}
