--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -42,8 +42,8 @@
 {
   if (aWorker.mClockRead == Time()) {
     const auto inherited = aState.mOwnerSince + aState.mSettings.Authority();
-    return std::max(inherited, aWorker.mLateOrdersUntil) +
-           OnFastClock(aState.mSettings.Lease()) + kLapseSlack;
+    return std::max(inherited, aWorker.mLateOrdersUntil) + OnFastClock(aState.mSettings.Lease()) +
+           kLapseSlack;
   }
   const auto left = std::max(Time(), aWorker.mLeaseSent - aWorker.mClock);
   return aWorker.mClockRead + OnFastClock(left) + kLapseSlack;
@@ -83,8 +83,7 @@
   for (const auto& [run, row] : aWorker.mRuns) {
     // A start that went without an answer may be carried out by the next life, which has seen no
     // epoch yet; such a run is barred there before its task is placed again.
-    const bool mayComeLate =
-      row.mStartOpen || row.mStartLost || row.mPhase == RunPhase::Inherited;
+    const bool mayComeLate = row.mStartOpen || row.mStartLost || row.mPhase == RunPhase::Inherited;
     (mayComeLate ? doubtful : over).push_back(run);
   }
   for (const auto& run : over) {
@@ -324,7 +323,7 @@
   }
   std::vector<std::string> missing;
   for (const auto& [id, worker] : aState.mWorkers) {
-    const auto isPresent = [&](const auto& aEntry) { return aEntry.Id() == id; };
+    const auto isPresent = [&name = id](const auto& aEntry) { return aEntry.Id() == name; };
     if (worker.mRegistered &&
         std::none_of(aEvent.Present().begin(), aEvent.Present().end(), isPresent)) {
       missing.push_back(id);
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -194,15 +194,14 @@
   if (it == aState.mJobs.end()) {
     return;
   }
-  const std::string id = aJob;
   StopRunsOf(aState, it->second, aNow, aOut);
   // Runs that were dropped may have made steps ready again.
   ForgetReady(aState, it->second);
   for (const auto& [index, occurrence] : it->second.mOccurrences) {
-    aState.mNewProgress.erase({ id, index });
+    aState.mNewProgress.erase({ aJob, index });
   }
-  absl::erase_if(aState.mSchedule, [&](const auto& aEntry) { return aEntry.second == id; });
-  std::erase(aState.mNewJobs, id);
+  absl::erase_if(aState.mSchedule, [&](const auto& aEntry) { return aEntry.second == aJob; });
+  std::erase(aState.mNewJobs, aJob);
   aState.mJobs.erase(it);
 }
 
@@ -256,11 +255,10 @@
   if (it == aState.mJobs.end()) {
     return;
   }
-  const std::string id = aJob;
   auto& job = it->second;
   Log(aOut,
       "job.ended",
-      id,
+      aJob,
       absl::StrCat("state=",
                    std::string(ToString(aOutcome)),
                    " age_ms=",
@@ -273,18 +271,18 @@
   }
   // Runs that were dropped may have made steps ready again.
   ForgetReady(aState, job);
-  auto& outcome = aState.mOutcomes[id];
+  auto& outcome = aState.mOutcomes[aJob];
   outcome.mState = aOutcome;
   outcome.mEnded = aNow;
   outcome.mSubmitters = std::move(job.mSubmitters);
-  aState.mOutcomesByEnd.emplace(aNow, id);
-  aState.mNewOutcomes.push_back(id);
-  aState.mDropped.push_back(JobRecordKey(id));
+  aState.mOutcomesByEnd.emplace(aNow, aJob);
+  aState.mNewOutcomes.push_back(aJob);
+  aState.mDropped.push_back(JobRecordKey(aJob));
   for (std::uint32_t n = 0; n < job.mNextOccurrence; ++n) {
-    aState.mDropped.push_back(ProgressRecordKey(id, n));
-    aState.mNewProgress.erase({ id, n });
+    aState.mDropped.push_back(ProgressRecordKey(aJob, n));
+    aState.mNewProgress.erase({ aJob, n });
   }
-  std::erase(aState.mNewJobs, id);
+  std::erase(aState.mNewJobs, aJob);
   aState.mJobs.erase(it);
   aState.mPlaceAgain = true;
 }
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -223,8 +223,7 @@
   auto* task = FindTask(aState, aRun.mTask);
   if (task != nullptr && task->mLiveRuns > 0) {
     --task->mLiveRuns;
-    if (task->mProgress.Phase() == JobTaskPhase::Waiting &&
-        task->mProgress.Run() == aRun.mRun &&
+    if (task->mProgress.Phase() == JobTaskPhase::Waiting && task->mProgress.Run() == aRun.mRun &&
         task->mProgress.Worker() == aWorker.mRegistration.Id()) {
       ForgetWorker(*task);
       MarkProgress(aState, aRun.mTask);
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /// Log lines that wait for their reader at most. [bytes]
-constexpr std::size_t kLogLimit = 1024 * 1024;
+constexpr std::size_t kLogLimit = std::size_t{ 1024 } * 1024;
 /// The last answers have this long to leave once the decisions have ended.
 constexpr std::chrono::milliseconds kLastAnswers{ 200 };
 
@@ -84,11 +84,12 @@
     return members.status();
   }
   mMembers = *std::move(members);
-  EntryHooks hooks{
-    .mDeliver = [this](EntryEvent aEvent) { Deliver(std::move(aEvent)); },
-    .mLog = [this](LogLine aLine) { boost::asio::post(mControl, [this, aLine] { Write(aLine); }); },
-    .mMetricsText = [this] { return mMetrics.Text(); }
-  };
+  EntryHooks hooks{ .mDeliver = [this](EntryEvent aEvent) { Deliver(std::move(aEvent)); },
+                    .mLog =
+                      [this](const LogLine& aLine) {
+                        boost::asio::post(mControl, [this, aLine] { Write(aLine); });
+                      },
+                    .mMetricsText = [this] { return mMetrics.Text(); } };
   auto ports = aOpen(mTraffic, std::move(hooks));
   if (!ports.ok()) {
     return ports.status();
--- a/tests/by_entry/EntryFixture.cpp
+++ b/tests/by_entry/EntryFixture.cpp
@@ -48,27 +48,24 @@
 void
 EntryFixture::Join(bool aChosen)
 {
-  Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Done,
-                                .mGeneration = 1,
-                                .mChosen = aChosen,
-                                .mSent = mNow })
+  Deliver(GroupJoined::Create(
+            { .mOutcome = StoreOutcome::Done, .mGeneration = 1, .mChosen = aChosen, .mSent = mNow })
             .value());
 }
 
 void
 EntryFixture::Follow(std::uint64_t aEpoch, const std::string& aNode)
 {
-  Deliver(ClaimRead::Create({ .mOutcome = StoreOutcome::Done,
-                              .mClaim = ClaimOf(aEpoch, aNode, 9),
-                              .mEnd = aEpoch })
+  Deliver(ClaimRead::Create(
+            { .mOutcome = StoreOutcome::Done, .mClaim = ClaimOf(aEpoch, aNode, 9), .mEnd = aEpoch })
             .value());
   Deliver(LinkChanged::Create({ .mPeer = LinkOf(aNode), .mUp = true }).value());
-  Deliver(FromOwner::Create(
-            { .mMessage = LinkMessage::Create(
-                            { .mBody = LinkBeat::Create({ .mEpoch = aEpoch, .mOwner = true })
-                                         .value() })
-                            .value() })
-            .value());
+  Deliver(
+    FromOwner::Create(
+      { .mMessage = LinkMessage::Create(
+                      { .mBody = LinkBeat::Create({ .mEpoch = aEpoch, .mOwner = true }).value() })
+                      .value() })
+      .value());
 }
 
 void
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -125,9 +125,9 @@
   node.Join(false);
   node.Follow(3);
   node.Deliver(
-    FromOwner::Create({ .mMessage = LinkMessage::Create(
-                                      { .mBody = OwnerLeaving::Create({ .mEpoch = 3 }).value() })
-                                      .value() })
+    FromOwner::Create(
+      { .mMessage =
+          LinkMessage::Create({ .mBody = OwnerLeaving::Create({ .mEpoch = 3 }).value() }).value() })
       .value());
   node.Pass(Time::FromMilliseconds(200));
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
@@ -210,13 +210,13 @@
   node.Call(1, JobCallKind::Submit, kJob);
   node.Deliver(StopAsked::Create({ .mGrace = Time::FromSeconds(6) }).value());
   CHECK(node.mState.mReady == false);
-  node.Deliver(FromOwner::Create(
-                 { .mMessage = LinkMessage::Create(
-                                 { .mBody = JobReply::Create({ .mCall = 1,
-                                                               .mVerdict = JobVerdict::Accepted })
-                                              .value() })
-                                 .value() })
-                 .value());
+  node.Deliver(
+    FromOwner::Create(
+      { .mMessage =
+          LinkMessage::Create(
+            { .mBody = JobReply::Create({ .mCall = 1, .mVerdict = JobVerdict::Accepted }).value() })
+            .value() })
+      .value());
   CHECK(node.TakeVerdicts() == std::vector{ JobVerdict::Accepted });
 }
 
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -184,8 +184,7 @@
 TEST(Platform, OrdersAreEncoded)
 {
   const auto task =
-    JobTaskKey::Create(
-      { .mJob = "5c0e7a21d94b36f8", .mOccurrence = 0, .mStep = 1, .mIndex = 17 })
+    JobTaskKey::Create({ .mJob = "5c0e7a21d94b36f8", .mOccurrence = 0, .mStep = 1, .mIndex = 17 })
       .value();
   STRCMP_EQUAL(
     R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text","until_ms":486000,"fencing_token":7,"checkpoint":"0b","ticket":"c8"})",
@@ -217,11 +216,11 @@
   CHECK_EQUAL(504, StatusOf(JobVerdict::Uncertain));
   CHECK_EQUAL(410, StatusOf(JobVerdict::UnknownJob));
   CHECK_EQUAL(404, StatusOf(JobVerdict::UnknownQueue));
-  STRCMP_EQUAL(R"({"state":"running"})",
-               EncodeReply(JobReply::Create(
-                             { .mVerdict = JobVerdict::Shown, .mState = JobState::Running })
-                             .value())
-                 .c_str());
+  STRCMP_EQUAL(
+    R"({"state":"running"})",
+    EncodeReply(
+      JobReply::Create({ .mVerdict = JobVerdict::Shown, .mState = JobState::Running }).value())
+      .c_str());
   STRCMP_EQUAL(
     R"({"pending":12})",
     EncodeReply(JobReply::Create({ .mVerdict = JobVerdict::Counted, .mWaiting = 12 }).value())
--- a/tests/properties/CellWorld.cpp
+++ b/tests/properties/CellWorld.cpp
@@ -155,14 +155,14 @@
                                        .mSlack = Time::FromMilliseconds(300),
                                        .mAdvice = std::nullopt })
                    .value();
-    mRequests.emplace(id,
-                      CellRequest::Create(
-                        { .mCall = 0,
-                          .mKind = JobCallKind::Submit,
-                          .mQueue = queue,
-                          .mJob = id,
-                          .mDefinition = JobDefinition::Create(std::move(definition)).value() })
-                        .value());
+    mRequests.emplace(
+      id,
+      CellRequest::Create({ .mCall = 0,
+                            .mKind = JobCallKind::Submit,
+                            .mQueue = queue,
+                            .mJob = id,
+                            .mDefinition = JobDefinition::Create(std::move(definition)).value() })
+        .value());
   }
   if (mRequests.empty() || !Chance(3)) {
     return;
@@ -252,7 +252,8 @@
     mAccepted.insert(id);
   } else if (aReply.Verdict() == JobVerdict::Refused) {
     mRefused.insert(id);
-  } else if (aReply.Verdict() == JobVerdict::Cancelled && mKinds[aReply.Call()] == JobCallKind::Cancel) {
+  } else if (aReply.Verdict() == JobVerdict::Cancelled &&
+             mKinds[aReply.Call()] == JobCallKind::Cancel) {
     mCancelled.emplace(id, mNow);
   }
 }
@@ -287,13 +288,13 @@
   }
   After(outcome == StoreOutcome::Unanswered ? 200 : 2, [this, aOwner, aAppend, outcome] {
     Deliver(aOwner, [&](CellState& aCell, Effects& aOut) {
-      HandleAppended(aCell,
-                     CellAppended::Create({ .mEpoch = aAppend.Epoch(),
-                                            .mSequence = aAppend.Sequence(),
-                                            .mOutcome = outcome })
-                       .value(),
-                     mNow,
-                     aOut);
+      HandleAppended(
+        aCell,
+        CellAppended::Create(
+          { .mEpoch = aAppend.Epoch(), .mSequence = aAppend.Sequence(), .mOutcome = outcome })
+          .value(),
+        mNow,
+        aOut);
     });
   });
 }
@@ -319,8 +320,7 @@
       After(500, [answer] { answer(OrderOutcome::Unanswered); });
       return;
     }
-    const auto outcome = isLost && late == 0 && Chance(30) ? OrderOutcome::Unanswered
-                                                           : aDo(worker);
+    const auto outcome = isLost && late == 0 && Chance(30) ? OrderOutcome::Unanswered : aDo(worker);
     if (!isLost) {
       After(1 + Draw(4), [answer, outcome] { answer(outcome); });
     }
@@ -453,11 +453,8 @@
   CheckStart(aWorker, aStart, aLate);
   ++mStarts;
   const auto estimate = static_cast<int>(StepOf(aStart.Task()).Estimate().Milliseconds());
-  aWorker.mRuns.push_back({ aStart.Task(),
-                            aStart.Run(),
-                            estimate / 2 + Draw(estimate + 1),
-                            Chance(8),
-                            mNow });
+  aWorker.mRuns.push_back(
+    { aStart.Task(), aStart.Run(), estimate / 2 + Draw(estimate + 1), Chance(8), mNow });
   return OrderOutcome::Accepted;
 }
 
@@ -651,8 +648,7 @@
   return WorkerRegistration::Create(
            { .mId = aWorker.mId,
              .mPool = "pool",
-             .mEndpoint =
-               Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9000 }).value(),
+             .mEndpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9000 }).value(),
              .mZone = {},
              .mDraining = false,
              .mCapacity = Resources::Create({ .mCpuMillis = kCpu, .mMemoryMb = 1000 }).value(),
