--- a/modules/by_cell/HandleWorkers.cpp
+++ b/modules/by_cell/HandleWorkers.cpp
@@ -110,6 +110,19 @@
   detail::LookBy(aState, aWorker, aNow);
 }
 
+/// Another worker answers at its address, so that its process is gone and takes no order any more.
+void
+EndForGood(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
+{
+  detail::Log(aOut,
+              "worker.over",
+              aWorker.mRegistration.Id(),
+              absl::StrCat("reason=another worker answers there runs=", aWorker.mRuns.size()));
+  detail::EndAllRuns(aState, aWorker, RunEnd::Lapsed, aNow, aOut);
+  aWorker.mHealth = WorkerHealth::Lapsed;
+  aWorker.mNextLook = Time::Never();
+}
+
 bool
 SameLife(const WorkerRow& aWorker, Time aBorn)
 {
@@ -151,6 +164,9 @@
   worker.mRegistration = aEntry;
   worker.mRegistered = true;
   worker.mGoneAt = Time();
+  if (moved && worker.mHealth == WorkerHealth::Lapsed) {
+    worker.mHealth = WorkerHealth::Unseen;
+  }
   if (moved && worker.mHealth == WorkerHealth::Unseen) {
     detail::LookBy(aState, worker, aNow);
   }
@@ -348,8 +364,7 @@
     return;
   }
   if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
-    EndLife(aState, worker, "another worker answers there", aNow, aOut);
-    CountFailedLook(aState, worker, aNow, aOut);
+    EndForGood(aState, worker, aNow, aOut);
     return;
   }
   if (aEvent.Outcome() != OrderOutcome::Accepted) {
@@ -423,7 +438,7 @@
       detail::LookBy(aState, worker, aNow);
       return;
     case OrderOutcome::WrongWorker:
-      EndLife(aState, worker, "another worker answers there", aNow, aOut);
+      EndForGood(aState, worker, aNow, aOut);
       return;
     case OrderOutcome::NoRoom:
     case OrderOutcome::NoTicket:
@@ -450,7 +465,7 @@
   auto& worker = aState.mWorkers.at(aEvent.Worker());
   row->mStopOpen = false;
   if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
-    EndLife(aState, worker, "another worker answers there", aNow, aOut);
+    EndForGood(aState, worker, aNow, aOut);
     return;
   }
   if (aEvent.Outcome() == OrderOutcome::Accepted && row->mStopSent >= worker.mLifeSince) {
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -52,14 +52,9 @@
     worker.mRegistration = worker.mRegistration.WithId(id);
     worker.mBorn = task->mProgress.WorkerBorn();
   }
-  const auto& step = detail::StepOf(aJob, aTask.Step());
-  RunRow row;
-  row.mPhase = RunPhase::Inherited;
+  auto row = detail::RowFor(detail::StepOf(aJob, aTask.Step()), RunPhase::Inherited, aNow);
   // A task that waits although a worker is named was taken back and has to be stopped there.
   row.mStopWanted = task->mProgress.Phase() == JobTaskPhase::Waiting;
-  row.mDemand = step.Scavenging() ? step.Demand().WithCpuMillis(0) : step.Demand();
-  row.mSince = aNow;
-  row.mEstimate = step.Estimate();
   detail::AddRun(aState, worker, { aTask, task->mProgress.Run() }, std::move(row));
 }
 
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -15,6 +15,9 @@
   RunPhase mPhase{ RunPhase::Planned };
   /// The room that it takes.
   Resources mDemand;
+  /// Whether it uses only what others leave idle, and whether it must keep its response times low.
+  bool mScavenges{ false };
+  bool mServes{ false };
   /// When it entered its phase.
   Time mSince{};
   /// When it was first ordered.
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -151,13 +151,8 @@
     aFields.mWorker = aWorker.mRegistration.Id();
     aFields.mWorkerBorn = aWorker.mBorn;
   });
-  const auto& step = StepOf(aJob, aTask.Step());
   const RunId run{ aTask, aRun };
-  RunRow row;
-  row.mPhase = RunPhase::Planned;
-  row.mDemand = step.Scavenging() ? step.Demand().WithCpuMillis(0) : step.Demand();
-  row.mSince = aPass.mNow;
-  row.mEstimate = step.Estimate();
+  auto row = RowFor(StepOf(aJob, aTask.Step()), RunPhase::Planned, aPass.mNow);
   AddRun(aPass.mState, aWorker, run, std::move(row));
   aPass.mState.mNewProgress.emplace(aTask.Job(), aTask.Occurrence());
   aPass.mState.mNext.mStarts.emplace_back(aWorker.mRegistration.Id(), run);
@@ -359,11 +354,24 @@
   return usable;
 }
 
+bool
+Disturbs(const WorkerRow& aWorker, const JobStep& aStep)
+{
+  const bool serves = aStep.TailTarget() > Time();
+  if (!serves && !aStep.Scavenging()) {
+    return false;
+  }
+  return std::any_of(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aEntry) {
+    return serves ? aEntry.second.mScavenges : aEntry.second.mServes;
+  });
+}
+
 bool
 CanHost(const WorkerRow& aWorker, const JobStep& aStep)
 {
   const auto demand = aStep.Scavenging() ? aStep.Demand().WithCpuMillis(0) : aStep.Demand();
-  return HasLabel(aWorker, aStep.RequiredLabel()) && Fits(demand, FreeOn(aWorker));
+  return HasLabel(aWorker, aStep.RequiredLabel()) && Fits(demand, FreeOn(aWorker)) &&
+         !Disturbs(aWorker, aStep);
 }
 
 std::size_t
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -96,4 +96,17 @@
   return Minus(aWorker.mRegistration.Capacity(), aWorker.mUsed);
 }
 
+RunRow
+RowFor(const JobStep& aStep, RunPhase aPhase, Time aNow)
+{
+  RunRow row;
+  row.mPhase = aPhase;
+  row.mDemand = aStep.Scavenging() ? aStep.Demand().WithCpuMillis(0) : aStep.Demand();
+  row.mScavenges = aStep.Scavenging();
+  row.mServes = aStep.TailTarget() > Time();
+  row.mSince = aNow;
+  row.mEstimate = aStep.Estimate();
+  return row;
+}
+
 } // namespace by::detail
--- a/modules/by_cell/detail/Tables.h
+++ b/modules/by_cell/detail/Tables.h
@@ -48,6 +48,10 @@
 Resources
 FreeOn(const WorkerRow& aWorker);
 
+/// @returns a row for a run of a step, with the room that it takes.
+RunRow
+RowFor(const JobStep& aStep, RunPhase aPhase, Time aNow);
+
 /// Changes fields of a task's progress.
 template<class Change>
 void
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -599,3 +599,42 @@
   CHECK_EQUAL(0, cell.TakeReplies().front().Waiting());
   CHECK(ShownState(cell, "j") == JobState::Running);
 }
+
+TEST(Cell, TasksThatUseIdleTimeAreKeptAwayFromTasksThatServe)
+{
+  CellFixture cell;
+  auto service = CellFixture::Step(1);
+  service.mLongRunning = true;
+  service.mTailTarget = Time::FromMilliseconds(50);
+  cell.Submit("s", { service });
+  const auto serving = cell.TakeStarts().front().Worker();
+  auto filler = CellFixture::Step(4);
+  filler.mScavenging = true;
+  cell.Submit("f", { filler });
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(4, starts.size());
+  for (const auto& start : starts) {
+    CHECK(start.Worker() != serving);
+  }
+}
+
+TEST(Cell, WorkerWhoseAddressAnotherAnswersAtIsOverAtOnce)
+{
+  // A successor kept the runs that it had inherited there, and looked again without a pause.
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  auto next = cell.Successor();
+  next.Look(worker == "w1" ? "w2" : "w1", {}, {});
+  HandleLooked(
+    next.mCell,
+    WorkerLooked::Create({ .mWorker = worker, .mOutcome = OrderOutcome::WrongWorker }).value(),
+    next.mNow,
+    next.mOut);
+  next.TakeLooks();
+  next.Settle();
+  CHECK_EQUAL(1, next.TakeStarts().size());
+  for (const auto& look : next.TakeLooks()) {
+    CHECK(look.Worker() != worker);
+  }
+}
