Acknowledge an end only to the life of the worker that listed it

Histories also differed from run to run, since tables were walked in hash order. Change: a pending end names the life; the owner's tables are ordered, so that equal inputs give equal decisions.

--- a/modules/by_cell/AppendBatch.h
+++ b/modules/by_cell/AppendBatch.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "by_cell/PendingEnd.h"
 #include "by_cell/RunId.h"
 #include "by_cell/Waiter.h"
 #include "by_core/Time.h"
@@ -24,8 +25,8 @@
   std::vector<std::string> mOutcomes;
   /// Runs to order, by worker.
   std::vector<std::pair<std::string, RunId>> mStarts;
-  /// Ends that may be acknowledged, by worker.
-  std::vector<std::pair<std::string, std::uint64_t>> mEnds;
+  /// Ends that may be acknowledged.
+  std::vector<PendingEnd> mEnds;
   /// When it was first sent.
   Time mFirstSent{};
   /// When it was last sent.
--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -10,8 +10,6 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
-#include "absl/container/flat_hash_map.h"
-#include "absl/container/node_hash_map.h"
 
 #include "by_cell/AdviserRow.h"
 #include "by_cell/AppendBatch.h"
@@ -35,9 +33,9 @@
   ClusterConfig mConfig;
 
   /// Jobs that have not ended, by name.
-  absl::node_hash_map<std::string, JobRow> mJobs;
+  std::map<std::string, JobRow> mJobs;
   /// Jobs that ended, by name, and in the order in which they ended.
-  absl::flat_hash_map<std::string, OutcomeRow> mOutcomes;
+  std::map<std::string, OutcomeRow> mOutcomes;
   absl::btree_set<std::pair<Time, std::string>> mOutcomesByEnd;
   /// Occurrences whose time will come.
   absl::btree_set<std::pair<Time, std::string>> mSchedule;
@@ -46,8 +44,8 @@
   /// Jobs of each queue of which no task has started, by host and prefix.
   std::map<std::pair<std::string, std::string>, std::uint64_t> mUnstarted;
 
-  /// Workers by name.
-  absl::node_hash_map<std::string, WorkerRow> mWorkers;
+  /// Workers by name; ordered, so that equal inputs give equal decisions in every process.
+  std::map<std::string, WorkerRow> mWorkers;
   /// Nodes that can ask for advice.
   std::vector<AdviserRow> mAdvisers;
 
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -183,10 +183,10 @@
 void
 EndsAreStored(CellState& aState, const AppendBatch& aBatch, Time aNow)
 {
-  for (const auto& [id, number] : aBatch.mEnds) {
-    const auto worker = aState.mWorkers.find(id);
-    if (worker != aState.mWorkers.end()) {
-      worker->second.mEndStored = std::max(worker->second.mEndStored, number);
+  for (const auto& end : aBatch.mEnds) {
+    const auto worker = aState.mWorkers.find(end.mWorker);
+    if (worker != aState.mWorkers.end() && worker->second.mLifeSince == end.mLifeSince) {
+      worker->second.mEndStored = std::max(worker->second.mEndStored, end.mNumber);
       // The next look acknowledges them; without runs there is none yet.
       detail::LookBy(aState, worker->second, aNow + aState.mSettings.LookInterval());
     }
--- a/modules/by_cell/detail/Lists.cpp
+++ b/modules/by_cell/detail/Lists.cpp
@@ -29,7 +29,8 @@
     return;
   }
   if (HasUnstored(aState)) {
-    aState.mNext.mEnds.emplace_back(aWorker.mRegistration.Id(), aWorker.mEndSeen);
+    aState.mNext.mEnds.push_back(
+      { aWorker.mRegistration.Id(), aWorker.mLifeSince, aWorker.mEndSeen });
   } else {
     aWorker.mEndStored = aWorker.mEndSeen;
     LookBy(aState, aWorker, aNow + aState.mSettings.LookPause());
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -638,3 +638,15 @@
     CHECK(look.Worker() != worker);
   }
 }
+
+TEST(Cell, EndOfAnEarlierLifeIsNotAcknowledgedInTheNext)
+{
+  // The next life counts its ends from 1, and one that was never seen would be forgotten.
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.Look("w1", {}, { CellFixture::Ended(5, CellFixture::Run("j", 0, 1), RunEnd::Done) });
+  cell.Look("w1", {}, {}, Time::FromMilliseconds(7777));
+  cell.Settle();
+  CHECK_EQUAL(0, cell.mCell.mWorkers.at("w1").mEndStored);
+}
