Split the owner's handlers by what they handle; remove what nothing uses

Change: HandleRegistry, HandleLooks, HandleOrders, HandleAdvice, detail/Lives, detail/Learning; the unused parts are gone; placement.missed is logged. Tests of by_cell 39, by_entry 18, platform 15 pass.

--- /dev/null
+++ b/modules/by_cell/HandleLooks.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "by_cell/CellState.h"
+#include "by_cell/Effects.h"
+#include "by_schema/WorkerLooked.h"
+
+namespace by {
+
+/// Takes over a worker's lists, or counts the look that failed.
+void
+HandleLooked(CellState& aState, const WorkerLooked& aEvent, Time aNow, Effects& aOut);
+
+/// Sends the looks that are due, and gives workers up whose lease has passed.
+void
+TendWorkers(CellState& aState, Time aNow, Effects& aOut);
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/HandleOrders.cpp
@@ -0,0 +1,161 @@
+#include "by_cell/HandleOrders.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Lives.h"
+#include "by_cell/detail/LookTimes.h"
+#include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Tables.h"
+
+namespace by {
+
+namespace {
+
+/// A worker that turns starts away is not offered others for this long.
+constexpr Time kRefusalPause = Time::FromMilliseconds(500);
+
+RunRow*
+FindRun(CellState& aState, const std::string& aWorker, const RunId& aRun)
+{
+  const auto worker = aState.mWorkers.find(aWorker);
+  if (worker == aState.mWorkers.end()) {
+    return nullptr;
+  }
+  const auto it = worker->second.mRuns.find(aRun);
+  return it == worker->second.mRuns.end() ? nullptr : &it->second;
+}
+
+/// The worker certainly does not run it and never will by this order.
+void
+StartFailed(CellState& aState,
+            WorkerRow& aWorker,
+            const RunId& aRun,
+            OrderOutcome aOutcome,
+            Time aNow,
+            Effects& aOut)
+{
+  detail::Log(aOut,
+              "start.refused",
+              detail::Named(aRun),
+              absl::StrCat("worker=",
+                           aWorker.mRegistration.Id(),
+                           " reason=",
+                           std::string(ToString(aOutcome)),
+                           " may_run_late=",
+                           aWorker.mRuns.at(aRun).mStartLost));
+  const bool mayRunLate = aWorker.mRuns.at(aRun).mStartLost;
+  if (aOutcome == OrderOutcome::NoTicket) {
+    if (auto* job = detail::FindJob(aState, aRun.mTask.Job())) {
+      auto& advice =
+        job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()].mAdvice;
+      advice.mTickets.erase(aWorker.mRegistration.Id());
+      advice.mValidUntil.erase(aWorker.mRegistration.Id());
+    }
+  }
+  if (aOutcome == OrderOutcome::Unhealthy || aOutcome == OrderOutcome::NoRoom) {
+    aWorker.mAsideUntil = std::max(aWorker.mAsideUntil, aNow + kRefusalPause);
+  }
+  if (!mayRunLate) {
+    detail::DropRun(aState, aWorker, aRun);
+  }
+  detail::Requeue(aState, aRun.mTask, aNow, aOut);
+}
+
+} // namespace
+
+void
+HandleStartAnswered(CellState& aState, const StartAnswered& aEvent, Time aNow, Effects& aOut)
+{
+  const RunId run{ aEvent.Task(), aEvent.Run() };
+  auto* row = FindRun(aState, aEvent.Worker(), run);
+  if (aEvent.Outcome() == OrderOutcome::Fenced) {
+    detail::FencedByWorker(aState, aEvent.Worker(), aOut);
+    return;
+  }
+  if (row == nullptr) {
+    return;
+  }
+  auto& worker = aState.mWorkers.at(aEvent.Worker());
+  row->mStartOpen = false;
+  switch (aEvent.Outcome()) {
+    case OrderOutcome::Accepted:
+      detail::ConfirmRun(aState, run, *row, aNow);
+      if (!worker.mLookOpen) {
+        detail::LookBy(aState, worker, detail::NextLook(aState, worker, aNow));
+      }
+      return;
+    case OrderOutcome::Unanswered:
+    case OrderOutcome::NotSent:
+      detail::Log(
+        aOut,
+        "start.unanswered",
+        detail::Named(run),
+        absl::StrCat(
+          "worker=", aEvent.Worker(), " sent=", aEvent.Outcome() == OrderOutcome::Unanswered));
+      row->mStartLost = row->mStartLost || aEvent.Outcome() == OrderOutcome::Unanswered;
+      detail::LookBy(aState, worker, aNow);
+      if (!row->mStartLost) {
+        StartFailed(aState, worker, run, aEvent.Outcome(), aNow, aOut);
+      } else if (!row->mStopWanted) {
+        row->mStartAgain = aNow + aState.mSettings.OrderPause();
+      }
+      return;
+    case OrderOutcome::Late:
+      // The estimate of the worker's clock was off; the look reads it anew.
+      detail::LookBy(aState, worker, aNow);
+      row->mStartAgain = row->mStopWanted ? Time::Never() : aNow + aState.mSettings.OrderPause();
+      return;
+    case OrderOutcome::Obsolete:
+      // The run has ended or was stopped there; the lists tell how.
+      detail::ConfirmRun(aState, run, *row, aNow);
+      detail::LookBy(aState, worker, aNow);
+      return;
+    case OrderOutcome::WrongWorker:
+      detail::EndForGood(aState, worker, aNow, aOut);
+      return;
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::NoTicket:
+    case OrderOutcome::Unhealthy:
+    case OrderOutcome::Malformed:
+    case OrderOutcome::Fenced:
+      StartFailed(aState, worker, run, aEvent.Outcome(), aNow, aOut);
+      return;
+  }
+}
+
+void
+HandleStopAnswered(CellState& aState, const StopAnswered& aEvent, Time aNow, Effects& aOut)
+{
+  const RunId run{ aEvent.Task(), aEvent.Run() };
+  auto* row = FindRun(aState, aEvent.Worker(), run);
+  if (aEvent.Outcome() == OrderOutcome::Fenced) {
+    detail::FencedByWorker(aState, aEvent.Worker(), aOut);
+    return;
+  }
+  if (row == nullptr) {
+    return;
+  }
+  auto& worker = aState.mWorkers.at(aEvent.Worker());
+  row->mStopOpen = false;
+  if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
+    detail::EndForGood(aState, worker, aNow, aOut);
+    return;
+  }
+  if (aEvent.Outcome() == OrderOutcome::Accepted && row->mStopSent >= worker.mLifeSince) {
+    row->mBarredAt = aNow;
+    detail::LookBy(aState, worker, aNow + aState.mSettings.LookPause());
+    return;
+  }
+  detail::Log(
+    aOut,
+    "stop.unanswered",
+    detail::Named(run),
+    absl::StrCat("worker=", aEvent.Worker(), " outcome=", std::string(ToString(aEvent.Outcome()))));
+  row->mStopAgain = aNow + aState.mSettings.OrderPause();
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -0,0 +1,102 @@
+#include "by_cell/HandleRegistry.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Lives.h"
+#include "by_cell/detail/Runs.h"
+
+namespace by {
+
+namespace {
+
+void
+Register(CellState& aState, const WorkerRegistration& aEntry, Time aNow, Effects& aOut)
+{
+  auto& worker = aState.mWorkers[aEntry.Id()];
+  if (aEntry.Born() > Time() && aEntry.Born() < worker.mBorn) {
+    detail::Log(
+      aOut,
+      "worker.stale_entry",
+      aEntry.Id(),
+      absl::StrCat("born=", aEntry.Born().Milliseconds(), " known=", worker.mBorn.Milliseconds()));
+    return;
+  }
+  const bool isNew = !worker.mRegistered;
+  const bool moved = worker.mRegistration.Endpoint() != aEntry.Endpoint();
+  if (!detail::SameLife(worker, aEntry.Born())) {
+    detail::EndLife(aState, worker, "registered anew", aNow, aOut);
+    worker.mBorn = aEntry.Born();
+  }
+  if (worker.mBorn == Time()) {
+    worker.mBorn = aEntry.Born();
+  }
+  if (isNew || worker.mRegistration.Draining() != aEntry.Draining()) {
+    detail::Log(aOut,
+                aEntry.Draining() ? "worker.draining" : "worker.registered",
+                aEntry.Id(),
+                absl::StrCat("pool=",
+                             aEntry.Pool(),
+                             " born=",
+                             aEntry.Born().Milliseconds(),
+                             " runs=",
+                             worker.mRuns.size()));
+  }
+  worker.mRegistration = aEntry;
+  worker.mRegistered = true;
+  worker.mGoneAt = Time();
+  if (moved && worker.mHealth == WorkerHealth::Lapsed) {
+    worker.mHealth = WorkerHealth::Unseen;
+  }
+  if (moved && worker.mHealth == WorkerHealth::Unseen) {
+    detail::LookBy(aState, worker, aNow);
+  }
+  aState.mPlaceAgain = true;
+}
+
+void
+Unregister(CellState& aState, const std::string& aId, Time aNow, Effects& aOut)
+{
+  const auto it = aState.mWorkers.find(aId);
+  if (it == aState.mWorkers.end() || !it->second.mRegistered) {
+    return;
+  }
+  it->second.mRegistered = false;
+  it->second.mGoneAt = aNow;
+  detail::Log(
+    aOut, "worker.gone", aId, absl::StrCat("runs=", it->second.mRuns.size(), " by=registry"));
+  if (!it->second.mRuns.empty()) {
+    detail::LookBy(aState, it->second, aNow);
+  }
+}
+
+} // namespace
+
+void
+HandleWorkersChanged(CellState& aState, const WorkersChanged& aEvent, Time aNow, Effects& aOut)
+{
+  for (const auto& entry : aEvent.Present()) {
+    Register(aState, entry, aNow, aOut);
+  }
+  for (const auto& id : aEvent.Gone()) {
+    Unregister(aState, id, aNow, aOut);
+  }
+  if (!aEvent.Complete()) {
+    return;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, worker] : aState.mWorkers) {
+    const auto isPresent = [&name = id](const auto& aEntry) { return aEntry.Id() == name; };
+    if (worker.mRegistered &&
+        std::none_of(aEvent.Present().begin(), aEvent.Present().end(), isPresent)) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    Unregister(aState, id, aNow, aOut);
+  }
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_cell/HandleRegistry.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "by_cell/CellState.h"
+#include "by_cell/Effects.h"
+#include "by_schema/WorkersChanged.h"
+
+namespace by {
+
+/// Takes over what the registry says of workers.
+void
+HandleWorkersChanged(CellState& aState, const WorkersChanged& aEvent, Time aNow, Effects& aOut);
+
+} // namespace by
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -4,8 +4,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleLooks.h"
 #include "by_cell/HandleStore.h"
-#include "by_cell/HandleWorkers.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Hangs.h"
 #include "by_cell/detail/Jobs.h"
@@ -89,6 +89,10 @@
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
   if (!wasDue && placed > 0) {
     ++aState.mMissedWakeups;
+    detail::Log(aOut,
+                "placement.missed",
+                absl::StrCat("epoch ", aState.mEpoch),
+                absl::StrCat("tasks=", placed, " times=", aState.mMissedWakeups));
   }
 }
 
--- a/modules/by_cell/by_cell.h
+++ b/modules/by_cell/by_cell.h
@@ -7,8 +7,11 @@
 /// Dependencies: by_core, by_schema, by_jobs.
 
 #include "by_cell/CellState.h"
+#include "by_cell/HandleAdvice.h"
+#include "by_cell/HandleLooks.h"
+#include "by_cell/HandleOrders.h"
+#include "by_cell/HandleRegistry.h"
 #include "by_cell/HandleRequests.h"
 #include "by_cell/HandleStore.h"
-#include "by_cell/HandleWorkers.h"
 #include "by_cell/RestoreCell.h"
 #include "by_cell/Work.h"
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -52,17 +52,6 @@
   return accepted;
 }
 
-bool
-GuardsCapacity(const CellState& aState, const std::string& aPool)
-{
-  for (const auto& pool : aState.mConfig.Pools()) {
-    if (pool.Name() == aPool) {
-      return pool.GuardsCapacity();
-    }
-  }
-  return false;
-}
-
 Resources
 Plus(const Resources& aLeft, const Resources& aRight)
 {
--- a/modules/by_cell/detail/Tables.h
+++ b/modules/by_cell/detail/Tables.h
@@ -28,10 +28,6 @@
 const QueuePolicy&
 PolicyOf(const CellState& aState, const JobRow& aJob);
 
-/// @returns whether the pool's configuration says that its workers refuse what does not fit.
-bool
-GuardsCapacity(const CellState& aState, const std::string& aPool);
-
 /// @returns one amount added to another.
 Resources
 Plus(const Resources& aLeft, const Resources& aRight);
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -73,7 +73,6 @@
   void operator()(const WorkerLooked& aEvent) const { ToCell(HandleLooked, aEvent); }
   void operator()(const StartAnswered& aEvent) const { ToCell(HandleStartAnswered, aEvent); }
   void operator()(const StopAnswered& aEvent) const { ToCell(HandleStopAnswered, aEvent); }
-  void operator()(const PaceAnswered&) const {}
   void operator()(const AdviceAnswered& aEvent) const
   {
     if (mState.mCell) {
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -5,8 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleAdvice.h"
 #include "by_cell/HandleRequests.h"
-#include "by_cell/HandleWorkers.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
 
--- a/modules/by_schema/EntryEffect.h
+++ b/modules/by_schema/EntryEffect.h
@@ -18,7 +18,6 @@
 #include "by_schema/LoadCell.h"
 #include "by_schema/LogLine.h"
 #include "by_schema/LookAtWorker.h"
-#include "by_schema/PaceRun.h"
 #include "by_schema/ReadClaim.h"
 #include "by_schema/ReplyToCaller.h"
 #include "by_schema/SendToMember.h"
@@ -50,7 +49,6 @@
                  LookAtWorker,
                  StartRun,
                  StopRun,
-                 PaceRun,
                  AskAdvice,
                  ConnectToOwner,
                  SendToOwner,
@@ -89,7 +87,6 @@
                      LookAtWorker,
                      StartRun,
                      StopRun,
-                     PaceRun,
                      AskAdvice,
                      ConnectToOwner,
                      SendToOwner,
@@ -113,7 +110,6 @@
                                                   LookAtWorker,
                                                   StartRun,
                                                   StopRun,
-                                                  PaceRun,
                                                   AskAdvice,
                                                   ConnectToOwner,
                                                   SendToOwner,
--- a/modules/by_schema/EntryEvent.h
+++ b/modules/by_schema/EntryEvent.h
@@ -22,7 +22,6 @@
 #include "by_schema/JobCall.h"
 #include "by_schema/LinkChanged.h"
 #include "by_schema/MemberChanged.h"
-#include "by_schema/PaceAnswered.h"
 #include "by_schema/StartAnswered.h"
 #include "by_schema/StopAnswered.h"
 #include "by_schema/StopAsked.h"
@@ -51,7 +50,6 @@
                  WorkerLooked,
                  StartAnswered,
                  StopAnswered,
-                 PaceAnswered,
                  AdviceAnswered,
                  LinkChanged,
                  FromOwner,
@@ -90,7 +88,6 @@
                      WorkerLooked,
                      StartAnswered,
                      StopAnswered,
-                     PaceAnswered,
                      AdviceAnswered,
                      LinkChanged,
                      FromOwner,
@@ -114,7 +111,6 @@
                                                  WorkerLooked,
                                                  StartAnswered,
                                                  StopAnswered,
-                                                 PaceAnswered,
                                                  AdviceAnswered,
                                                  LinkChanged,
                                                  FromOwner,
--- a/modules/by_schema/WorkersChanged.h
+++ b/modules/by_schema/WorkersChanged.h
@@ -26,9 +26,6 @@
     std::vector<WorkerRegistration> mPresent{};
     /// Names of those that are registered no more.
     std::vector<std::string> mGone{};
-    /// Whether the registry was out of reach shortly before, so that an entry may be missing for a
-    /// while.
-    bool mUncertain{ false };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -77,17 +74,6 @@
     return copy;
   }
 
-  /// Whether the registry was out of reach shortly before, so that an entry may be missing for a
-  /// while.
-  bool Uncertain() const { return mFields.mUncertain; }
-  /// @returns this value with another Uncertain.
-  [[nodiscard]] WorkersChanged WithUncertain(bool aValue) const
-  {
-    auto copy = *this;
-    copy.mFields.mUncertain = std::move(aValue);
-    return copy;
-  }
-
   friend bool operator==(const WorkersChanged&, const WorkersChanged&) = default;
   friend auto operator<=>(const WorkersChanged&, const WorkersChanged&) = default;
 
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -158,8 +158,6 @@
 #include "by_schema/OutputFormat.h"
 #include "by_schema/OwnedVm.h"
 #include "by_schema/OwnerLeaving.h"
-#include "by_schema/PaceAnswered.h"
-#include "by_schema/PaceRun.h"
 #include "by_schema/Page.h"
 #include "by_schema/PeerFrame.h"
 #include "by_schema/PeerHeartbeat.h"
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -41,7 +41,7 @@
   CHECK_EQUAL(6000, node->mEntry.Cell().LongestLease().Milliseconds());
   CHECK_EQUAL(60000, node->mEntry.Cell().OutcomeKept().Milliseconds());
   CHECK_EQUAL(4500, node->mGrace.Milliseconds());
-  CHECK_EQUAL(0, node->mMachines.Port());
+  CHECK_EQUAL(8169, node->mAdvice.Port());
 }
 
 TEST(Platform, EveryFaultOfTheSettingsIsFound)
