--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Callers that are refused while the store is out of reach come back after this long.
-constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
-
 void
 Refuse(const CellState& aState,
        const Waiter& aWaiter,
@@ -23,8 +20,7 @@
        Effects& aOut)
 {
   detail::Log(aOut, "job.refused", aRequest.Job(), absl::StrCat("reason=", aReason));
-  detail::Reply(
-    aState, aWaiter, { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry }, aOut);
+  detail::ReplyRefused(aState, aWaiter, aOut);
 }
 
 void
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Callers that are refused while the store is out of reach come back after this long.
-constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
-
 KeyedRecord
 Keyed(std::string aKey, CellRecord aRecord)
 {
@@ -106,8 +103,7 @@
     return;
   }
   for (const auto& waiter : job->mSubmitters) {
-    detail::Reply(
-      aState, waiter, { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry }, aOut);
+    detail::ReplyRefused(aState, waiter, aOut);
   }
   detail::Log(aOut, "job.refused", aJob, "reason=store out of reach");
   detail::ForgetJob(aState, aJob, aNow, aOut);
--- a/modules/by_cell/detail/Emit.cpp
+++ b/modules/by_cell/detail/Emit.cpp
@@ -6,6 +6,13 @@
 
 namespace by::detail {
 
+namespace {
+
+/// Callers that are refused while the store is out of reach come back after this long.
+constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
+
+} // namespace
+
 void
 Log(Effects& aOut, std::string aEvent, std::string aSubject, std::string aDetail)
 {
@@ -38,4 +45,10 @@
        SendToMember::Create({ .mNode = aWaiter.mNode, .mMessage = std::move(message) }).value());
 }
 
+void
+ReplyRefused(const CellState& aState, const Waiter& aWaiter, Effects& aOut)
+{
+  Reply(aState, aWaiter, { .mVerdict = JobVerdict::Refused, .mRetryAfter = kStoreRetry }, aOut);
+}
+
 } // namespace by::detail
--- a/modules/by_cell/detail/Emit.h
+++ b/modules/by_cell/detail/Emit.h
@@ -35,6 +35,10 @@
 void
 Reply(const CellState& aState, const Waiter& aWaiter, JobReply::Fields aReply, Effects& aOut);
 
+/// Tells a caller that its job was not stored and will not be, and when to come back.
+void
+ReplyRefused(const CellState& aState, const Waiter& aWaiter, Effects& aOut);
+
 } // namespace detail
 
 } // namespace by
