Refuse calls that arrive after a node's last decision

Cause: once a node had decided to exit, its control thread dropped every event, while its connections stayed open for 200 ms so that the last answers could leave. Ruled out: the owner (it never saw the request) and the balancer (fewer than half of the zone's nodes were in rotation, so that it may send requests to any of them). Change: the decision code refuses such calls truthfully, and the reason of each refusal without an owner is logged.

--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -137,6 +137,13 @@
 StepEntry(EntryState& aState, const EntryEvent& aEvent, Time aNow)
 {
   Effects out;
+  if (aState.mExited) {
+    // Connections stay open until the last answers have left; what comes on them is answered too.
+    if (const auto* call = std::get_if<JobCall>(&aEvent.Body())) {
+      detail::TakeCall(aState, *call, aNow, out);
+    }
+    return out;
+  }
   std::visit(Taker{ aState, aNow, out }, aEvent.Body());
   detail::KeepJoined(aState, aNow, out);
   detail::ConsiderClaim(aState, aNow, out);
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -83,7 +83,11 @@
 void
 TakeCall(EntryState& aState, const JobCall& aCall, Time aNow, Effects& aOut)
 {
-  if (!aState.mConfig) {
+  if (!aState.mConfig || aState.mExited) {
+    Log(aOut,
+        "call.refused",
+        aCall.Path(),
+        absl::StrCat("reason=", aState.mExited ? "stopped" : "no configuration"));
     Refuse(aState, aCall.Call(), aOut);
     return;
   }
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -128,9 +128,6 @@
 void
 EntryDaemonBody::Take(const EntryEvent& aEvent)
 {
-  if (mState.mExited) {
-    return;
-  }
   Perform(StepEntry(mState, aEvent, BootNow()));
   ArmTimer();
 }
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -220,6 +220,19 @@
   CHECK(node.TakeVerdicts() == std::vector{ JobVerdict::Accepted });
 }
 
+TEST(Entry, CallThatComesAfterTheLastDecisionIsRefusedAndNotLeftWithoutAnAnswer)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  node.Follow(3);
+  node.Deliver(StopAsked::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  node.Pass(node.mState.mSettings.Drain() + Time::FromMilliseconds(100));
+  CHECK_EQUAL(1, node.Take<ExitEntry>().size());
+  node.Call(1, JobCallKind::Submit, kJob);
+  CHECK(node.TakeVerdicts() == std::vector{ JobVerdict::Refused });
+}
+
 TEST(Entry, SilentOwnerIsLinkedAnew)
 {
   EntryFixture node;
