Read the registry of workers every quarter of a second at most

Ruled out: longer waits of the reads of claims and configuration; a connection that fell silent would be noticed too late for a configuration's bound. Change: after a change the owner waits for registry_pause (250 ms) before it reads again.

--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -243,7 +243,9 @@
   }
   aState.mCell = RestoreCell(std::move(empty), aEvent.Records(), aNow, aOut);
   aState.mPhase = OwnerPhase::Owner;
-  Emit(aOut, WatchWorkers::Create({ .mFollow = true }).value());
+  Emit(aOut,
+       WatchWorkers::Create({ .mFollow = true, .mPause = aState.mSettings.Cell().RegistryPause() })
+         .value());
   Emit(aOut, ConnectToOwner());
   aState.mLinkUp = false;
   HandOver(aState, aNow, aOut);
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -55,6 +55,9 @@
     Time mOutcomeKept{ Time::FromMilliseconds(120000) };
     /// A task without progress for this long is taken as hung.
     Time mHangLimit{ Time::FromMilliseconds(2000) };
+    /// Pause between reads of the registry, whose entries are written again all the time; small
+    /// beside the time that a worker stays once it drains.
+    Time mRegistryPause{ Time::FromMilliseconds(250) };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -253,6 +256,17 @@
     return copy;
   }
 
+  /// Pause between reads of the registry, whose entries are written again all the time; small
+  /// beside the time that a worker stays once it drains.
+  Time RegistryPause() const { return mFields.mRegistryPause; }
+  /// @returns this value with another RegistryPause.
+  [[nodiscard]] CellSettings WithRegistryPause(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mRegistryPause = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const CellSettings&, const CellSettings&) = default;
   friend auto operator<=>(const CellSettings&, const CellSettings&) = default;
 
--- a/modules/by_schema/WatchWorkers.h
+++ b/modules/by_schema/WatchWorkers.h
@@ -8,6 +8,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Time.h"
+
 namespace by {
 
 /// Starts or stops to follow the registry of workers.
@@ -19,6 +21,8 @@
   {
     /// Whether to follow it.
     bool mFollow{ false };
+    /// Pause after a change, so that one read brings many.
+    Time mPause{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -47,6 +51,16 @@
     return copy;
   }
 
+  /// Pause after a change, so that one read brings many.
+  Time Pause() const { return mFields.mPause; }
+  /// @returns this value with another Pause.
+  [[nodiscard]] WatchWorkers WithPause(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mPause = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const WatchWorkers&, const WatchWorkers&) = default;
   friend auto operator<=>(const WatchWorkers&, const WatchWorkers&) = default;
 
