Give steps a wider margin of speed

Cause: quotes with two to three times their declared time to spare were placed on the slowest workers that were quick enough on paper, and were late when a task took longer than declared or failed once. Ruled out: a margin of 3 (slow workers are then kept from work that could use them). Change: a worker counts as quick enough where twice the expected time fits.

--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -26,7 +26,7 @@
 /// Workers of about the same speed are told apart by room; this wide is a class of speed.
 constexpr double kSpeedClass = 0.15;
 /// Declared times are off by about a fifth, and a step waits for its slowest task.
-constexpr double kSpeedMargin = 1.35;
+constexpr double kSpeedMargin = 2.0;
 /// An entry that the registry dropped may be back within this time while its worker answers.
 constexpr Time kRegistryGrace = Time::FromMilliseconds(2000);
 
