Take machines down for upkeep in waves; move long-running tasks off workers that drain

Cause: waves of upkeep, asked for by operators in the store, were not served; long-running tasks ended with a worker that drained instead of being moved while it still served. Change: by_cell empties machines within a wave's time and the budgets of long-running steps, stores each order before it is given, counts unanswered orders as down, and shows the wave as completed once every machine is back. The adapter decodes waves, orders upkeep and writes their state.

--- a/modules/by_cell/AppendBatch.h
+++ b/modules/by_cell/AppendBatch.h
@@ -25,6 +25,8 @@
   std::vector<std::string> mOutcomes;
   /// Runs to order, by worker.
   std::vector<std::pair<std::string, RunId>> mStarts;
+  /// Machines whose upkeep may be ordered, by wave; an empty name is a wave that is completed.
+  std::vector<std::pair<std::uint64_t, std::string>> mUpkeeps;
   /// Ends that may be acknowledged.
   std::vector<PendingEnd> mEnds;
   /// When it was first sent.
--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -16,6 +16,7 @@
 #include "by_cell/JobRow.h"
 #include "by_cell/OutcomeRow.h"
 #include "by_cell/ReadyKey.h"
+#include "by_cell/WaveRow.h"
 #include "by_cell/WorkerRow.h"
 #include "by_schema/CellSettings.h"
 #include "by_schema/ClusterConfig.h"
@@ -46,6 +47,10 @@
 
   /// Workers by name; ordered, so that equal inputs give equal decisions in every process.
   std::map<std::string, WorkerRow> mWorkers;
+  /// Waves of upkeep by number.
+  std::map<std::uint64_t, WaveRow> mWaves;
+  /// Machines whose order is to be stored, by wave; an empty name is the whole wave.
+  absl::btree_set<std::pair<std::uint64_t, std::string>> mNewUpkeeps;
   /// Nodes that can ask for advice.
   std::vector<AdviserRow> mAdvisers;
 
--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Lives.h"
 #include "by_cell/detail/Runs.h"
@@ -44,8 +45,15 @@
                              " runs=",
                              worker.mRuns.size()));
   }
+  if (!aEntry.Draining()) {
+    worker.mStaysUntil = Time::Never();
+  } else if (worker.mStaysUntil == Time::Never()) {
+    worker.mStaysUntil =
+      aNow + (aEntry.Remaining() > Time() ? aEntry.Remaining() : aState.mSettings.DrainTime());
+  }
   worker.mRegistration = aEntry;
   worker.mRegistered = true;
+  NoteMachine(aState, aEntry, aNow, aOut);
   worker.mGoneAt = Time();
   if (moved && worker.mHealth == WorkerHealth::Lapsed) {
     worker.mHealth = WorkerHealth::Unseen;
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
@@ -83,6 +84,18 @@
   aState.mDropped.clear();
 }
 
+void
+TakeUpkeeps(CellState& aState, AppendBatch& aBatch)
+{
+  for (const auto& [wave, machine] : aState.mNewUpkeeps) {
+    aBatch.mRecords.push_back(
+      Keyed(UpkeepRecordKey(wave, machine),
+            RecordOf(UpkeepRecord::Create({ .mWave = wave, .mMachine = machine }).value())));
+    aBatch.mUpkeeps.emplace_back(wave, machine);
+  }
+  aState.mNewUpkeeps.clear();
+}
+
 void
 Send(const CellState& aState, AppendBatch& aBatch, Time aNow, Effects& aOut)
 {
@@ -232,7 +245,7 @@
 HasUnstored(const CellState& aState)
 {
   return aState.mInFlight.has_value() || !aState.mNewJobs.empty() || !aState.mNewProgress.empty() ||
-         !aState.mNewOutcomes.empty() || !aState.mDropped.empty();
+         !aState.mNewOutcomes.empty() || !aState.mDropped.empty() || !aState.mNewUpkeeps.empty();
 }
 
 void
@@ -257,6 +270,7 @@
   TakeJobs(aState, batch);
   TakeProgress(aState, batch);
   TakeOutcomes(aState, batch);
+  TakeUpkeeps(aState, batch);
   if (batch.mRecords.empty()) {
     aState.mNext = std::move(batch);
     return;
@@ -293,6 +307,7 @@
       JobsAreStored(aState, batch, aNow, aOut);
       OutcomesAreStored(aState, batch, aOut);
       OrderStarts(aState, batch, aNow, aOut);
+      UpkeepsAreStored(aState, batch.mUpkeeps, aNow, aOut);
       EndsAreStored(aState, batch, aNow);
       return;
     }
--- /dev/null
+++ b/modules/by_cell/HandleWaves.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "by_cell/CellState.h"
+#include "by_cell/Effects.h"
+#include "by_schema/UpkeepAnswered.h"
+#include "by_schema/UpkeepRecord.h"
+#include "by_schema/WaveShown.h"
+
+namespace by {
+
+/// Takes a wave of upkeep in that operators ask for; a wave that is known stays as it is.
+void
+HandleWave(CellState& aState, const UpkeepWave& aEvent, Time aNow, Effects& aOut);
+
+/// Takes the answer to an order for a machine.
+void
+HandleUpkeepAnswered(CellState& aState, const UpkeepAnswered& aEvent, Time aNow, Effects& aOut);
+
+/// Takes note of what operators can see of a wave.
+void
+HandleWaveShown(CellState& aState, const WaveShown& aEvent, Time aNow, Effects& aOut);
+
+/// Empties machines, orders their upkeep, and tells how far waves are.
+void
+TendWaves(CellState& aState, Time aNow, Effects& aOut);
+
+/// Orders the upkeep of machines whose records are stored.
+void
+UpkeepsAreStored(CellState& aState,
+                 const std::vector<std::pair<std::uint64_t, std::string>>& aUpkeeps,
+                 Time aNow,
+                 Effects& aOut);
+
+/// Takes note of a worker's entry: its machine may be back from its upkeep.
+void
+NoteMachine(CellState& aState, const WorkerRegistration& aEntry, Time aNow, Effects& aOut);
+
+/// Takes a stored record of an earlier owner in.
+void
+RestoreUpkeep(CellState& aState, const UpkeepRecord& aRecord, Time aNow);
+
+} // namespace by
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
@@ -20,6 +21,7 @@
   std::vector<const Job*> mJobs;
   std::vector<const OccurrenceProgress*> mProgress;
   std::vector<const JobOutcome*> mOutcomes;
+  std::vector<const UpkeepRecord*> mUpkeeps;
 };
 
 Sorted
@@ -37,6 +39,8 @@
       sorted.mProgress.push_back(progress);
     } else if (const auto* outcome = std::get_if<JobOutcome>(&body)) {
       sorted.mOutcomes.push_back(outcome);
+    } else if (const auto* upkeep = std::get_if<UpkeepRecord>(&body)) {
+      sorted.mUpkeeps.push_back(upkeep);
     }
   }
   return sorted;
@@ -108,6 +112,9 @@
     row.mEnded = outcome->Ended();
     state.mOutcomesByEnd.emplace(outcome->Ended(), outcome->Job());
   }
+  for (const auto* upkeep : sorted.mUpkeeps) {
+    RestoreUpkeep(state, *upkeep, aNow);
+  }
   for (const auto* accepted : sorted.mJobs) {
     if (state.mOutcomes.contains(accepted->Id())) {
       continue;
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -6,7 +6,9 @@
 
 #include "by_cell/HandleLooks.h"
 #include "by_cell/HandleStore.h"
+#include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Evacuation.h"
 #include "by_cell/detail/Hangs.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Placement.h"
@@ -84,6 +86,8 @@
   aState.mLastCheck = aNow;
   DropOldOutcomes(aState, aNow);
   detail::StopHungRuns(aState, aNow, aOut);
+  detail::EvacuateDraining(aState, aNow, aOut);
+  TendWaves(aState, aNow, aOut);
   detail::UpdateUrgency(aState, aNow);
   const bool wasDue = aState.mPlaceAgain || HasExpiredAdvice(aState, aNow);
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -24,6 +24,10 @@
   /// When the registry dropped it.
   Time mGoneAt{};
   WorkerHealth mHealth{ WorkerHealth::Unseen };
+  /// When it leaves at the earliest, while it drains.
+  Time mStaysUntil{ Time::Never() };
+  /// Whether its machine is about to be taken down, so that it gets no new tasks.
+  bool mEmptying{ false };
   /// When its process started, since 1970; zero while unknown.
   Time mBorn{};
   /// Its clock at its last answer, and when that answer came.
@@ -42,7 +46,6 @@
   Time mLookSent{};
   /// When to look next; Never() where nothing asks for it.
   Time mNextLook{};
-  /// Whether the next look is to answer at once.
   /// Looks in a row that failed.
   std::uint32_t mLookFailures{ 0 };
   /// The last end that was taken note of, and the last one that is stored.
--- /dev/null
+++ b/modules/by_cell/detail/Evacuation.cpp
@@ -0,0 +1,125 @@
+#include "by_cell/detail/Evacuation.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+#include "by_cell/detail/LookTimes.h"
+#include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Tables.h"
+
+namespace by::detail {
+
+namespace {
+
+/// What a long-running task lists once it is at work.
+constexpr std::uint32_t kAtWork = 100;
+/// A run that checkpoints works on until this long before its worker leaves: its stop takes up to
+/// 0.9 s on the platforms known, and its end must be listed.
+constexpr Time kStopLead = Time::FromMilliseconds(1200);
+
+bool
+IsAtWork(const CellState& aState, const JobTaskKey& aTask, const TaskRow& aRow)
+{
+  const auto worker = aState.mWorkers.find(aRow.mProgress.Worker());
+  if (aRow.mProgress.Phase() != JobTaskPhase::Assigned || worker == aState.mWorkers.end() ||
+      worker->second.mHealth != WorkerHealth::Reachable) {
+    return false;
+  }
+  const auto run = worker->second.mRuns.find({ aTask, aRow.mProgress.Run() });
+  return run != worker->second.mRuns.end() && run->second.mPhase == RunPhase::Confirmed &&
+         !run->second.mStopWanted && run->second.mPercent >= kAtWork;
+}
+
+/// @returns whether one more task of a long-running step may be taken down.
+bool
+MayDisrupt(CellState& aState, const JobRow& aJob, const JobTaskKey& aTask)
+{
+  const auto budget = StepOf(aJob, aTask.Step()).DisruptionBudget();
+  if (budget == 0) {
+    return true;
+  }
+  const auto& occurrence = aJob.mOccurrences.at(aTask.Occurrence());
+  const auto& step = occurrence.mSteps[aTask.Step()];
+  std::uint32_t away = 0;
+  for (std::uint32_t i = 0; i < step.mCount; ++i) {
+    const bool isOther = i != aTask.Index();
+    away += isOther && !IsAtWork(aState, aTask.WithIndex(i), occurrence.mTasks[step.mFirst + i]);
+  }
+  return away < budget;
+}
+
+bool
+ShouldMove(CellState& aState,
+           const WorkerRow& aWorker,
+           const RunId& aRun,
+           const RunRow& aRow,
+           Time aUntil,
+           Time aNow)
+{
+  const auto* job = FindJob(aState, aRun.mTask.Job());
+  if (job == nullptr || aRow.mPhase != RunPhase::Confirmed || aRow.mStopWanted) {
+    return false;
+  }
+  const auto& step = StepOf(*job, aRun.mTask.Step());
+  if (step.LongRunning()) {
+    return MayDisrupt(aState, *job, aRun.mTask);
+  }
+  // A worker that drains mostly stays beyond its notice; only a machine's upkeep ends runs at a
+  // time that is known.
+  return aWorker.mEmptying && step.Checkpointing() && aNow + kStopLead >= aUntil &&
+         ExpectedEnd(aWorker, aRow, aNow) > aUntil;
+}
+
+} // namespace
+
+void
+Evacuate(CellState& aState, WorkerRow& aWorker, Time aUntil, Time aNow, Effects& aOut)
+{
+  std::vector<RunId> runs;
+  for (const auto& [run, row] : aWorker.mRuns) {
+    runs.push_back(run);
+  }
+  for (const auto& run : runs) {
+    const auto row = aWorker.mRuns.find(run);
+    // A gang is taken back whole, so that a later run of the list may be on its way out already.
+    if (row == aWorker.mRuns.end() ||
+        !ShouldMove(aState, aWorker, run, row->second, aUntil, aNow)) {
+      continue;
+    }
+    Log(aOut,
+        "run.moved",
+        Named(run),
+        absl::StrCat("worker=",
+                     aWorker.mRegistration.Id(),
+                     " stays_ms=",
+                     (aUntil - aNow).Milliseconds(),
+                     " percent=",
+                     row->second.mPercent));
+    Requeue(aState, run.mTask, aNow, aOut);
+  }
+}
+
+void
+EvacuateDraining(CellState& aState, Time aNow, Effects& aOut)
+{
+  for (auto& [id, worker] : aState.mWorkers) {
+    if (worker.mStaysUntil != Time::Never() && worker.mHealth == WorkerHealth::Reachable) {
+      Evacuate(aState, worker, worker.mStaysUntil, aNow, aOut);
+    }
+  }
+}
+
+bool
+HasProtectedRun(CellState& aState, const WorkerRow& aWorker)
+{
+  return std::any_of(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aEntry) {
+    const auto* job = FindJob(aState, aEntry.first.mTask.Job());
+    return job != nullptr && StepOf(*job, aEntry.first.mTask.Step()).LongRunning() &&
+           !MayDisrupt(aState, *job, aEntry.first.mTask);
+  });
+}
+
+} // namespace by::detail
--- a/modules/by_cell/detail/LookTimes.cpp
+++ b/modules/by_cell/detail/LookTimes.cpp
@@ -16,16 +16,6 @@
 constexpr Time kBusyPause = Time::FromMilliseconds(60);
 constexpr std::uint32_t kAllWork = 100;
 
-Time
-ExpectedEnd(const WorkerRow& aWorker, const RunRow& aRun, Time aNow)
-{
-  if (aRun.mPercent == 0 || aRun.mPercent >= kAllWork || aRun.mOrderedAt == Time()) {
-    return std::max(aNow, aRun.mSince + aRun.mEstimate);
-  }
-  const auto seen = aWorker.mClockRead - aRun.mOrderedAt;
-  return aRun.mOrderedAt + seen * kAllWork / aRun.mPercent;
-}
-
 /// A job that is late already gains nothing by a few milliseconds.
 bool
 IsTight(CellState& aState, const RunId& aRun, Time aEnd, Time aNow)
@@ -36,6 +26,16 @@
 
 } // namespace
 
+Time
+ExpectedEnd(const WorkerRow& aWorker, const RunRow& aRun, Time aNow)
+{
+  if (aRun.mPercent == 0 || aRun.mPercent >= kAllWork || aRun.mOrderedAt == Time()) {
+    return std::max(aNow, aRun.mSince + aRun.mEstimate);
+  }
+  const auto seen = aWorker.mClockRead - aRun.mOrderedAt;
+  return aRun.mOrderedAt + seen * kAllWork / aRun.mPercent;
+}
+
 Time
 NextLook(CellState& aState, const WorkerRow& aWorker, Time aNow)
 {
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -37,8 +37,9 @@
 {
   const bool isListed =
     aWorker.mRegistered || (aWorker.mGoneAt > Time() && aNow < aWorker.mGoneAt + kRegistryGrace);
-  if (!isListed || aWorker.mRegistration.Draining() || aWorker.mRegistration.Pool() != aPool ||
-      aWorker.mHealth != WorkerHealth::Reachable || aWorker.mLookFailures > 0) {
+  if (!isListed || aWorker.mRegistration.Draining() || aWorker.mEmptying ||
+      aWorker.mRegistration.Pool() != aPool || aWorker.mHealth != WorkerHealth::Reachable ||
+      aWorker.mLookFailures > 0) {
     return false;
   }
   if (aWorker.mAsideUntil > Time()) {
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -12,6 +12,7 @@
 #include "by_schema/CellClaim.h"
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/EntrySettings.h"
+#include "by_schema/UpkeepWave.h"
 
 namespace by {
 
@@ -21,6 +22,8 @@
   EntrySettings mSettings;
   /// The configuration in force; absent before the first.
   std::optional<ClusterConfig> mConfig;
+  /// The waves of upkeep that operators asked for, by number.
+  std::map<std::uint64_t, UpkeepWave> mWaves;
 
   /// The group of entry nodes.
   std::uint64_t mGeneration{ 0 };
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -52,6 +52,13 @@
       ConfigureCell(*mState.mCell, aEvent);
     }
   }
+  void operator()(const UpkeepWave& aEvent) const
+  {
+    mState.mWaves.insert_or_assign(aEvent.Number(), aEvent);
+    ToCell(HandleWave, aEvent);
+  }
+  void operator()(const UpkeepAnswered& aEvent) const { ToCell(HandleUpkeepAnswered, aEvent); }
+  void operator()(const WaveShown& aEvent) const { ToCell(HandleWaveShown, aEvent); }
   void operator()(const GroupJoined& aEvent) const
   {
     detail::TakeJoined(mState, aEvent, mNow, mOut);
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleWaves.h"
 #include "by_cell/RestoreCell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
@@ -242,6 +243,9 @@
     empty.mAdvisers.push_back({ .mNode = member, .mOpen = {} });
   }
   aState.mCell = RestoreCell(std::move(empty), aEvent.Records(), aNow, aOut);
+  for (const auto& [number, wave] : aState.mWaves) {
+    HandleWave(*aState.mCell, wave, aNow, aOut);
+  }
   aState.mPhase = OwnerPhase::Owner;
   Emit(aOut,
        WatchWorkers::Create({ .mFollow = true, .mPause = aState.mSettings.Cell().RegistryPause() })
--- a/modules/by_jobs/RecordKeys.cpp
+++ b/modules/by_jobs/RecordKeys.cpp
@@ -22,4 +22,10 @@
   return absl::StrCat("outcome/", aJob);
 }
 
+std::string
+UpkeepRecordKey(std::uint64_t aWave, const std::string& aMachine)
+{
+  return absl::StrCat("upkeep/", aWave, "/", aMachine);
+}
+
 } // namespace by
--- a/modules/by_schema/CellRecord.h
+++ b/modules/by_schema/CellRecord.h
@@ -12,6 +12,7 @@
 #include "by_schema/Job.h"
 #include "by_schema/JobOutcome.h"
 #include "by_schema/OccurrenceProgress.h"
+#include "by_schema/UpkeepRecord.h"
 
 namespace by {
 
@@ -23,7 +24,7 @@
   struct Fields
   {
     /// The one kind that it is.
-    std::variant<Job, OccurrenceProgress, JobOutcome> mBody{};
+    std::variant<Job, OccurrenceProgress, JobOutcome, UpkeepRecord> mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -43,9 +44,13 @@
   Fields ToFields() const { return mFields; }
 
   /// The one kind that it is.
-  const std::variant<Job, OccurrenceProgress, JobOutcome>& Body() const { return mFields.mBody; }
+  const std::variant<Job, OccurrenceProgress, JobOutcome, UpkeepRecord>& Body() const
+  {
+    return mFields.mBody;
+  }
   /// @returns this value with another Body.
-  [[nodiscard]] CellRecord WithBody(std::variant<Job, OccurrenceProgress, JobOutcome> aValue) const
+  [[nodiscard]] CellRecord WithBody(
+    std::variant<Job, OccurrenceProgress, JobOutcome, UpkeepRecord> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -58,6 +58,12 @@
     /// Pause between reads of the registry, whose entries are written again all the time; small
     /// beside the time that a worker stays once it drains.
     Time mRegistryPause{ Time::FromMilliseconds(250) };
+    /// How long a machine is down for its upkeep.
+    Time mUpkeepTime{ Time::FromMilliseconds(2000) };
+    /// A new owner gives no orders for machines before those of its predecessor are this old.
+    Time mMachineQuiet{ Time::FromMilliseconds(3000) };
+    /// How long a worker stays that drains without telling for how long.
+    Time mDrainTime{ Time::FromMilliseconds(2000) };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -267,6 +273,36 @@
     return copy;
   }
 
+  /// How long a machine is down for its upkeep.
+  Time UpkeepTime() const { return mFields.mUpkeepTime; }
+  /// @returns this value with another UpkeepTime.
+  [[nodiscard]] CellSettings WithUpkeepTime(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mUpkeepTime = std::move(aValue);
+    return copy;
+  }
+
+  /// A new owner gives no orders for machines before those of its predecessor are this old.
+  Time MachineQuiet() const { return mFields.mMachineQuiet; }
+  /// @returns this value with another MachineQuiet.
+  [[nodiscard]] CellSettings WithMachineQuiet(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mMachineQuiet = std::move(aValue);
+    return copy;
+  }
+
+  /// How long a worker stays that drains without telling for how long.
+  Time DrainTime() const { return mFields.mDrainTime; }
+  /// @returns this value with another DrainTime.
+  [[nodiscard]] CellSettings WithDrainTime(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mDrainTime = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const CellSettings&, const CellSettings&) = default;
   friend auto operator<=>(const CellSettings&, const CellSettings&) = default;
 
--- a/modules/by_schema/EntryEffect.h
+++ b/modules/by_schema/EntryEffect.h
@@ -11,6 +11,7 @@
 
 #include "by_schema/AppendToCell.h"
 #include "by_schema/AskAdvice.h"
+#include "by_schema/BeginUpkeep.h"
 #include "by_schema/ConnectToOwner.h"
 #include "by_schema/ExitEntry.h"
 #include "by_schema/JoinGroup.h"
@@ -23,6 +24,7 @@
 #include "by_schema/SendToMember.h"
 #include "by_schema/SendToOwner.h"
 #include "by_schema/SetEntryReady.h"
+#include "by_schema/ShowWave.h"
 #include "by_schema/StartRun.h"
 #include "by_schema/StopRun.h"
 #include "by_schema/WatchWorkers.h"
@@ -55,7 +57,9 @@
                  SendToMember,
                  SetEntryReady,
                  LogLine,
-                 ExitEntry>
+                 ExitEntry,
+                 BeginUpkeep,
+                 ShowWave>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -93,7 +97,9 @@
                      SendToMember,
                      SetEntryReady,
                      LogLine,
-                     ExitEntry>&
+                     ExitEntry,
+                     BeginUpkeep,
+                     ShowWave>&
   Body() const
   {
     return mFields.mBody;
@@ -116,7 +122,9 @@
                                                   SendToMember,
                                                   SetEntryReady,
                                                   LogLine,
-                                                  ExitEntry> aValue) const
+                                                  ExitEntry,
+                                                  BeginUpkeep,
+                                                  ShowWave> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/EntryEvent.h
+++ b/modules/by_schema/EntryEvent.h
@@ -25,6 +25,9 @@
 #include "by_schema/StartAnswered.h"
 #include "by_schema/StopAnswered.h"
 #include "by_schema/StopAsked.h"
+#include "by_schema/UpkeepAnswered.h"
+#include "by_schema/UpkeepWave.h"
+#include "by_schema/WaveShown.h"
 #include "by_schema/WorkerLooked.h"
 #include "by_schema/WorkersChanged.h"
 
@@ -55,7 +58,10 @@
                  FromOwner,
                  FromMember,
                  MemberChanged,
-                 StopAsked>
+                 StopAsked,
+                 UpkeepWave,
+                 UpkeepAnswered,
+                 WaveShown>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -93,7 +99,10 @@
                      FromOwner,
                      FromMember,
                      MemberChanged,
-                     StopAsked>&
+                     StopAsked,
+                     UpkeepWave,
+                     UpkeepAnswered,
+                     WaveShown>&
   Body() const
   {
     return mFields.mBody;
@@ -116,7 +125,10 @@
                                                  FromOwner,
                                                  FromMember,
                                                  MemberChanged,
-                                                 StopAsked> aValue) const
+                                                 StopAsked,
+                                                 UpkeepWave,
+                                                 UpkeepAnswered,
+                                                 WaveShown> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- /dev/null
+++ b/modules/by_schema/ShowWave.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace by {
+
+/// Tells operators how far a wave is.
+class ShowWave
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// The wave.
+    std::uint64_t mNumber{ 0 };
+    /// Whether every machine of it has had its upkeep.
+    bool mCompleted{ false };
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  ShowWave() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<ShowWave> Create(Fields aFields) { return ShowWave(std::move(aFields)); }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// The wave.
+  std::uint64_t Number() const { return mFields.mNumber; }
+  /// @returns this value with another Number.
+  [[nodiscard]] ShowWave WithNumber(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mNumber = std::move(aValue);
+    return copy;
+  }
+
+  /// Whether every machine of it has had its upkeep.
+  bool Completed() const { return mFields.mCompleted; }
+  /// @returns this value with another Completed.
+  [[nodiscard]] ShowWave WithCompleted(bool aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mCompleted = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const ShowWave&, const ShowWave&) = default;
+  friend auto operator<=>(const ShowWave&, const ShowWave&) = default;
+
+private:
+  explicit ShowWave(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_schema/UpkeepAnswered.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include "by_schema/UpkeepOutcome.h"
+
+namespace by {
+
+/// An order to begin a machine's upkeep was answered, or was given up.
+class UpkeepAnswered
+{
+public:
+  /// The fields by name, for Create().
+  struct Fields
+  {
+    /// The machine.
+    std::string mMachine{};
+    /// The wave.
+    std::uint64_t mWave{ 0 };
+    /// What became of it.
+    UpkeepOutcome mOutcome{};
+
+    friend bool operator==(const Fields&, const Fields&) = default;
+    friend auto operator<=>(const Fields&, const Fields&) = default;
+  };
+
+  /// The value with every field at its default.
+  UpkeepAnswered() = default;
+
+  /// Builds a value from its fields.
+  /// @returns the value, or InvalidArgument naming the field that is out of its bounds.
+  static absl::StatusOr<UpkeepAnswered> Create(Fields aFields)
+  {
+    return UpkeepAnswered(std::move(aFields));
+  }
+
+  /// Copies the fields, to build a changed value from them.
+  Fields ToFields() const { return mFields; }
+
+  /// The machine.
+  const std::string& Machine() const { return mFields.mMachine; }
+  /// @returns this value with another Machine.
+  [[nodiscard]] UpkeepAnswered WithMachine(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mMachine = std::move(aValue);
+    return copy;
+  }
+
+  /// The wave.
+  std::uint64_t Wave() const { return mFields.mWave; }
+  /// @returns this value with another Wave.
+  [[nodiscard]] UpkeepAnswered WithWave(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mWave = std::move(aValue);
+    return copy;
+  }
+
+  /// What became of it.
+  UpkeepOutcome Outcome() const { return mFields.mOutcome; }
+  /// @returns this value with another Outcome.
+  [[nodiscard]] UpkeepAnswered WithOutcome(UpkeepOutcome aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mOutcome = std::move(aValue);
+    return copy;
+  }
+
+  friend bool operator==(const UpkeepAnswered&, const UpkeepAnswered&) = default;
+  friend auto operator<=>(const UpkeepAnswered&, const UpkeepAnswered&) = default;
+
+private:
+  explicit UpkeepAnswered(Fields aFields)
+    : mFields(std::move(aFields))
+  {
+  }
+
+  Fields mFields;
+};
+
+} // namespace by
--- a/modules/by_schema/WorkerRegistration.h
+++ b/modules/by_schema/WorkerRegistration.h
@@ -43,6 +43,8 @@
     Time mBorn{};
     /// How long it stays at least while draining.
     Time mRemaining{};
+    /// The machine that it runs on; empty where it does not tell.
+    std::string mMachine{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -161,6 +163,16 @@
     return copy;
   }
 
+  /// The machine that it runs on; empty where it does not tell.
+  const std::string& Machine() const { return mFields.mMachine; }
+  /// @returns this value with another Machine.
+  [[nodiscard]] WorkerRegistration WithMachine(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mMachine = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const WorkerRegistration&, const WorkerRegistration&) = default;
   friend auto operator<=>(const WorkerRegistration&, const WorkerRegistration&) = default;
 
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -149,6 +149,16 @@
   }
 }
 
+void
+CellFixture::PassStoring(Time aTime)
+{
+  const auto until = mNow + aTime;
+  while (mNow < until) {
+    Pass(Time::FromMilliseconds(50));
+    Settle();
+  }
+}
+
 void
 CellFixture::Store(StoreOutcome aOutcome)
 {
@@ -322,6 +332,18 @@
   return TakeAll<AskAdvice>(mOut);
 }
 
+std::vector<BeginUpkeep>
+CellFixture::TakeUpkeeps()
+{
+  return TakeAll<BeginUpkeep>(mOut);
+}
+
+std::vector<ShowWave>
+CellFixture::TakeShown()
+{
+  return TakeAll<ShowWave>(mOut);
+}
+
 RunId
 CellFixture::Run(const std::string& aJob,
                  std::uint32_t aIndex,
--- a/tests/by_cell/CellFixture.h
+++ b/tests/by_cell/CellFixture.h
@@ -26,6 +26,8 @@
   void Work();
   /// Lets time pass, with the periodic checks.
   void Pass(Time aTime);
+  /// Lets time pass, and has everything stored.
+  void PassStoring(Time aTime);
   /// Answers the open append.
   void Store(StoreOutcome aOutcome = StoreOutcome::Done);
   /// Works and stores until nothing is left to store.
@@ -50,6 +52,8 @@
   std::vector<LookAtWorker> TakeLooks();
   std::vector<JobReply> TakeReplies();
   std::vector<AskAdvice> TakeQuestions();
+  std::vector<BeginUpkeep> TakeUpkeeps();
+  std::vector<ShowWave> TakeShown();
   /// @returns the newest record of each key that was stored.
   std::vector<KeyedRecord> Stored() const;
 
--- /dev/null
+++ b/tests/by_cell/WavesTest.cpp
@@ -0,0 +1,316 @@
+#include "by_cell/CellFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "by_cell/by_cell.h"
+
+using namespace by;
+
+namespace {
+
+constexpr Time kWithin = Time::FromMilliseconds(20000);
+/// More than a machine is given to empty itself in these waves.
+constexpr Time kEnough = Time::FromMilliseconds(12000);
+/// A new owner waits this long before its first order for a machine.
+constexpr Time kQuiet = Time::FromMilliseconds(3100);
+
+std::string
+MachineOf(const std::string& aWorker)
+{
+  return "m-" + aWorker;
+}
+
+void
+Register(CellFixture& aCell, const WorkerRegistration& aEntry)
+{
+  HandleWorkersChanged(aCell.mCell,
+                       WorkersChanged::Create({ .mPresent = { aEntry } }).value(),
+                       aCell.mNow,
+                       aCell.mOut);
+}
+
+/// Gives every worker a machine of its own.
+CellFixture
+CellOnMachines(int aWorkers)
+{
+  CellFixture cell(aWorkers);
+  for (int n = 1; n <= aWorkers; ++n) {
+    const auto id = "w" + std::to_string(n);
+    Register(cell, cell.mCell.mWorkers.at(id).mRegistration.WithMachine(MachineOf(id)));
+  }
+  cell.PassStoring(kQuiet);
+  cell.mOut.clear();
+  return cell;
+}
+
+UpkeepWave
+WaveOf(int aWorkers, std::uint32_t aLimit)
+{
+  UpkeepWave::Fields fields{ .mNumber = 1, .mMachines = {}, .mWithin = kWithin, .mLimit = aLimit };
+  for (int n = 1; n <= aWorkers; ++n) {
+    fields.mMachines.push_back(MachineOf("w" + std::to_string(n)));
+  }
+  return UpkeepWave::Create(std::move(fields)).value();
+}
+
+void
+AskFor(CellFixture& aCell, const UpkeepWave& aWave)
+{
+  HandleWave(aCell.mCell, aWave, aCell.mNow, aCell.mOut);
+}
+
+void
+Answer(CellFixture& aCell, const std::string& aMachine, UpkeepOutcome aOutcome)
+{
+  HandleUpkeepAnswered(
+    aCell.mCell,
+    UpkeepAnswered::Create({ .mMachine = aMachine, .mWave = 1, .mOutcome = aOutcome }).value(),
+    aCell.mNow,
+    aCell.mOut);
+}
+
+/// Has a machine's new worker register.
+void
+ComeBack(CellFixture& aCell, const std::string& aWorker)
+{
+  aCell.PassStoring(aCell.mCell.mSettings.UpkeepTime());
+  const auto& old = aCell.mCell.mWorkers.at(aWorker).mRegistration;
+  Register(aCell, old.WithBorn(old.Born() + Time::FromSeconds(100)));
+}
+
+/// Starts the tasks that were ordered, and lists them as at work.
+void
+RunAll(CellFixture& aCell)
+{
+  std::map<std::string, std::vector<RunningRun>> running;
+  for (const auto& start : aCell.TakeStarts()) {
+    const RunId run{ start.Task(), start.Run() };
+    aCell.Started(start.Worker(), run, OrderOutcome::Accepted);
+    running[start.Worker()].push_back(CellFixture::Running(run, 100));
+  }
+  for (const auto& [worker, runs] : running) {
+    aCell.Look(worker, runs, {});
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Waves){};
+
+TEST(Waves, UpkeepIsOrderedOnlyOnceItIsStored)
+{
+  auto cell = CellOnMachines(1);
+  AskFor(cell, WaveOf(1, 1));
+  cell.Pass(Time::FromSeconds(1));
+  CHECK(cell.TakeUpkeeps().empty());
+  cell.Store();
+  CHECK_EQUAL(1, cell.TakeUpkeeps().size());
+}
+
+TEST(Waves, NoMoreMachinesAreDownThanTheWaveAllows)
+{
+  auto cell = CellOnMachines(3);
+  AskFor(cell, WaveOf(3, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  CHECK_EQUAL(1, cell.TakeUpkeeps().size());
+  Answer(cell, MachineOf("w1"), UpkeepOutcome::Begun);
+  cell.PassStoring(Time::FromSeconds(1));
+  CHECK(cell.TakeUpkeeps().empty());
+  ComeBack(cell, "w1");
+  cell.PassStoring(Time::FromSeconds(1));
+  const auto next = cell.TakeUpkeeps();
+  CHECK_EQUAL(1, next.size());
+  CHECK(next.front().Machine() == MachineOf("w2"));
+}
+
+TEST(Waves, OrderWithoutAnAnswerCountsAsDownAndIsSentAgain)
+{
+  auto cell = CellOnMachines(2);
+  AskFor(cell, WaveOf(2, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  CHECK_EQUAL(1, cell.TakeUpkeeps().size());
+  Answer(cell, MachineOf("w1"), UpkeepOutcome::Unanswered);
+  cell.PassStoring(Time::FromSeconds(2));
+  const auto again = cell.TakeUpkeeps();
+  CHECK_EQUAL(1, again.size());
+  CHECK(again.front().Machine() == MachineOf("w1"));
+}
+
+TEST(Waves, EntryThatWasWrittenBeforeTheMachineWentDownDoesNotBringItBack)
+{
+  auto cell = CellOnMachines(2);
+  AskFor(cell, WaveOf(2, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  cell.TakeUpkeeps();
+  Answer(cell, MachineOf("w1"), UpkeepOutcome::Begun);
+  Register(cell, cell.mCell.mWorkers.at("w1").mRegistration);
+  cell.PassStoring(Time::FromSeconds(1));
+  CHECK(cell.TakeUpkeeps().empty());
+}
+
+TEST(Waves, SuccessorCountsAnOrderedMachineAsDownAndOrdersItAgain)
+{
+  auto cell = CellOnMachines(2);
+  AskFor(cell, WaveOf(2, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  auto next = cell.Successor();
+  AskFor(next, WaveOf(2, 1));
+  next.PassStoring(kQuiet + Time::FromSeconds(1));
+  const auto orders = next.TakeUpkeeps();
+  CHECK_EQUAL(1, orders.size());
+  CHECK(orders.front().Machine() == MachineOf("w1"));
+  CHECK_EQUAL(8, orders.front().Epoch());
+}
+
+TEST(Waves, NewOwnerLeavesMachinesAloneForAWhile)
+{
+  auto cell = CellOnMachines(1);
+  AskFor(cell, WaveOf(1, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  auto next = cell.Successor();
+  AskFor(next, WaveOf(1, 1));
+  next.PassStoring(Time::FromSeconds(1));
+  CHECK(next.TakeUpkeeps().empty());
+}
+
+TEST(Waves, MachineThatIsEmptiedGetsNoTasks)
+{
+  auto cell = CellOnMachines(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  RunAll(cell);
+  AskFor(cell, WaveOf(1, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  cell.Submit("k", { CellFixture::Step(1) });
+  CHECK(cell.TakeStarts().empty());
+  CHECK(cell.TakeUpkeeps().empty());
+}
+
+TEST(Waves, RunsThatDoNotEndAreNotWaitedForBeyondTheMachinesShareOfTheTime)
+{
+  auto cell = CellOnMachines(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  RunAll(cell);
+  AskFor(cell, WaveOf(1, 1));
+  cell.PassStoring(kWithin);
+  CHECK(!cell.TakeUpkeeps().empty());
+}
+
+TEST(Waves, LongRunningTasksAreMovedAsFarAsTheirBudgetAllows)
+{
+  auto cell = CellOnMachines(2);
+  auto step = CellFixture::Step(4);
+  step.mLongRunning = true;
+  step.mDisruptionBudget = 1;
+  step.mSpreadLimit = 2;
+  cell.Submit("j", { step });
+  RunAll(cell);
+  AskFor(cell, WaveOf(2, 1));
+  cell.PassStoring(kEnough);
+  // The one that was stopped has not come back, so that the other keeps its machine up.
+  CHECK_EQUAL(1, cell.TakeStops().size());
+  CHECK(cell.TakeUpkeeps().empty());
+}
+
+TEST(Waves, WaveIsCompletedOnlyOnceEveryMachineIsBack)
+{
+  auto cell = CellOnMachines(2);
+  AskFor(cell, WaveOf(2, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  const auto running = cell.TakeShown();
+  CHECK_EQUAL(1, running.size());
+  CHECK(!running.front().Completed());
+  HandleWaveShown(cell.mCell,
+                  WaveShown::Create({ .mNumber = 1, .mCompleted = false, .mStored = true }).value(),
+                  cell.mNow,
+                  cell.mOut);
+  for (const auto* worker : { "w1", "w2" }) {
+    CHECK(cell.TakeShown().empty());
+    Answer(cell, MachineOf(worker), UpkeepOutcome::Begun);
+    ComeBack(cell, worker);
+    cell.PassStoring(Time::FromSeconds(1));
+  }
+  const auto completed = cell.TakeShown();
+  CHECK_EQUAL(1, completed.size());
+  CHECK(completed.front().Completed());
+}
+
+TEST(Waves, SuccessorDoesNotRepeatACompletedWave)
+{
+  auto cell = CellOnMachines(1);
+  AskFor(cell, WaveOf(1, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  Answer(cell, MachineOf("w1"), UpkeepOutcome::Begun);
+  ComeBack(cell, "w1");
+  cell.PassStoring(Time::FromSeconds(1));
+  auto next = cell.Successor();
+  AskFor(next, WaveOf(1, 1));
+  next.PassStoring(kQuiet + Time::FromSeconds(1));
+  CHECK(next.TakeUpkeeps().empty());
+}
+
+TEST(Waves, MachineThatDoesNotExistIsPassedOver)
+{
+  auto cell = CellOnMachines(1);
+  AskFor(
+    cell,
+    UpkeepWave::Create({ .mNumber = 1, .mMachines = { "none" }, .mWithin = kWithin, .mLimit = 1 })
+      .value());
+  cell.PassStoring(Time::FromSeconds(3));
+  CHECK_EQUAL(1, cell.TakeUpkeeps().size());
+  Answer(cell, "none", UpkeepOutcome::NoMachine);
+  cell.PassStoring(Time::FromSeconds(1));
+  CHECK(cell.mCell.mWaves.at(1).mCompleted);
+}
+
+TEST(Waves, NewerOwnerAtAMachineFencesTheCell)
+{
+  auto cell = CellOnMachines(1);
+  AskFor(cell, WaveOf(1, 1));
+  cell.PassStoring(Time::FromSeconds(1));
+  Answer(cell, MachineOf("w1"), UpkeepOutcome::Fenced);
+  CHECK(cell.mCell.mFenced);
+}
+
+TEST(Waves, RunThatCheckpointsIsStoppedBeforeItsMachineGoesDown)
+{
+  auto cell = CellOnMachines(1);
+  auto saved = CellFixture::Step(1);
+  saved.mCheckpointing = true;
+  saved.mEstimate = Time::FromSeconds(100);
+  cell.Submit("s", { saved });
+  cell.Started("w1", CellFixture::Run("s", 0, 1), OrderOutcome::Accepted);
+  cell.Look("w1", { CellFixture::Running(CellFixture::Run("s", 0, 1), 0) }, {});
+  AskFor(cell, WaveOf(1, 1));
+  cell.PassStoring(Time::FromSeconds(15));
+  CHECK(cell.TakeStops().empty());
+  cell.PassStoring(Time::FromSeconds(2));
+  CHECK_EQUAL(1, cell.TakeStops().size());
+}
+
+TEST_GROUP(Drain){};
+
+TEST(Drain, LongRunningTaskIsMovedBeforeItsWorkerLeaves)
+{
+  CellFixture cell(1);
+  auto lasting = CellFixture::Step(1);
+  lasting.mLongRunning = true;
+  cell.Submit("j", { lasting });
+  RunAll(cell);
+  Register(cell, cell.mCell.mWorkers.at("w1").mRegistration.WithDraining(true));
+  cell.Pass(Time::FromMilliseconds(500));
+  CHECK_EQUAL(1, cell.TakeStops().size());
+}
+
+TEST(Drain, OtherRunsAreLeftToEnd)
+{
+  CellFixture cell(1);
+  auto step = CellFixture::Step(1);
+  step.mCheckpointing = true;
+  step.mEstimate = Time::FromSeconds(10);
+  cell.Submit("j", { step });
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.Look("w1", { CellFixture::Running(CellFixture::Run("j", 0, 1), 10) }, {});
+  Register(cell, cell.mCell.mWorkers.at("w1").mRegistration.WithDraining(true));
+  cell.Pass(Time::FromMilliseconds(1900));
+  CHECK(cell.TakeStops().empty());
+}
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -160,6 +160,27 @@
   CHECK(OrderOutcomeOf(Answered(503)) == OrderOutcome::Unhealthy);
 }
 
+TEST(Platform, WaveOfUpkeepIsDecoded)
+{
+  const auto wave = DecodeWave(R"({"wave":3,"machines":["a","b"],"within_s":1.5,"max_count":2})");
+  CHECK(wave.ok());
+  CHECK_EQUAL(3, wave->Number());
+  CHECK_EQUAL(2, wave->Machines().size());
+  CHECK(wave->Within() == Time::FromMilliseconds(1500));
+  CHECK_EQUAL(2, wave->Limit());
+  CHECK(!DecodeWave(R"({"machines":["a"]})").ok());
+}
+
+TEST(Platform, AnswerToAnOrderForAMachineIsUnderstood)
+{
+  CHECK(UpkeepOutcomeOf(Answered(200)) == UpkeepOutcome::Begun);
+  CHECK(UpkeepOutcomeOf(Answered(409, R"({"reason":"fence"})")) == UpkeepOutcome::Fenced);
+  CHECK(UpkeepOutcomeOf(Answered(409, R"({"reason":"busy"})")) == UpkeepOutcome::Busy);
+  CHECK(UpkeepOutcomeOf(Answered(409, R"({"reason":"wave"})")) == UpkeepOutcome::NotInWave);
+  CHECK(UpkeepOutcomeOf(Answered(400)) == UpkeepOutcome::NoMachine);
+  CHECK(UpkeepOutcomeOf(Answered(429)) == UpkeepOutcome::Refused);
+}
+
 TEST(Platform, RecordsOfATopicComeBackAsTheyWereFramed)
 {
   std::string bytes(15, '\0');
