Answer 503 while a node has no configuration to check tokens with

Cause: teams' tokens come with the configuration; a node that had just started answered valid ones with 401 (9 times in a soak of 73,953 requests). Ruled out: the operators' token, which stands in the node's own settings. Change: a call with a token that can't be checked yet is refused with 503 and a time to come back; without a token it stays 401. Measured: the new test failed before and passes; the soak was not run again.

--- a/modules/by_http/HttpAccess.h
+++ b/modules/by_http/HttpAccess.h
@@ -12,7 +12,7 @@
 {
   /// The token of the provider's operators.
   std::string mOperatorToken;
-  /// The tokens of teams.
+  /// The tokens of teams; null until the node has a configuration.
   std::shared_ptr<const TeamTokens> mTeams;
 };
 
--- a/modules/by_http/RouteCall.cpp
+++ b/modules/by_http/RouteCall.cpp
@@ -310,6 +310,10 @@
 {
   const auto caller = FindCaller(aParts.mCall.Authorization(), aAccess);
   if (aRoute.mAudience != Audience::Anyone && caller.mKind == CallerKind::Nobody) {
+    if (aAccess.mTeams == nullptr && !aParts.mCall.Authorization().empty()) {
+      // Teams' tokens come with the configuration; a valid one can't be told from a wrong one yet.
+      return Refused(503, "unavailable", "the node has no configuration yet");
+    }
     return Refused(401, "unauthorized", "the bearer token is missing or not known");
   }
   if (!MayCall(aRoute.mAudience, caller.mKind)) {
--- a/tests/by_http/RouteCallTest.cpp
+++ b/tests/by_http/RouteCallTest.cpp
@@ -54,6 +54,13 @@
   return RouteCall(call, OneTeamAccess(), { "00ff", 7 });
 }
 
+std::int64_t
+StatusOf(const RoutedCall& aRouted)
+{
+  const auto* reply = std::get_if<HttpReply>(&aRouted.Body());
+  return reply == nullptr ? 0 : reply->Status();
+}
+
 const OperatorCall&
 OperatorCallOf(const RoutedCall& aRouted)
 {
@@ -62,6 +69,21 @@
 
 } // namespace
 
+TEST(RouteCall, NodeThatKnowsNoTokensYetAsksCallersToComeBack)
+{
+  const HttpAccess unknown{ "o", nullptr };
+  const auto call = [](const std::string& aAuthorization) {
+    return IncomingCall::Create(
+             { .mMethod = "GET", .mTarget = "/v1/intents", .mAuthorization = aAuthorization })
+      .value();
+  };
+  const auto early = RouteCall(call("Bearer t"), unknown, { "00ff", 7 });
+  LONGS_EQUAL(503, StatusOf(early));
+  CHECK(std::get<HttpReply>(early.Body()).RetryAfter() > Time());
+  LONGS_EQUAL(401, StatusOf(RouteCall(call(""), unknown, { "00ff", 7 })));
+  LONGS_EQUAL(401, StatusOf(RouteCall(call("Bearer x"), OneTeamAccess(), { "00ff", 7 })));
+}
+
 TEST(RouteCall, SubmitTakesTheTeamOfItsToken)
 {
   const auto routed =
