Read the settings again on SIGHUP instead of ending

Ruled out: ignoring the signal; bounds in the settings may change. Change: the daemon reads the settings again through its front end; the decisions put them in force but for what names the process, and the log says what happened. A changed address needs a new process, which the log tells.

--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -9,6 +9,7 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Ownership.h"
+#include "by_entry/detail/Settings.h"
 #include "by_entry/detail/Stopping.h"
 
 namespace by {
@@ -107,6 +108,7 @@
   {
     detail::TakeMemberChanged(mState, aEvent, mNow, mOut);
   }
+  void operator()(const SettingsRead& aEvent) const { detail::TakeSettings(mState, aEvent, mOut); }
   void operator()(const StopAsked& aEvent) const { detail::BeginStop(mState, aEvent, mNow, mOut); }
 
 private:
--- a/modules/by_entryd/EntryDaemon.cpp
+++ b/modules/by_entryd/EntryDaemon.cpp
@@ -7,9 +7,12 @@
 namespace by {
 
 absl::StatusOr<std::unique_ptr<EntryDaemon>>
-EntryDaemon::Create(const EntrySettings& aSettings, Time aGrace, const OpenPorts& aOpen)
+EntryDaemon::Create(const EntrySettings& aSettings,
+                    Time aGrace,
+                    const OpenPorts& aOpen,
+                    ReadSettings aRead)
 {
-  auto body = std::make_unique<detail::EntryDaemonBody>(aSettings, aGrace);
+  auto body = std::make_unique<detail::EntryDaemonBody>(aSettings, aGrace, std::move(aRead));
   const auto status = body->Open(aOpen);
   if (!status.ok()) {
     return status;
--- a/modules/by_entryd/EntryDaemon.h
+++ b/modules/by_entryd/EntryDaemon.h
@@ -6,6 +6,7 @@
 
 #include "by_core/Time.h"
 #include "by_entryd/EntryPorts.h"
+#include "by_entryd/ReloadedSettings.h"
 #include "by_schema/EntrySettings.h"
 
 namespace by {
@@ -20,10 +21,12 @@
 public:
   /// Opens all sockets.
   /// @param aGrace how long a planned stop may take.
+  /// @param aRead called on SIGHUP, on the control thread.
   /// @returns the daemon, or what could not be opened.
   static absl::StatusOr<std::unique_ptr<EntryDaemon>> Create(const EntrySettings& aSettings,
                                                              Time aGrace,
-                                                             const OpenPorts& aOpen);
+                                                             const OpenPorts& aOpen,
+                                                             ReadSettings aRead);
 
   ~EntryDaemon();
   EntryDaemon(const EntryDaemon&) = delete;
--- a/modules/by_entryd/by_entryd.h
+++ b/modules/by_entryd/by_entryd.h
@@ -9,3 +9,4 @@
 #include "by_entryd/EntryDaemon.h"
 #include "by_entryd/EntryHooks.h"
 #include "by_entryd/EntryPorts.h"
+#include "by_entryd/ReloadedSettings.h"
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -38,15 +38,16 @@
 
 } // namespace
 
-EntryDaemonBody::EntryDaemonBody(const EntrySettings& aSettings, Time aGrace)
+EntryDaemonBody::EntryDaemonBody(const EntrySettings& aSettings, Time aGrace, ReadSettings aRead)
   : mState(MakeEntryState(aSettings))
   , mGrace(aGrace)
+  , mRead(std::move(aRead))
   , mControl(1)
   , mTraffic(1)
   , mTrafficWork(boost::asio::make_work_guard(mTraffic))
   , mTimer(mControl)
   , mExitTimer(mControl)
-  , mSignals(mControl)
+  , mSignals(mControl, SIGTERM, SIGINT, SIGHUP)
   , mLog(STDOUT_FILENO, kLogLimit)
 {
 }
@@ -142,7 +143,6 @@
     } else if (const auto* exit = std::get_if<ExitEntry>(&effect.Body())) {
       mClean = exit->Clean();
       mTimer.cancel();
-      mSignals.cancel();
       mExitTimer.expires_after(kLastAnswers);
       mExitTimer.async_wait([this](boost::system::error_code) { mControl.stop(); });
     } else {
@@ -222,14 +222,32 @@
 void
 EntryDaemonBody::WatchSignals()
 {
-  mSignals.add(SIGTERM);
-  mSignals.add(SIGINT);
-  mSignals.async_wait([this](boost::system::error_code aError, int) {
-    if (!aError) {
+  mSignals.async_wait([this](boost::system::error_code aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else {
       Take(EventOf(StopAsked::Create({ .mGrace = mGrace }).value()));
-      WatchSignals();
     }
+    WatchSignals();
   });
 }
 
+void
+EntryDaemonBody::Reload()
+{
+  const auto read = mRead();
+  SettingsRead::Fields fields{ .mSettings = mState.mSettings };
+  if (read.ok()) {
+    mGrace = read->mGrace;
+    fields.mSettings = read->mEntry;
+    fields.mNeedsRestart = read->mNeedsRestart;
+  } else {
+    fields.mFault = std::string(read.status().message());
+  }
+  Take(EventOf(SettingsRead::Create(std::move(fields)).value()));
+}
+
 } // namespace by::detail
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -13,6 +13,7 @@
 
 #include "by_entry/by_entry.h"
 #include "by_entryd/EntryPorts.h"
+#include "by_entryd/ReloadedSettings.h"
 #include "by_entryd/detail/EntryMetrics.h"
 #include "by_links/by_links.h"
 #include "by_telemetry/LineSink.h"
@@ -23,7 +24,7 @@
 class EntryDaemonBody
 {
 public:
-  EntryDaemonBody(const EntrySettings& aSettings, Time aGrace);
+  EntryDaemonBody(const EntrySettings& aSettings, Time aGrace, ReadSettings aRead);
   ~EntryDaemonBody();
 
   /// Opens every socket.
@@ -41,9 +42,11 @@
   void ArmTimer();
   void Tick();
   void WatchSignals();
+  void Reload();
 
   EntryState mState;
   Time mGrace;
+  ReadSettings mRead;
   boost::asio::io_context mControl;
   boost::asio::io_context mTraffic;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mTrafficWork;
--- a/modules/by_schema/EntryEvent.h
+++ b/modules/by_schema/EntryEvent.h
@@ -22,6 +22,7 @@
 #include "by_schema/JobCall.h"
 #include "by_schema/LinkChanged.h"
 #include "by_schema/MemberChanged.h"
+#include "by_schema/SettingsRead.h"
 #include "by_schema/StartAnswered.h"
 #include "by_schema/StopAnswered.h"
 #include "by_schema/StopAsked.h"
@@ -61,7 +62,8 @@
                  StopAsked,
                  UpkeepWave,
                  UpkeepAnswered,
-                 WaveShown>
+                 WaveShown,
+                 SettingsRead>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -102,7 +104,8 @@
                      StopAsked,
                      UpkeepWave,
                      UpkeepAnswered,
-                     WaveShown>&
+                     WaveShown,
+                     SettingsRead>&
   Body() const
   {
     return mFields.mBody;
@@ -128,7 +131,8 @@
                                                  StopAsked,
                                                  UpkeepWave,
                                                  UpkeepAnswered,
-                                                 WaveShown> aValue) const
+                                                 WaveShown,
+                                                 SettingsRead> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -223,6 +223,7 @@
 #include "by_schema/SessionTask.h"
 #include "by_schema/SetEntryReady.h"
 #include "by_schema/SetReady.h"
+#include "by_schema/SettingsRead.h"
 #include "by_schema/ShowConfig.h"
 #include "by_schema/ShowConfigCommand.h"
 #include "by_schema/ShowIntent.h"
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -233,6 +233,22 @@
   CHECK(node.TakeVerdicts() == std::vector{ JobVerdict::Refused });
 }
 
+TEST(Entry, SettingsThatWereReadAgainAreInForceButForWhatNamesTheProcess)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Own(3);
+  const auto before = node.mState.mSettings;
+  const auto cell = before.Cell().WithRemoteFactor(3);
+  node.Deliver(SettingsRead::Create(
+                 { .mSettings = before.WithCell(cell).WithNode("other").WithIncarnation(99) })
+                 .value());
+  CHECK(node.mState.mSettings == before.WithCell(cell));
+  CHECK(node.mState.mCell->mSettings == cell);
+  node.Deliver(SettingsRead::Create({ .mSettings = before, .mFault = "not JSON" }).value());
+  CHECK(node.mState.mSettings == before.WithCell(cell));
+}
+
 TEST(Entry, SilentOwnerIsLinkedAnew)
 {
   EntryFixture node;
