Use one arithmetic of resources and one piece for each repeated step in by_cell

Cause: by_cell wrote Plus, Minus and Fits again beside by_placement's, built the key of a task in four places, settled the answers to starts and stops with the same lines, and accepted repeated submissions in two places. A wave's machine asked for a placement pass at each check although nothing had changed. Ruled out: by_intents' sums and the stand-in server's; their modules must not depend on by_placement for the sake of one function, and were there before. Change: ResourceMath serves both; TaskOf, RunToSettle, AcceptOnceStored and RoomFor stand once.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -29,6 +29,21 @@
   return it == worker->second.mRuns.end() ? nullptr : &it->second;
 }
 
+/// @returns the run that an answer is about, or nullptr where nothing is left to do for it.
+RunRow*
+RunToSettle(CellState& aState,
+            const std::string& aWorker,
+            const RunId& aRun,
+            OrderOutcome aOutcome,
+            Effects& aOut)
+{
+  if (aOutcome == OrderOutcome::Fenced) {
+    detail::FencedByWorker(aState, aWorker, aOut);
+    return nullptr;
+  }
+  return FindRun(aState, aWorker, aRun);
+}
+
 /// The worker certainly does not run it and never will by this order.
 void
 StartFailed(CellState& aState,
@@ -71,11 +86,7 @@
 HandleStartAnswered(CellState& aState, const StartAnswered& aEvent, Time aNow, Effects& aOut)
 {
   const RunId run{ aEvent.Task(), aEvent.Run() };
-  auto* row = FindRun(aState, aEvent.Worker(), run);
-  if (aEvent.Outcome() == OrderOutcome::Fenced) {
-    detail::FencedByWorker(aState, aEvent.Worker(), aOut);
-    return;
-  }
+  auto* row = RunToSettle(aState, aEvent.Worker(), run, aEvent.Outcome(), aOut);
   if (row == nullptr) {
     return;
   }
@@ -131,11 +142,7 @@
 HandleStopAnswered(CellState& aState, const StopAnswered& aEvent, Time aNow, Effects& aOut)
 {
   const RunId run{ aEvent.Task(), aEvent.Run() };
-  auto* row = FindRun(aState, aEvent.Worker(), run);
-  if (aEvent.Outcome() == OrderOutcome::Fenced) {
-    detail::FencedByWorker(aState, aEvent.Worker(), aOut);
-    return;
-  }
+  auto* row = RunToSettle(aState, aEvent.Worker(), run, aEvent.Outcome(), aOut);
   if (row == nullptr) {
     return;
   }
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -23,6 +23,19 @@
   detail::ReplyRefused(aState, aWaiter, aOut);
 }
 
+/// Accepts a repeated submission, at once or with the record that is on its way.
+/// @tparam Row a job's row, or that of its outcome.
+template<class Row>
+void
+AcceptOnceStored(const CellState& aState, const Waiter& aWaiter, Row& aRow, Effects& aOut)
+{
+  if (aRow.mStored) {
+    detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Accepted }, aOut);
+  } else {
+    aRow.mSubmitters.push_back(aWaiter);
+  }
+}
+
 void
 Submit(CellState& aState,
        const Waiter& aWaiter,
@@ -31,20 +44,12 @@
        Effects& aOut)
 {
   if (const auto ended = aState.mOutcomes.find(aRequest.Job()); ended != aState.mOutcomes.end()) {
-    if (ended->second.mStored) {
-      detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Accepted }, aOut);
-    } else {
-      ended->second.mSubmitters.push_back(aWaiter);
-    }
+    AcceptOnceStored(aState, aWaiter, ended->second, aOut);
     return;
   }
   if (auto* known = detail::FindJob(aState, aRequest.Job())) {
     detail::Log(aOut, "job.repeated", aRequest.Job(), absl::StrCat("stored=", known->mStored));
-    if (known->mStored) {
-      detail::Reply(aState, aWaiter, { .mVerdict = JobVerdict::Accepted }, aOut);
-    } else {
-      known->mSubmitters.push_back(aWaiter);
-    }
+    AcceptOnceStored(aState, aWaiter, *known, aOut);
     return;
   }
   Findings findings;
--- a/modules/by_cell/HandleWaves.cpp
+++ b/modules/by_cell/HandleWaves.cpp
@@ -58,7 +58,8 @@
 void
 SetEmptying(CellState& aState, const std::string& aMachine, bool aEmptying)
 {
-  if (auto* worker = WorkerOn(aState, aMachine)) {
+  auto* worker = WorkerOn(aState, aMachine);
+  if (worker != nullptr && worker->mEmptying != aEmptying) {
     worker->mEmptying = aEmptying;
     aState.mPlaceAgain = true;
   }
@@ -176,7 +177,7 @@
     std::all_of(aWave.mMachines.begin(), aWave.mMachines.end(), [](const auto& aEntry) {
       return aEntry.second.mPhase == UpkeepPhase::Finished;
     });
-  if (isOver && !aWave.mCompleted) {
+  if (isOver) {
     aWave.mCompleted = true;
     detail::Log(aOut,
                 "wave.completed",
--- a/modules/by_cell/by_cell.h
+++ b/modules/by_cell/by_cell.h
@@ -4,7 +4,7 @@
 ///
 /// Purpose: what the owner of a cell decides: which jobs it takes, where their tasks run, what is
 /// stored before what, and when a run is over for certain.
-/// Dependencies: by_core, by_schema, by_jobs.
+/// Dependencies: by_core, by_schema, by_placement, by_jobs.
 
 #include "by_cell/CellState.h"
 #include "by_cell/HandleAdvice.h"
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -12,6 +12,7 @@
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_placement/ResourceMath.h"
 
 namespace by::detail {
 
@@ -49,6 +50,16 @@
   return true;
 }
 
+JobTaskKey
+TaskOf(const ReadyKey& aKey, std::uint32_t aIndex)
+{
+  return JobTaskKey::Create({ .mJob = aKey.mJob,
+                              .mOccurrence = aKey.mOccurrence,
+                              .mStep = aKey.mStep,
+                              .mIndex = aIndex })
+    .value();
+}
+
 std::uint32_t
 RunsOfStep(const WorkerRow& aWorker, const JobTaskKey& aTask)
 {
@@ -93,7 +104,7 @@
            Time aNow,
            std::size_t aLimit)
 {
-  const auto cpu = aStep.Scavenging() ? 0 : aStep.Demand().CpuMillis();
+  const auto cpu = RoomFor(aStep).CpuMillis();
   std::size_t n = 0;
   for (const auto* worker : aCandidates) {
     if (n >= aLimit) {
@@ -180,10 +191,7 @@
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task =
-      JobTaskKey::Create(
-        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
-        .value();
+    const auto task = TaskOf(aKey, i);
     const auto* row = FindTask(aPass.mState, task);
     if (row->mProgress.Phase() != JobTaskPhase::Waiting || row->mLiveRuns > 0) {
       continue;
@@ -208,10 +216,7 @@
   const auto& step = StepOf(aJob, aKey.mStep);
   std::vector<WorkerRow*> hosts;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task =
-      JobTaskKey::Create(
-        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
-        .value();
+    const auto task = TaskOf(aKey, i);
     auto* worker = BestWorker(aPass, aCandidates, step, aAdvice, task, aRack);
     if (worker == nullptr) {
       break;
@@ -221,10 +226,7 @@
     hosts.push_back(worker);
   }
   for (std::uint32_t i = 0; i < hosts.size(); ++i) {
-    const auto task =
-      JobTaskKey::Create(
-        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
-        .value();
+    const auto task = TaskOf(aKey, i);
     hosts[i]->mRuns.erase(RunId{ task, std::numeric_limits<std::uint32_t>::max() });
     hosts[i]->mUsed = Minus(hosts[i]->mUsed, step.Demand());
   }
@@ -273,10 +275,7 @@
     run = std::max(run, occurrence.mTasks[first + i].mProgress.Run());
   }
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task =
-      JobTaskKey::Create(
-        { .mJob = aKey.mJob, .mOccurrence = aKey.mOccurrence, .mStep = aKey.mStep, .mIndex = i })
-        .value();
+    const auto task = TaskOf(aKey, i);
     Assign(aPass, aJob, task, *hosts[i], run + 1);
   }
 }
@@ -370,8 +369,7 @@
 bool
 CanHost(const WorkerRow& aWorker, const JobStep& aStep)
 {
-  const auto demand = aStep.Scavenging() ? aStep.Demand().WithCpuMillis(0) : aStep.Demand();
-  return HasLabel(aWorker, aStep.RequiredLabel()) && Fits(demand, FreeOn(aWorker)) &&
+  return HasLabel(aWorker, aStep.RequiredLabel()) && Fits(RoomFor(aStep), FreeOn(aWorker)) &&
          !Disturbs(aWorker, aStep);
 }
 
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Learning.h"
 #include "by_cell/detail/Tables.h"
+#include "by_placement/ResourceMath.h"
 
 namespace by::detail {
 
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -1,5 +1,7 @@
 #include "by_cell/detail/Tables.h"
 
+#include "by_placement/ResourceMath.h"
+
 namespace by::detail {
 
 JobRow*
@@ -53,36 +55,15 @@
 }
 
 Resources
-Plus(const Resources& aLeft, const Resources& aRight)
-{
-  return Resources::Create({ .mCpuMillis = aLeft.CpuMillis() + aRight.CpuMillis(),
-                             .mMemoryMb = aLeft.MemoryMb() + aRight.MemoryMb(),
-                             .mAccelerators = aLeft.Accelerators() + aRight.Accelerators(),
-                             .mSlots = aLeft.Slots() + aRight.Slots() })
-    .value();
-}
-
-Resources
-Minus(const Resources& aLeft, const Resources& aRight)
-{
-  return Resources::Create({ .mCpuMillis = aLeft.CpuMillis() - aRight.CpuMillis(),
-                             .mMemoryMb = aLeft.MemoryMb() - aRight.MemoryMb(),
-                             .mAccelerators = aLeft.Accelerators() - aRight.Accelerators(),
-                             .mSlots = aLeft.Slots() - aRight.Slots() })
-    .value();
-}
-
-bool
-Fits(const Resources& aDemand, const Resources& aFree)
+FreeOn(const WorkerRow& aWorker)
 {
-  return aDemand.CpuMillis() <= aFree.CpuMillis() && aDemand.MemoryMb() <= aFree.MemoryMb() &&
-         aDemand.Accelerators() <= aFree.Accelerators();
+  return Minus(aWorker.mRegistration.Capacity(), aWorker.mUsed);
 }
 
 Resources
-FreeOn(const WorkerRow& aWorker)
+RoomFor(const JobStep& aStep)
 {
-  return Minus(aWorker.mRegistration.Capacity(), aWorker.mUsed);
+  return aStep.Scavenging() ? aStep.Demand().WithCpuMillis(0) : aStep.Demand();
 }
 
 RunRow
@@ -90,7 +71,7 @@
 {
   RunRow row;
   row.mPhase = aPhase;
-  row.mDemand = aStep.Scavenging() ? aStep.Demand().WithCpuMillis(0) : aStep.Demand();
+  row.mDemand = RoomFor(aStep);
   row.mScavenges = aStep.Scavenging();
   row.mServes = aStep.TailTarget() > Time();
   row.mSince = aNow;
--- a/modules/by_cell/detail/Tables.h
+++ b/modules/by_cell/detail/Tables.h
@@ -28,22 +28,14 @@
 const QueuePolicy&
 PolicyOf(const CellState& aState, const JobRow& aJob);
 
-/// @returns one amount added to another.
-Resources
-Plus(const Resources& aLeft, const Resources& aRight);
-
-/// @returns one amount taken from another.
-Resources
-Minus(const Resources& aLeft, const Resources& aRight);
-
-/// @returns whether an amount fits into what is free.
-bool
-Fits(const Resources& aDemand, const Resources& aFree);
-
 /// @returns what is free on a worker.
 Resources
 FreeOn(const WorkerRow& aWorker);
 
+/// @returns the room that a task of a step takes; one that scavenges takes no processor time.
+Resources
+RoomFor(const JobStep& aStep);
+
 /// @returns a row for a run of a step, with the room that it takes.
 RunRow
 RowFor(const JobStep& aStep, RunPhase aPhase, Time aNow);
