--- a/modules/by_links/detail/LinkConnection.cpp
+++ b/modules/by_links/detail/LinkConnection.cpp
@@ -18,19 +18,6 @@
 constexpr std::size_t kQueueLimit = 20000;
 /// The largest message is one job; a longer length is not one of ours.
 constexpr std::size_t kMessageLimit = 16UL * 1024 * 1024;
-constexpr unsigned kByteBits = 8;
-constexpr unsigned kByteMask = 0xff;
-
-std::string
-WithLength(const std::string& aBytes)
-{
-  std::string framed;
-  framed.reserve(aBytes.size() + 4);
-  for (unsigned k = 4; k-- > 0;) {
-    framed.push_back(static_cast<char>((aBytes.size() >> (kByteBits * k)) & kByteMask));
-  }
-  return framed + aBytes;
-}
 
 } // namespace
 
@@ -75,10 +62,7 @@
 LinkConnection::ReadLength()
 {
   auto read = [self = shared_from_this()](error_code aError, std::size_t) {
-    std::size_t n = 0;
-    for (const auto byte : self->mLength) {
-      n = (n << kByteBits) | byte;
-    }
+    const auto n = BigEndian(self->mLength);
     if (aError || n > kMessageLimit) {
       self->Fail();
       return;
--- a/modules/by_links/detail/LinkConnection.h
+++ b/modules/by_links/detail/LinkConnection.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "by_schema/LinkMessage.h"
+#include "by_wire/LengthPrefix.h"
 
 namespace by::detail {
 
@@ -40,7 +41,7 @@
   boost::asio::ip::tcp::socket mSocket;
   Received mReceived;
   Closed mClosed;
-  std::array<unsigned char, 4> mLength{};
+  std::array<unsigned char, kLengthSize> mLength{};
   std::string mBody;
   std::deque<std::string> mQueue;
   std::string mWritten;
--- a/modules/by_wire/detail/OutgoingLink.cpp
+++ b/modules/by_wire/detail/OutgoingLink.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include "by_schema/NodeEvent.h"
+#include "by_wire/LengthPrefix.h"
 #include "by_wire/WireCodec.h"
 
 namespace by::detail {
@@ -13,21 +14,6 @@
 
 constexpr std::size_t kQueueLimit = 20000;
 constexpr std::chrono::milliseconds kConnectTimeout{ 1000 };
-constexpr unsigned kByteBits = 8;
-constexpr unsigned kByteMask = 0xff;
-
-std::string
-WithLength(const std::string& aBytes)
-{
-  const auto n = aBytes.size();
-  std::string framed;
-  framed.reserve(n + 4);
-  for (unsigned k = 4; k-- > 0;) {
-    framed.push_back(static_cast<char>((n >> (kByteBits * k)) & kByteMask));
-  }
-  framed += aBytes;
-  return framed;
-}
 
 RequestId
 ForwardedId(const Frame& aFrame)
--- a/modules/by_wire/detail/PeerLinksBody.cpp
+++ b/modules/by_wire/detail/PeerLinksBody.cpp
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_wire/LengthPrefix.h"
 #include "by_wire/WireCodec.h"
 #include "by_wire/detail/OutgoingLink.h"
 
@@ -19,17 +20,6 @@
 
 constexpr std::size_t kFrameLimit = 64UL * 1024 * 1024;
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
-constexpr unsigned kByteBits = 8;
-
-std::size_t
-LengthOf(const std::array<unsigned char, 4>& aBytes)
-{
-  std::size_t n = 0;
-  for (const auto byte : aBytes) {
-    n = (n << kByteBits) | byte;
-  }
-  return n;
-}
 
 } // namespace
 
@@ -184,7 +174,7 @@
     aIncoming->mSocket,
     boost::asio::buffer(aIncoming->mLength),
     [self = shared_from_this(), aIncoming](boost::system::error_code aError, std::size_t) {
-      const auto n = LengthOf(aIncoming->mLength);
+      const auto n = BigEndian(aIncoming->mLength);
       if (!aError && n <= kFrameLimit) {
         self->ReadFrame(aIncoming, n);
       }
--- a/modules/by_wire/detail/PeerLinksBody.h
+++ b/modules/by_wire/detail/PeerLinksBody.h
@@ -17,6 +17,7 @@
 #include "by_schema/Heartbeat.h"
 #include "by_schema/NodeSettings.h"
 #include "by_schema/SendFrame.h"
+#include "by_wire/LengthPrefix.h"
 #include "by_wire/WireHooks.h"
 
 namespace by::detail {
@@ -49,7 +50,7 @@
     {
     }
     boost::asio::ip::tcp::socket mSocket;
-    std::array<unsigned char, 4> mLength{};
+    std::array<unsigned char, kLengthSize> mLength{};
     std::string mFrame;
   };
 
