Name speculative tasks by the field's term

Cause: a field of the schema carried a name of the platform's pages. Conclusion: behaviour stays as it was.

--- a/modules/by_schema/JobStep.h
+++ b/modules/by_schema/JobStep.h
@@ -43,7 +43,7 @@
     /// Tasks of the step that one worker may run at once; zero for any number.
     std::uint32_t mSpreadLimit{ 0 };
     /// Whether copies of a task may run side by side.
-    bool mAllowDuplicates{ false };
+    bool mSpeculative{ false };
     /// Whether its tasks run until the job is cancelled.
     bool mLongRunning{ false };
     /// What its tasks run; tasks of one image behave alike.
@@ -163,12 +163,12 @@
   }
 
   /// Whether copies of a task may run side by side.
-  bool AllowDuplicates() const { return mFields.mAllowDuplicates; }
-  /// @returns this value with another AllowDuplicates.
-  [[nodiscard]] JobStep WithAllowDuplicates(bool aValue) const
+  bool Speculative() const { return mFields.mSpeculative; }
+  /// @returns this value with another Speculative.
+  [[nodiscard]] JobStep WithSpeculative(bool aValue) const
   {
     auto copy = *this;
-    copy.mFields.mAllowDuplicates = std::move(aValue);
+    copy.mFields.mSpeculative = std::move(aValue);
     return copy;
   }
 
