Build events, log lines of unreadable input and HTTP statuses once

Change: EventOf in by_entry, LogUnreadable and HttpStatus.h in platform/. Conclusion: behaviour stays as it was.

--- a/modules/by_entry/by_entry.h
+++ b/modules/by_entry/by_entry.h
@@ -7,4 +7,5 @@
 /// Dependencies: by_core, by_schema, by_jobs, by_cell.
 
 #include "by_entry/EntryState.h"
+#include "by_entry/EventOf.h"
 #include "by_entry/StepEntry.h"
--- a/modules/by_entryd/EntryHooks.h
+++ b/modules/by_entryd/EntryHooks.h
@@ -3,7 +3,7 @@
 #include <functional>
 #include <string>
 
-#include "by_schema/EntryEvent.h"
+#include "by_entry/EventOf.h"
 #include "by_schema/LogLine.h"
 
 namespace by {
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -23,13 +23,6 @@
 /// The last answers have this long to leave once the decisions have ended.
 constexpr std::chrono::milliseconds kLastAnswers{ 200 };
 
-template<class Body>
-EntryEvent
-EventOf(Body aBody)
-{
-  return EntryEvent::Create({ .mBody = std::move(aBody) }).value();
-}
-
 std::string
 Quoted(const std::string& aText)
 {
