Split the tests of a cell by what they test

Change: tests of workers and takeovers stand in WorkersTest.cpp, the workers of the random histories in CellWorkers.cpp; TakeAll, ShownState and HandIn serve all.

--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "by_cell/TakeAll.h"
 #include "by_cell/detail/Emit.h"
 
 namespace by {
@@ -13,23 +14,6 @@
 constexpr const char* kPool = "pool";
 constexpr const char* kNode = "owner";
 
-template<class Body>
-std::vector<Body>
-TakeAll(Effects& aOut)
-{
-  std::vector<Body> found;
-  Effects rest;
-  for (auto& effect : aOut) {
-    if (const auto* body = std::get_if<Body>(&effect.Body())) {
-      found.push_back(*body);
-    } else {
-      rest.push_back(std::move(effect));
-    }
-  }
-  aOut = std::move(rest);
-  return found;
-}
-
 WorkerRegistration
 Registration(int aNumber)
 {
@@ -112,9 +96,15 @@
 }
 
 void
-CellFixture::Submit(const std::string& aJob, std::vector<JobStep::Fields> aSteps)
+CellFixture::HandIn(const std::string& aJob, std::vector<JobStep::Fields> aSteps)
 {
   HandleRequest(mCell, { kNode, 1 }, Submission(aJob, std::move(aSteps)), mNow, mOut);
+}
+
+void
+CellFixture::Submit(const std::string& aJob, std::vector<JobStep::Fields> aSteps)
+{
+  HandIn(aJob, std::move(aSteps));
   Settle();
 }
 
--- a/tests/by_cell/CellFixture.h
+++ b/tests/by_cell/CellFixture.h
@@ -17,6 +17,8 @@
   static JobStep::Fields Step(std::uint32_t aCount);
   /// A job of the fixture's queue.
   CellRequest Submission(const std::string& aJob, std::vector<JobStep::Fields> aSteps) const;
+  /// Hands a job in; nothing is stored yet.
+  void HandIn(const std::string& aJob, std::vector<JobStep::Fields> aSteps);
   /// Hands a job in, and has it stored.
   void Submit(const std::string& aJob, std::vector<JobStep::Fields> aSteps);
   /// Sends a request and returns the effects.
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -1,4 +1,5 @@
 #include "by_cell/CellFixture.h"
+#include "by_cell/ShownState.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,16 +22,6 @@
   });
 }
 
-JobState
-ShownState(CellFixture& aCell, const std::string& aJob)
-{
-  aCell.mOut.clear();
-  aCell.Ask(JobCallKind::Show, aJob);
-  const auto replies = aCell.TakeReplies();
-  CHECK_EQUAL(1, replies.size());
-  return replies.front().State();
-}
-
 } // namespace
 
 TEST_GROUP(Cell){};
@@ -38,11 +29,7 @@
 TEST(Cell, JobIsAcceptedOnlyOnceItIsStored)
 {
   CellFixture cell;
-  HandleRequest(cell.mCell,
-                { "owner", 1 },
-                cell.Submission("j", { CellFixture::Step(1) }),
-                cell.mNow,
-                cell.mOut);
+  cell.HandIn("j", { CellFixture::Step(1) });
   cell.Work();
   CHECK(cell.TakeReplies().empty());
   cell.Store();
@@ -52,11 +39,7 @@
 TEST(Cell, StartIsSentOnlyOnceItsAssignmentIsStored)
 {
   CellFixture cell;
-  HandleRequest(cell.mCell,
-                { "owner", 1 },
-                cell.Submission("j", { CellFixture::Step(1) }),
-                cell.mNow,
-                cell.mOut);
+  cell.HandIn("j", { CellFixture::Step(1) });
   cell.Work();
   cell.Store();
   cell.mNow = cell.mNow + Time::FromMilliseconds(20);
@@ -137,42 +120,6 @@
   CHECK(ShownState(cell, "j") == JobState::Running);
 }
 
-TEST(Cell, LostWorkerKeepsItsTasksUntilItsLeaseHasPassed)
-{
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto starts = cell.TakeStarts();
-  CHECK_EQUAL(1, starts.size());
-  const auto worker = starts.front().Worker();
-  cell.Started(worker, CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
-  const auto granted = starts.front().LeaseUntil() - cell.mCell.mWorkers.at(worker).mClock;
-  cell.LoseWorker(worker);
-  cell.Pass(granted);
-  cell.Settle();
-  CHECK(cell.TakeStarts().empty());
-  cell.Pass(Time::FromMilliseconds(1500));
-  cell.Settle();
-  const auto again = cell.TakeStarts();
-  CHECK_EQUAL(1, again.size());
-  CHECK(again.front().Worker() != worker);
-  CHECK_EQUAL(2, again.front().Run());
-}
-
-TEST(Cell, LostWorkerIsNotRenewed)
-{
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto worker = cell.TakeStarts().front().Worker();
-  cell.Started(worker, CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
-  cell.LoseWorker(worker);
-  cell.mCell.mWorkers.at(worker).mLookOpen = false;
-  cell.TakeLooks();
-  cell.Pass(Time::FromMilliseconds(400));
-  for (const auto& look : cell.TakeLooks()) {
-    CHECK(look.Worker() != worker || !look.LeaseUntil());
-  }
-}
-
 TEST(Cell, UnansweredStartIsRepeatedOnTheSameWorker)
 {
   CellFixture cell;
@@ -230,18 +177,6 @@
   CHECK(ShownState(cell, "j") == JobState::Failed);
 }
 
-TEST(Cell, FailureIsCountedOnceThoughASuccessorSeesItAgain)
-{
-  CellFixture cell(1);
-  cell.Submit("j", { CellFixture::Step(1) });
-  cell.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Failed) });
-  cell.Settle();
-  auto next = cell.Successor();
-  next.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Failed) });
-  next.Settle();
-  CHECK(ShownState(next, "j") == JobState::Running);
-}
-
 TEST(Cell, TaskIsNotStartedAgainAfterItsAttempts)
 {
   CellFixture cell(1);
@@ -256,49 +191,6 @@
   CHECK(ShownState(cell, "j") == JobState::Failed);
 }
 
-TEST(Cell, SuccessorTakesOverWhatRuns)
-{
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto worker = cell.TakeStarts().front().Worker();
-  auto next = cell.Successor();
-  next.Look(worker, { CellFixture::Running(CellFixture::Run("j", 0, 1)) }, {});
-  next.Settle();
-  CHECK(next.TakeStarts().empty());
-  CHECK(next.TakeStops().empty());
-}
-
-TEST(Cell, SuccessorStartsAgainWhatTheFencedWorkerDoesNotList)
-{
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  cell.TakeStarts();
-  auto next = cell.Successor();
-  next.Look("w1", {}, {});
-  next.Look("w2", {}, {});
-  next.Settle();
-  const auto starts = next.TakeStarts();
-  CHECK_EQUAL(1, starts.size());
-  CHECK_EQUAL(2, starts.front().Run());
-  CHECK_EQUAL(8, starts.front().Epoch());
-}
-
-TEST(Cell, SuccessorWaitsForAWorkerThatDoesNotAnswer)
-{
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto worker = cell.TakeStarts().front().Worker();
-  const auto other = worker == "w1" ? "w2" : "w1";
-  auto next = cell.Successor();
-  next.Look(other, {}, {});
-  next.LoseWorker(worker);
-  next.Pass(next.mCell.mSettings.Lease() + next.mCell.mSettings.Authority());
-  CHECK(next.TakeStarts().empty());
-  next.Pass(Time::FromSeconds(1));
-  next.Settle();
-  CHECK_EQUAL(1, next.TakeStarts().size());
-}
-
 TEST(Cell, CancelledJobIsStoppedAndStored)
 {
   CellFixture cell(1);
@@ -336,11 +228,7 @@
 TEST(Cell, SubmissionWhoseAppendIsUnansweredIsNeverRefused)
 {
   CellFixture cell;
-  HandleRequest(cell.mCell,
-                { "owner", 1 },
-                cell.Submission("j", { CellFixture::Step(1) }),
-                cell.mNow,
-                cell.mOut);
+  cell.HandIn("j", { CellFixture::Step(1) });
   cell.Work();
   for (int i = 0; i < 20; ++i) {
     cell.Store(StoreOutcome::Unanswered);
@@ -357,11 +245,7 @@
 TEST(Cell, SubmissionThatTheStoreTurnedAwayIsRefusedAndNeverRuns)
 {
   CellFixture cell;
-  HandleRequest(cell.mCell,
-                { "owner", 1 },
-                cell.Submission("j", { CellFixture::Step(1) }),
-                cell.mNow,
-                cell.mOut);
+  cell.HandIn("j", { CellFixture::Step(1) });
   cell.Work();
   cell.Store(StoreOutcome::Refused);
   CHECK(Has(cell.TakeReplies(), JobVerdict::Refused));
@@ -371,53 +255,6 @@
   CHECK(cell.Stored().empty());
 }
 
-TEST(Cell, WorkerThatIsBornAnewIsOverWithAllItsRuns)
-{
-  CellFixture cell(1);
-  cell.Submit("j", { CellFixture::Step(1) });
-  cell.TakeStarts();
-  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
-  cell.Look("w1", {}, {}, Time::FromMilliseconds(7777));
-  cell.Settle();
-  const auto starts = cell.TakeStarts();
-  CHECK_EQUAL(1, starts.size());
-  CHECK_EQUAL(2, starts.front().Run());
-}
-
-TEST(Cell, DrainingWorkerGetsNoStartThatWasPlannedBefore)
-{
-  CellFixture cell(1);
-  HandleRequest(cell.mCell,
-                { "owner", 1 },
-                cell.Submission("j", { CellFixture::Step(1) }),
-                cell.mNow,
-                cell.mOut);
-  cell.Work();
-  cell.Store();
-  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
-  cell.Work();
-  auto entry = cell.mCell.mWorkers.at("w1").mRegistration.WithDraining(true);
-  HandleWorkersChanged(
-    cell.mCell,
-    WorkersChanged::Create({ .mComplete = false, .mPresent = { entry } }).value(),
-    cell.mNow,
-    cell.mOut);
-  cell.Settle();
-  CHECK(cell.TakeStarts().empty());
-}
-
-TEST(Cell, FencedOwnerSendsNothingMore)
-{
-  CellFixture cell(1);
-  HandleLooked(cell.mCell,
-               WorkerLooked::Create({ .mWorker = "w1", .mOutcome = OrderOutcome::Fenced }).value(),
-               cell.mNow,
-               cell.mOut);
-  CHECK(cell.mCell.mFenced);
-  cell.Submit("j", { CellFixture::Step(1) });
-  CHECK(cell.TakeStarts().empty());
-}
-
 TEST(Cell, SpreadLimitHolds)
 {
   CellFixture cell;
@@ -465,32 +302,11 @@
   }
 }
 
-TEST(Cell, RoomOfAnUnknownRunIsNotGivenAwayAfterATakeover)
-{
-  // The job was cancelled under the earlier owner; how much its run takes is not known any more.
-  CellFixture cell(1);
-  cell.Submit("j", { CellFixture::Step(1) });
-  cell.TakeStarts();
-  cell.Ask(JobCallKind::Cancel, "j");
-  cell.Settle();
-  auto next = cell.Successor();
-  next.Look("w1", { CellFixture::Running(CellFixture::Run("j", 0, 1)) }, {});
-  next.Submit("k", { CellFixture::Step(1) });
-  CHECK(next.TakeStarts().empty());
-  next.Look("w1", {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Stopped) });
-  next.Settle();
-  CHECK_EQUAL(1, next.TakeStarts().size());
-}
-
 TEST(Cell, JobThatEndsWhileItsRunsArePlannedLeavesNothingReady)
 {
   // Dropping a planned run looked at the step again and put it back among the ready ones.
   CellFixture cell(1);
-  HandleRequest(cell.mCell,
-                { "owner", 1 },
-                cell.Submission("j", { CellFixture::Step(8) }),
-                cell.mNow,
-                cell.mOut);
+  cell.HandIn("j", { CellFixture::Step(8) });
   cell.mNow = cell.mNow + Time::FromMilliseconds(20);
   cell.Work();
   cell.Ask(JobCallKind::Cancel, "j");
@@ -500,91 +316,6 @@
   CHECK(cell.TakeStarts().empty());
 }
 
-TEST(Cell, OldEntryOfTheRegistryDoesNotEndAWorker)
-{
-  CellFixture cell(1);
-  cell.Submit("j", { CellFixture::Step(1) });
-  cell.TakeStarts();
-  auto old = cell.mCell.mWorkers.at("w1").mRegistration;
-  cell.Look("w1",
-            { CellFixture::Running(CellFixture::Run("j", 0, 1)) },
-            {},
-            cell.mCell.mWorkers.at("w1").mBorn);
-  HandleWorkersChanged(
-    cell.mCell,
-    WorkersChanged::Create({ .mPresent = { old.WithBorn(old.Born() - Time::FromMilliseconds(1)) } })
-      .value(),
-    cell.mNow,
-    cell.mOut);
-  cell.Settle();
-  CHECK(cell.TakeStarts().empty());
-}
-
-TEST(Cell, StartWithoutAnAnswerIsBarredAtTheWorkersNextLife)
-{
-  // The next life has seen no epoch and no stop, and would carry the late start out.
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto worker = cell.TakeStarts().front().Worker();
-  const auto run = CellFixture::Run("j", 0, 1);
-  cell.Started(worker, run, OrderOutcome::Unanswered);
-  cell.Look(worker, {}, {}, Time::FromMilliseconds(7777));
-  cell.Settle();
-  CHECK(cell.TakeStarts().empty());
-  CHECK_EQUAL(1, cell.TakeStops().size());
-  cell.Stopped(worker, run, OrderOutcome::Accepted);
-  cell.Look(worker, {}, {}, Time::FromMilliseconds(7777));
-  cell.Settle();
-  const auto starts = cell.TakeStarts();
-  CHECK_EQUAL(1, starts.size());
-  CHECK_EQUAL(2, starts.front().Run());
-}
-
-TEST(Cell, DoneRunCountsAlthoughItsWorkerWasGivenUp)
-{
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto worker = cell.TakeStarts().front().Worker();
-  cell.Started(worker, CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
-  cell.LoseWorker(worker);
-  cell.Pass(Time::FromSeconds(6));
-  cell.Settle();
-  CHECK_EQUAL(1, cell.TakeStarts().size());
-  cell.Look(worker, {}, { CellFixture::Ended(1, CellFixture::Run("j", 0, 1), RunEnd::Done) });
-  cell.Settle();
-  CHECK(ShownState(cell, "j") == JobState::Completed);
-}
-
-TEST(Cell, SuccessorKnowsOfARunThatWasTakenBackAndMayStillRun)
-{
-  // The stop may not have reached the worker when the owner was lost.
-  CellFixture cell;
-  auto gang = CellFixture::Step(2);
-  gang.mGang = true;
-  gang.mDemand = Resources::Create({ .mCpuMillis = 3000, .mMemoryMb = 128 }).value();
-  cell.Submit("j", { gang });
-  const auto starts = cell.TakeStarts();
-  CHECK_EQUAL(2, starts.size());
-  const auto& lost = starts[0];
-  const auto& kept = starts[1];
-  const RunId keptRun{ kept.Task(), 1 };
-  cell.Started(lost.Worker(), { lost.Task(), 1 }, OrderOutcome::Accepted);
-  cell.Started(kept.Worker(), keptRun, OrderOutcome::Accepted);
-  cell.Look(lost.Worker(), {}, { CellFixture::Ended(1, { lost.Task(), 1 }, RunEnd::Stopped) });
-  cell.Settle();
-  auto next = cell.Successor();
-  next.Look(lost.Worker(), {}, {});
-  next.Settle();
-  CHECK(next.TakeStarts().empty());
-  next.Look(kept.Worker(), { CellFixture::Running(keptRun) }, {});
-  next.Settle();
-  CHECK(next.TakeStarts().empty());
-  CHECK_EQUAL(1, next.TakeStops().size());
-  next.Look(kept.Worker(), {}, { CellFixture::Ended(1, keptRun, RunEnd::Stopped) });
-  next.Settle();
-  CHECK_EQUAL(2, next.TakeStarts().size());
-}
-
 TEST(Cell, JobCountsAsWaitingUntilAWorkerHasBegunATask)
 {
   // A start that was sent may be refused or lost.
@@ -617,36 +348,3 @@
     CHECK(start.Worker() != serving);
   }
 }
-
-TEST(Cell, WorkerWhoseAddressAnotherAnswersAtIsOverAtOnce)
-{
-  // A successor kept the runs that it had inherited there, and looked again without a pause.
-  CellFixture cell;
-  cell.Submit("j", { CellFixture::Step(1) });
-  const auto worker = cell.TakeStarts().front().Worker();
-  auto next = cell.Successor();
-  next.Look(worker == "w1" ? "w2" : "w1", {}, {});
-  HandleLooked(
-    next.mCell,
-    WorkerLooked::Create({ .mWorker = worker, .mOutcome = OrderOutcome::WrongWorker }).value(),
-    next.mNow,
-    next.mOut);
-  next.TakeLooks();
-  next.Settle();
-  CHECK_EQUAL(1, next.TakeStarts().size());
-  for (const auto& look : next.TakeLooks()) {
-    CHECK(look.Worker() != worker);
-  }
-}
-
-TEST(Cell, EndOfAnEarlierLifeIsNotAcknowledgedInTheNext)
-{
-  // The next life counts its ends from 1, and one that was never seen would be forgotten.
-  CellFixture cell(1);
-  cell.Submit("j", { CellFixture::Step(1) });
-  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
-  cell.Look("w1", {}, { CellFixture::Ended(5, CellFixture::Run("j", 0, 1), RunEnd::Done) });
-  cell.Look("w1", {}, {}, Time::FromMilliseconds(7777));
-  cell.Settle();
-  CHECK_EQUAL(0, cell.mCell.mWorkers.at("w1").mEndStored);
-}
--- /dev/null
+++ b/tests/by_cell/ShownState.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <CppUTest/TestHarness.h>
+
+#include "by_cell/CellFixture.h"
+
+namespace by {
+
+/// @returns the state that a caller is shown.
+inline JobState
+ShownState(CellFixture& aCell, const std::string& aJob)
+{
+  aCell.mOut.clear();
+  aCell.Ask(JobCallKind::Show, aJob);
+  const auto replies = aCell.TakeReplies();
+  CHECK_EQUAL(1, replies.size());
+  return replies.front().State();
+}
+
+} // namespace by
--- a/tests/by_entry/EntryFixture.h
+++ b/tests/by_entry/EntryFixture.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "by_cell/TakeAll.h"
 #include "by_entry/by_entry.h"
 
 namespace by {
@@ -16,8 +17,7 @@
   template<class Body>
   void Deliver(Body aBody)
   {
-    const auto out =
-      StepEntry(mState, EntryEvent::Create({ .mBody = std::move(aBody) }).value(), mNow);
+    const auto out = StepEntry(mState, EventOf(std::move(aBody)), mNow);
     mOut.insert(mOut.end(), out.begin(), out.end());
   }
 
@@ -37,17 +37,7 @@
   template<class Body>
   std::vector<Body> Take()
   {
-    std::vector<Body> found;
-    Effects rest;
-    for (auto& effect : mOut) {
-      if (const auto* body = std::get_if<Body>(&effect.Body())) {
-        found.push_back(*body);
-      } else {
-        rest.push_back(std::move(effect));
-      }
-    }
-    mOut = std::move(rest);
-    return found;
+    return TakeAll<Body>(mOut);
   }
   /// @returns the verdicts of the answers to callers since the last call.
   std::vector<JobVerdict> TakeVerdicts();
--- /dev/null
+++ b/tests/properties/CellWorkers.cpp
@@ -0,0 +1,241 @@
+#include "CellWorld.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace by {
+
+namespace {
+
+/// A run that waits for its gang gives up after this.
+constexpr int kGangTimeout = 3000;
+/// A cancelled job starts nothing more after this.
+constexpr int kCancelBound = 3000;
+
+std::string
+NameOf(const JobTaskKey& aTask)
+{
+  return absl::StrCat(aTask.Job(), ".", aTask.Step(), ".", aTask.Index());
+}
+
+template<class Row>
+bool
+IsRun(const Row& aRow, const JobTaskKey& aTask, std::uint32_t aRun)
+{
+  return aRow.mTask == aTask && aRow.mRun == aRun;
+}
+
+} // namespace
+
+void
+CellWorld::CheckStart(const Worker& aWorker, const StartRun& aStart, bool aLate)
+{
+  const auto& task = aStart.Task();
+  const auto name = absl::StrCat(NameOf(task), "#", aStart.Run(), " on ", aWorker.mId);
+  std::int64_t cpu = StepOf(task).Demand().CpuMillis();
+  for (const auto& run : aWorker.mRuns) {
+    cpu += StepOf(run.mTask).Demand().CpuMillis();
+  }
+  if (cpu > kCpu) {
+    Break("LIMIT", absl::StrCat(name, " makes ", cpu));
+  }
+  for (const auto& [id, other] : mWorkers) {
+    for (const auto& run : other.mRuns) {
+      if (other.mUp && run.mTask == task) {
+        Break("TWICE", absl::StrCat(name, " while #", run.mRun, " runs on ", id));
+      }
+    }
+  }
+  const auto& truth = mTruth[task];
+  if (truth.mDoneNoted) {
+    Break("TWICE", name + " after it was done");
+  }
+  if (truth.mFailedNoted.size() >= kAttempts) {
+    Break("BUDGET", name);
+  }
+  for (const auto earlier : StepOf(task).After()) {
+    const auto& steps = mRequests.at(task.Job()).Definition()->Steps();
+    for (std::uint32_t i = 0; i < steps[earlier].Count(); ++i) {
+      if (!mTruth[task.WithStep(earlier).WithIndex(i)].mDone) {
+        Break("ORDER", name);
+      }
+    }
+  }
+  const auto cancelled = mCancelled.find(task.Job());
+  if (!aLate && cancelled != mCancelled.end() &&
+      mNow > cancelled->second + Time::FromMilliseconds(kCancelBound)) {
+    Break("UNASKED", name + " after its job was cancelled");
+  }
+  if (mRefused.contains(task.Job()) && !mMaybe.contains(task.Job())) {
+    Break("REFUSED", name);
+  }
+}
+
+OrderOutcome
+CellWorld::Start(Worker& aWorker, const StartRun& aStart, bool aLate)
+{
+  if (aStart.Epoch() < aWorker.mToken) {
+    return OrderOutcome::Fenced;
+  }
+  aWorker.mToken = aStart.Epoch();
+  const auto lease = static_cast<double>(aStart.LeaseUntil().Milliseconds());
+  aWorker.mLease = std::max(aWorker.mLease, lease);
+  for (const auto& run : aWorker.mRuns) {
+    if (IsRun(run, aStart.Task(), aStart.Run())) {
+      return OrderOutcome::Accepted;
+    }
+  }
+  const auto barred = aWorker.mBarred.find(aStart.Task());
+  if (barred != aWorker.mBarred.end() && aStart.Run() <= barred->second) {
+    return OrderOutcome::Obsolete;
+  }
+  if (lease <= aWorker.mClock) {
+    return OrderOutcome::Late;
+  }
+  CheckStart(aWorker, aStart, aLate);
+  ++mStarts;
+  const auto estimate = static_cast<int>(StepOf(aStart.Task()).Estimate().Milliseconds());
+  aWorker.mRuns.push_back(
+    { aStart.Task(), aStart.Run(), estimate / 2 + Draw(estimate + 1), Chance(8), mNow });
+  return OrderOutcome::Accepted;
+}
+
+OrderOutcome
+CellWorld::Stop(Worker& aWorker, const StopRun& aStop)
+{
+  if (aStop.Epoch() < aWorker.mToken) {
+    return OrderOutcome::Fenced;
+  }
+  aWorker.mToken = aStop.Epoch();
+  auto& barred = aWorker.mBarred[aStop.Task()];
+  barred = std::max(barred, aStop.Run());
+  After(Draw(150), [this, id = aWorker.mId, born = aWorker.mBorn, aStop] {
+    auto& worker = mWorkers.at(id);
+    for (std::size_t i = 0; worker.mBorn == born && i < worker.mRuns.size(); ++i) {
+      if (IsRun(worker.mRuns[i], aStop.Task(), aStop.Run())) {
+        EndRunOf(worker, i, RunEnd::Stopped);
+        return;
+      }
+    }
+  });
+  return OrderOutcome::Accepted;
+}
+
+void
+CellWorld::EndRunOf(Worker& aWorker, std::size_t aIndex, RunEnd aHow)
+{
+  const auto run = aWorker.mRuns[aIndex];
+  aWorker.mRuns.erase(aWorker.mRuns.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  auto& barred = aWorker.mBarred[run.mTask];
+  barred = std::max(barred, run.mRun);
+  aWorker.mEnded.push_back(
+    EndedRun::Create(
+      { .mNumber = ++aWorker.mLastEnd, .mTask = run.mTask, .mRun = run.mRun, .mHow = aHow })
+      .value());
+  aWorker.mEndTimes[aWorker.mLastEnd] = mNow;
+  auto& truth = mTruth[run.mTask];
+  if (aHow == RunEnd::Done) {
+    truth.mDone = true;
+    if (StepOf(run.mTask).Gang()) {
+      for (std::uint32_t i = 0; i < StepOf(run.mTask).Count(); ++i) {
+        mTruth[run.mTask.WithIndex(i)].mDone = true;
+      }
+    }
+  }
+}
+
+void
+CellWorld::Work(Worker& aWorker)
+{
+  if (!aWorker.mUp) {
+    return;
+  }
+  aWorker.mClock += kStep * aWorker.mRate;
+  if (aWorker.mClock > aWorker.mLease) {
+    aWorker.mLapsedAt = mNow;
+    while (!aWorker.mRuns.empty()) {
+      EndRunOf(aWorker, 0, RunEnd::Lapsed);
+    }
+  }
+  for (std::size_t i = 0; i < aWorker.mRuns.size();) {
+    auto& run = aWorker.mRuns[i];
+    if (StepOf(run.mTask).Gang()) {
+      ++i;
+      continue;
+    }
+    run.mWork -= kStep;
+    if (run.mWork > 0) {
+      ++i;
+      continue;
+    }
+    EndRunOf(aWorker, i, run.mFails ? RunEnd::Failed : RunEnd::Done);
+  }
+}
+
+void
+CellWorld::WorkGangs()
+{
+  struct Member
+  {
+    Worker* mWorker;
+    JobTaskKey mTask;
+  };
+  std::map<std::pair<JobTaskKey, std::uint32_t>, std::vector<Member>> gangs;
+  for (auto& [id, worker] : mWorkers) {
+    for (const auto& run : worker.mRuns) {
+      if (worker.mUp && StepOf(run.mTask).Gang()) {
+        gangs[{ run.mTask.WithIndex(0), run.mRun }].push_back({ &worker, run.mTask });
+      }
+    }
+  }
+  for (const auto& [key, members] : gangs) {
+    const auto number = key.second;
+    const bool isWhole = members.size() == StepOf(key.first).Count();
+    std::optional<RunEnd> end;
+    for (const auto& member : members) {
+      for (auto& run : member.mWorker->mRuns) {
+        if (!IsRun(run, member.mTask, number)) {
+          continue;
+        }
+        run.mWork -= isWhole ? kStep : 0;
+        if (!isWhole && mNow > run.mBegan + Time::FromMilliseconds(kGangTimeout)) {
+          end = RunEnd::Alone;
+        } else if (isWhole && run.mWork <= 0) {
+          end = run.mFails ? RunEnd::Failed : end.value_or(RunEnd::Done);
+        }
+      }
+    }
+    if (!end) {
+      continue;
+    }
+    bool isFirst = true;
+    for (const auto& member : members) {
+      for (std::size_t i = 0; i < member.mWorker->mRuns.size(); ++i) {
+        if (IsRun(member.mWorker->mRuns[i], member.mTask, number)) {
+          const auto how =
+            *end == RunEnd::Done || *end == RunEnd::Alone || isFirst ? *end : RunEnd::Broken;
+          EndRunOf(*member.mWorker, i, how);
+          isFirst = false;
+          break;
+        }
+      }
+    }
+  }
+}
+
+void
+CellWorld::Crash(Worker& aWorker)
+{
+  aWorker.mUp = false;
+  aWorker.mDownUntil = mNow + Time::FromMilliseconds(300 + Draw(5000));
+  aWorker.mRuns.clear();
+  aWorker.mEnded.clear();
+  aWorker.mLastEnd = 0;
+  aWorker.mEndTimes.clear();
+  aWorker.mBarred.clear();
+  aWorker.mToken = 0;
+  aWorker.mLease = 0;
+}
+
+} // namespace by
--- a/tests/properties/CellWorld.h
+++ b/tests/properties/CellWorld.h
@@ -119,6 +119,9 @@
   WorkerRegistration Registration(const Worker& aWorker) const;
 
   static constexpr int kStep = 5;
+  /// The processors of a worker, in thousandths, and the runs of a task that may fail.
+  static constexpr std::int64_t kCpu = 4000;
+  static constexpr std::uint32_t kAttempts = 3;
 
   std::mt19937 mRandom;
   CellFaults mFaults;
