--- a/modules/by_schema/CellRecord.h
+++ b/modules/by_schema/CellRecord.h
@@ -13,6 +13,7 @@
 #include "by_schema/JobOutcome.h"
 #include "by_schema/MaintenanceRecord.h"
 #include "by_schema/OccurrenceProgress.h"
+#include "by_schema/TaskRecord.h"
 
 namespace by {
 
@@ -24,7 +25,7 @@
   struct Fields
   {
     /// The record.
-    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord> mBody{};
+    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord> mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -44,13 +45,14 @@
   Fields ToFields() const { return mFields; }
 
   /// The record.
-  const std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord>& Body() const
+  const std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord>& Body()
+    const
   {
     return mFields.mBody;
   }
   /// @returns a copy of this value with another Body.
   [[nodiscard]] CellRecord WithBody(
-    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord> aValue) const
+    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/CellRequest.h
+++ b/modules/by_schema/CellRequest.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Time.h"
 #include "by_schema/JobCallKind.h"
 #include "by_schema/JobDefinition.h"
 #include "by_schema/QueuePolicy.h"
@@ -32,6 +33,9 @@
     std::string mJob{};
     /// Job to submit; absent for other operations.
     std::optional<JobDefinition> mDefinition{};
+    /// How long the forwarding node waits for the reply; zero for no limit. A request that waited
+    /// longer has no caller any more.
+    Time mTimeout{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -100,6 +104,17 @@
     return copy;
   }
 
+  /// How long the forwarding node waits for the reply; zero for no limit. A request that waited
+  /// longer has no caller any more.
+  Time Timeout() const { return mFields.mTimeout; }
+  /// @returns a copy of this value with another Timeout.
+  [[nodiscard]] CellRequest WithTimeout(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mTimeout = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const CellRequest&, const CellRequest&) = default;
   friend auto operator<=>(const CellRequest&, const CellRequest&) = default;
 
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -75,6 +75,9 @@
     Time mMaintenanceHoldoff{ Time::FromMilliseconds(3000) };
     /// How long a draining worker is assumed to stay if its registration does not say.
     Time mDefaultDrainTime{ Time::FromMilliseconds(2000) };
+    /// Number of workers up to which the owner sends all orders itself; with more workers, linked
+    /// nodes relay them.
+    std::uint64_t mDirectWorkerLimit{ 64 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -325,6 +328,17 @@
     return copy;
   }
 
+  /// Number of workers up to which the owner sends all orders itself; with more workers, linked
+  /// nodes relay them.
+  std::uint64_t DirectWorkerLimit() const { return mFields.mDirectWorkerLimit; }
+  /// @returns a copy of this value with another DirectWorkerLimit.
+  [[nodiscard]] CellSettings WithDirectWorkerLimit(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mDirectWorkerLimit = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const CellSettings&, const CellSettings&) = default;
   friend auto operator<=>(const CellSettings&, const CellSettings&) = default;
 
--- a/modules/by_schema/ClockTick.h
+++ b/modules/by_schema/ClockTick.h
@@ -8,6 +8,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Time.h"
+
 namespace by {
 
 /// Time has passed; drives all timers of the entry node.
@@ -19,6 +21,8 @@
   {
     /// Sequence number of the tick.
     std::uint64_t mNumber{ 0 };
+    /// Longest time that an event has waited for the control thread since the previous tick.
+    Time mQueueDelay{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -44,6 +48,16 @@
     return copy;
   }
 
+  /// Longest time that an event has waited for the control thread since the previous tick.
+  Time QueueDelay() const { return mFields.mQueueDelay; }
+  /// @returns a copy of this value with another QueueDelay.
+  [[nodiscard]] ClockTick WithQueueDelay(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mQueueDelay = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const ClockTick&, const ClockTick&) = default;
   friend auto operator<=>(const ClockTick&, const ClockTick&) = default;
 
--- a/modules/by_schema/EntrySettings.h
+++ b/modules/by_schema/EntrySettings.h
@@ -8,6 +8,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Identifier.h"
 #include "by_core/Time.h"
 #include "by_schema/CellSettings.h"
 #include "by_schema/Endpoint.h"
@@ -47,6 +48,12 @@
     Time mDrainTime{ Time::FromMilliseconds(2500) };
     /// Settings that apply while this node owns the cell.
     CellSettings mCell{};
+    /// Availability zone of the node.
+    ZoneId mZone{};
+    /// Processor time that the node may use; nodes with more are preferred as owners.
+    std::uint32_t mProcessorShare{ 1000 };
+    /// An owner whose events wait longer than this takes no new jobs.
+    Time mOverloadDelay{ Time::FromMilliseconds(400) };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -187,6 +194,36 @@
     return copy;
   }
 
+  /// Availability zone of the node.
+  const ZoneId& Zone() const { return mFields.mZone; }
+  /// @returns a copy of this value with another Zone.
+  [[nodiscard]] EntrySettings WithZone(ZoneId aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mZone = std::move(aValue);
+    return copy;
+  }
+
+  /// Processor time that the node may use; nodes with more are preferred as owners.
+  std::uint32_t ProcessorShare() const { return mFields.mProcessorShare; }
+  /// @returns a copy of this value with another ProcessorShare.
+  [[nodiscard]] EntrySettings WithProcessorShare(std::uint32_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mProcessorShare = std::move(aValue);
+    return copy;
+  }
+
+  /// An owner whose events wait longer than this takes no new jobs.
+  Time OverloadDelay() const { return mFields.mOverloadDelay; }
+  /// @returns a copy of this value with another OverloadDelay.
+  [[nodiscard]] EntrySettings WithOverloadDelay(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mOverloadDelay = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
   friend auto operator<=>(const EntrySettings&, const EntrySettings&) = default;
 
--- a/modules/by_schema/FromMember.h
+++ b/modules/by_schema/FromMember.h
@@ -8,6 +8,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Time.h"
 #include "by_schema/LinkMessage.h"
 
 namespace by {
@@ -23,6 +24,8 @@
     std::string mNode{};
     /// Message that arrived.
     LinkMessage mMessage{};
+    /// When it arrived.
+    Time mReceived{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -61,6 +64,16 @@
     return copy;
   }
 
+  /// When it arrived.
+  Time Received() const { return mFields.mReceived; }
+  /// @returns a copy of this value with another Received.
+  [[nodiscard]] FromMember WithReceived(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mReceived = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const FromMember&, const FromMember&) = default;
   friend auto operator<=>(const FromMember&, const FromMember&) = default;
 
--- a/modules/by_schema/LinkHeartbeat.h
+++ b/modules/by_schema/LinkHeartbeat.h
@@ -23,6 +23,8 @@
     bool mOwner{ false };
     /// Whether the sender owns the cell and cannot write to the store.
     bool mStoreLost{ false };
+    /// Whether the sender owns the cell and is too far behind to take new jobs.
+    bool mOverloaded{ false };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -71,6 +73,16 @@
     return copy;
   }
 
+  /// Whether the sender owns the cell and is too far behind to take new jobs.
+  bool Overloaded() const { return mFields.mOverloaded; }
+  /// @returns a copy of this value with another Overloaded.
+  [[nodiscard]] LinkHeartbeat WithOverloaded(bool aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mOverloaded = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkHeartbeat&, const LinkHeartbeat&) = default;
   friend auto operator<=>(const LinkHeartbeat&, const LinkHeartbeat&) = default;
 
--- a/modules/by_schema/LinkHello.h
+++ b/modules/by_schema/LinkHello.h
@@ -8,6 +8,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Identifier.h"
+
 namespace by {
 
 /// First message on a link between two entry nodes.
@@ -23,6 +25,10 @@
     std::uint64_t mIncarnation{ 0 };
     /// Epoch under which the sender takes the receiver for the owner of the cell.
     std::uint64_t mEpoch{ 0 };
+    /// Availability zone of the node.
+    ZoneId mZone{};
+    /// Processor time that the node may use.
+    std::uint32_t mProcessorShare{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -68,6 +74,26 @@
     return copy;
   }
 
+  /// Availability zone of the node.
+  const ZoneId& Zone() const { return mFields.mZone; }
+  /// @returns a copy of this value with another Zone.
+  [[nodiscard]] LinkHello WithZone(ZoneId aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mZone = std::move(aValue);
+    return copy;
+  }
+
+  /// Processor time that the node may use.
+  std::uint32_t ProcessorShare() const { return mFields.mProcessorShare; }
+  /// @returns a copy of this value with another ProcessorShare.
+  [[nodiscard]] LinkHello WithProcessorShare(std::uint32_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mProcessorShare = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkHello&, const LinkHello&) = default;
   friend auto operator<=>(const LinkHello&, const LinkHello&) = default;
 
--- a/modules/by_schema/LinkMessage.h
+++ b/modules/by_schema/LinkMessage.h
@@ -15,6 +15,8 @@
 #include "by_schema/LinkHeartbeat.h"
 #include "by_schema/LinkHello.h"
 #include "by_schema/OwnerLeaving.h"
+#include "by_schema/RelayAnswers.h"
+#include "by_schema/RelayOrders.h"
 #include "by_schema/RequestAdvice.h"
 
 namespace by {
@@ -33,7 +35,9 @@
                  JobReply,
                  RequestAdvice,
                  AdviceAnswered,
-                 OwnerLeaving>
+                 OwnerLeaving,
+                 RelayOrders,
+                 RelayAnswers>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -60,7 +64,9 @@
                      JobReply,
                      RequestAdvice,
                      AdviceAnswered,
-                     OwnerLeaving>&
+                     OwnerLeaving,
+                     RelayOrders,
+                     RelayAnswers>&
   Body() const
   {
     return mFields.mBody;
@@ -72,7 +78,9 @@
                                                   JobReply,
                                                   RequestAdvice,
                                                   AdviceAnswered,
-                                                  OwnerLeaving> aValue) const
+                                                  OwnerLeaving,
+                                                  RelayOrders,
+                                                  RelayAnswers> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/OwnerLeaving.h
+++ b/modules/by_schema/OwnerLeaving.h
@@ -19,6 +19,8 @@
   {
     /// Epoch of the owner that stops.
     std::uint64_t mEpoch{ 0 };
+    /// Node that the owner hands the cell to; empty if any node may claim it.
+    std::string mSuccessor{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -47,6 +49,16 @@
     return copy;
   }
 
+  /// Node that the owner hands the cell to; empty if any node may claim it.
+  const std::string& Successor() const { return mFields.mSuccessor; }
+  /// @returns a copy of this value with another Successor.
+  [[nodiscard]] OwnerLeaving WithSuccessor(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mSuccessor = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const OwnerLeaving&, const OwnerLeaving&) = default;
   friend auto operator<=>(const OwnerLeaving&, const OwnerLeaving&) = default;
 
--- a/modules/by_schema/PollWorker.h
+++ b/modules/by_schema/PollWorker.h
@@ -34,6 +34,8 @@
     std::optional<Time> mLeaseUntil{};
     /// How long the worker may wait for the end of a run before it answers.
     Time mWait{};
+    /// Sequence number if another node relays the order; zero if the owner sends it itself.
+    std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -113,6 +115,16 @@
     return copy;
   }
 
+  /// Sequence number if another node relays the order; zero if the owner sends it itself.
+  std::uint64_t Number() const { return mFields.mNumber; }
+  /// @returns a copy of this value with another Number.
+  [[nodiscard]] PollWorker WithNumber(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mNumber = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const PollWorker&, const PollWorker&) = default;
   friend auto operator<=>(const PollWorker&, const PollWorker&) = default;
 
--- a/modules/by_schema/StartRun.h
+++ b/modules/by_schema/StartRun.h
@@ -39,6 +39,8 @@
     std::string mCheckpoint{};
     /// Ticket that permits this worker to run the step; empty if none is needed.
     std::string mTicket{};
+    /// Sequence number if another node relays the order; zero if the owner sends it itself.
+    std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -144,6 +146,16 @@
     return copy;
   }
 
+  /// Sequence number if another node relays the order; zero if the owner sends it itself.
+  std::uint64_t Number() const { return mFields.mNumber; }
+  /// @returns a copy of this value with another Number.
+  [[nodiscard]] StartRun WithNumber(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mNumber = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const StartRun&, const StartRun&) = default;
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
--- a/modules/by_schema/StopAnswered.h
+++ b/modules/by_schema/StopAnswered.h
@@ -28,6 +28,8 @@
     std::uint32_t mRun{ 0 };
     /// Outcome of the order.
     OrderOutcome mOutcome{};
+    /// Number of the order; zero if the order was not relayed.
+    std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -86,6 +88,16 @@
     return copy;
   }
 
+  /// Number of the order; zero if the order was not relayed.
+  std::uint64_t Number() const { return mFields.mNumber; }
+  /// @returns a copy of this value with another Number.
+  [[nodiscard]] StopAnswered WithNumber(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mNumber = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const StopAnswered&, const StopAnswered&) = default;
   friend auto operator<=>(const StopAnswered&, const StopAnswered&) = default;
 
--- a/modules/by_schema/StopRun.h
+++ b/modules/by_schema/StopRun.h
@@ -30,6 +30,8 @@
     std::uint32_t mRun{ 0 };
     /// Epoch of the owner that sends the order.
     std::uint64_t mEpoch{ 0 };
+    /// Sequence number if another node relays the order; zero if the owner sends it itself.
+    std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -95,6 +97,16 @@
     return copy;
   }
 
+  /// Sequence number if another node relays the order; zero if the owner sends it itself.
+  std::uint64_t Number() const { return mFields.mNumber; }
+  /// @returns a copy of this value with another Number.
+  [[nodiscard]] StopRun WithNumber(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mNumber = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const StopRun&, const StopRun&) = default;
   friend auto operator<=>(const StopRun&, const StopRun&) = default;
 
--- a/modules/by_schema/WorkerPolled.h
+++ b/modules/by_schema/WorkerPolled.h
@@ -26,6 +26,8 @@
     OrderOutcome mOutcome{};
     /// Report of the worker; empty unless the poll was accepted.
     WorkerReport mReport{};
+    /// Number of the order; zero if the order was not relayed.
+    std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -74,6 +76,16 @@
     return copy;
   }
 
+  /// Number of the order; zero if the order was not relayed.
+  std::uint64_t Number() const { return mFields.mNumber; }
+  /// @returns a copy of this value with another Number.
+  [[nodiscard]] WorkerPolled WithNumber(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mNumber = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const WorkerPolled&, const WorkerPolled&) = default;
   friend auto operator<=>(const WorkerPolled&, const WorkerPolled&) = default;
 
