Relay the owner's orders to workers through linked members

Callers saw requests without an answer and jobs without an end whenever a node of 0.12 cores owned the cell: it sent every order to 350 workers itself and read every report. by_entry now takes start, stop and poll orders out of a step's effects when the cell has more workers than direct_worker_limit and sends each worker's through a linked member of its availability zone, chosen by rendezvous hashing. An answer is matched by its number; a lost, silent or late relay has its polls sent through another one and its starts and stops counted as unanswered.

Tests: tests/by_entry/RelayTest.cpp; OwnerOfManyWorkersCallsNoneItself fails without the change.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -3,12 +3,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "by_cell/CellState.h"
+#include "by_entry/MemberRow.h"
 #include "by_entry/OpenCall.h"
 #include "by_entry/OwnerPhase.h"
+#include "by_entry/RelayState.h"
 #include "by_schema/CellClaim.h"
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/EntrySettings.h"
@@ -47,6 +48,9 @@
   /// The cell, while this node owns it; empty otherwise.
   std::optional<CellState> mCell;
 
+  /// How the owner's orders reach the workers.
+  RelayState mRelays;
+
   /// The newest claim that was read; empty until one is read.
   std::optional<CellClaim> mOwner;
   /// Whether the link to the owner is up.
@@ -71,8 +75,8 @@
   Time mNextHeartbeat{};
   /// When this node last tried to open the link to the owner.
   Time mConnectedAt{};
-  /// Nodes that currently have a link to this one.
-  std::set<std::string> mMembers;
+  /// Nodes that currently have a link to this one, by name.
+  std::map<std::string, MemberRow> mMembers;
 
   /// Callers' unanswered requests, by call number.
   std::map<std::uint64_t, OpenCall> mCalls;
--- /dev/null
+++ b/modules/by_entry/MemberRow.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "by_core/Identifier.h"
+#include "by_core/Time.h"
+
+namespace by {
+
+/// A node that has a link to this one.
+struct MemberRow
+{
+  ZoneId mZone;
+  /// The processor time that it may use. [millicores]
+  std::uint32_t mProcessorShare{ 0 };
+  /// When the link was established, and when its last message arrived.
+  Time mLinkedAt{};
+  Time mHeardAt{};
+
+  friend bool operator==(const MemberRow&, const MemberRow&) = default;
+  friend auto operator<=>(const MemberRow&, const MemberRow&) = default;
+};
+
+} // namespace by
--- /dev/null
+++ b/modules/by_entry/RelayState.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "by_cell/Effects.h"
+#include "by_core/Time.h"
+#include "by_entry/OpenOrder.h"
+
+namespace by {
+
+/// How the owner's orders reach the workers through other nodes.
+struct RelayState
+{
+  /// The number of the last order; the epoch in its upper half keeps the numbers of two owners
+  /// apart.
+  std::uint64_t mLastNumber{ 0 };
+  /// Relayed orders without an answer, by number.
+  std::map<std::uint64_t, OpenOrder> mOpen;
+  /// The relay of each worker; empty for this node itself.
+  std::map<std::string, std::string> mRelayOfWorker;
+  /// Relays that left an order unanswered, and until when they get no orders.
+  std::map<std::string, Time> mSuspended;
+  /// The last relay that could not reach a worker, by worker.
+  std::map<std::string, std::string> mFailedRelay;
+  /// Orders of a new owner that wait for members to link.
+  Effects mHeld;
+};
+
+} // namespace by
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -9,6 +9,7 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Ownership.h"
+#include "by_entry/detail/Relays.h"
 #include "by_entry/detail/Settings.h"
 #include "by_entry/detail/Stopping.h"
 
@@ -34,6 +35,7 @@
     detail::RetryClaim(mState, mNow, mOut);
     detail::MaintainLink(mState, mNow, mOut);
     detail::ExpireCalls(mState, mNow, mOut);
+    detail::ExpireRelayedOrders(mState, mNow, mOut);
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
     }
@@ -84,9 +86,9 @@
   {
     ForwardToCell(HandleWorkersChanged, aEvent);
   }
-  void operator()(const WorkerPolled& aEvent) const { ForwardToCell(HandlePolled, aEvent); }
-  void operator()(const StartAnswered& aEvent) const { ForwardToCell(HandleStartAnswered, aEvent); }
-  void operator()(const StopAnswered& aEvent) const { ForwardToCell(HandleStopAnswered, aEvent); }
+  void operator()(const WorkerPolled& aEvent) const { HandleAnswer(HandlePolled, aEvent); }
+  void operator()(const StartAnswered& aEvent) const { HandleAnswer(HandleStartAnswered, aEvent); }
+  void operator()(const StopAnswered& aEvent) const { HandleAnswer(HandleStopAnswered, aEvent); }
   void operator()(const AdviceAnswered& aEvent) const
   {
     if (mState.mCell) {
@@ -121,6 +123,18 @@
   }
 
 private:
+  /// Handles the answer to an order of this node, or returns it to the owner that it was relayed
+  /// for.
+  template<class Event>
+  void HandleAnswer(void (*aHandler)(CellState&, const Event&, Time, Effects&),
+                    const Event& aEvent) const
+  {
+    if (aEvent.Number() == 0) {
+      ForwardToCell(aHandler, aEvent);
+    } else {
+      detail::ReturnRelayedAnswer(mState, WorkerAnswer::Create({ .mBody = aEvent }).value(), mOut);
+    }
+  }
   template<class Event>
   void ForwardToCell(void (*aHandler)(CellState&, const Event&, Time, Effects&),
                      const Event& aEvent) const
@@ -173,6 +187,7 @@
       detail::StepDown(aState, "a newer owner was detected", aNow, out);
     }
   }
+  detail::RelayWorkerOrders(aState, aNow, out);
   detail::BroadcastStoreState(aState, aNow, out);
   detail::ContinueStop(aState, aNow, out);
   detail::PublishReadiness(aState, aNow, out);
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -9,6 +9,7 @@
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Relays.h"
 
 namespace by::detail {
 
@@ -171,10 +172,13 @@
   aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
   Emit(aOut,
        SendToOwner::Create(
-         { .mMessage = MessageOf(LinkHello::Create({ .mNode = aState.mSettings.Node(),
-                                                     .mIncarnation = aState.mSettings.Incarnation(),
-                                                     .mEpoch = aState.mOwner->Epoch() })
-                                   .value()) })
+         { .mMessage =
+             MessageOf(LinkHello::Create({ .mNode = aState.mSettings.Node(),
+                                           .mIncarnation = aState.mSettings.Incarnation(),
+                                           .mEpoch = aState.mOwner->Epoch(),
+                                           .mZone = aState.mSettings.Zone(),
+                                           .mProcessorShare = aState.mSettings.ProcessorShare() })
+                         .value()) })
          .value());
 }
 
@@ -194,6 +198,8 @@
     aState.mNextJoin = aNow;
     aState.mOwnerLeaving = true;
     aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
+  } else if (const auto* orders = std::get_if<RelayOrders>(&body)) {
+    PerformRelayOrders(*orders, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
     HandleHeartbeat(aState, *heartbeat, aNow, aOut);
   }
@@ -203,12 +209,22 @@
 HandleMemberMessage(EntryState& aState, const FromMember& aEvent, Time aNow, Effects& aOut)
 {
   const auto& body = aEvent.Message().Body();
+  if (const auto it = aState.mMembers.find(aEvent.Node()); it != aState.mMembers.end()) {
+    it->second.mHeardAt = std::max(it->second.mHeardAt, aEvent.Received());
+    if (const auto* hello = std::get_if<LinkHello>(&body)) {
+      it->second.mZone = hello->Zone();
+      it->second.mProcessorShare = hello->ProcessorShare();
+      RebalanceRelays(aState);
+    }
+  }
   if (const auto* request = std::get_if<CellRequest>(&body)) {
     HandleMemberRequest(aState, aEvent.Node(), *request, aNow, aOut);
   } else if (const auto* advice = std::get_if<AdviceAnswered>(&body)) {
     if (aState.mCell) {
       HandleAdvice(*aState.mCell, *advice, aNow, aOut);
     }
+  } else if (const auto* answers = std::get_if<RelayAnswers>(&body)) {
+    HandleRelayAnswers(aState, aEvent.Node(), *answers, aNow, aOut);
   } else if (std::holds_alternative<LinkHeartbeat>(body)) {
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
   }
@@ -222,7 +238,10 @@
       aEvent.Node(),
       absl::StrCat("members=", aState.mMembers.size()));
   if (aEvent.Up()) {
-    aState.mMembers.insert(aEvent.Node());
+    MemberRow member;
+    member.mLinkedAt = aNow;
+    member.mHeardAt = aNow;
+    aState.mMembers.insert_or_assign(aEvent.Node(), std::move(member));
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
   } else {
     aState.mMembers.erase(aEvent.Node());
@@ -236,6 +255,7 @@
     proxies.push_back({ .mNode = aEvent.Node(), .mOpenQueries = {} });
   } else {
     ForgetCallers(*aState.mCell, aEvent.Node());
+    HandleRelayLost(aState, aEvent.Node(), aNow, aOut);
   }
 }
 
@@ -246,8 +266,8 @@
   if (std::exchange(aState.mStoreLossPublished, isLost) == isLost) {
     return;
   }
-  for (const auto& member : aState.mMembers) {
-    SendMemberHeartbeat(aState, member, aNow, aOut);
+  for (const auto& [node, member] : aState.mMembers) {
+    SendMemberHeartbeat(aState, node, aNow, aOut);
   }
 }
 
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -245,14 +245,15 @@
   // The append that fenced earlier owners has used the first sequence number of this epoch.
   cell.mNextSequence = 1;
   cell.mAdviceProxies.push_back({ .mNode = aState.mSettings.Node(), .mOpenQueries = {} });
-  for (const auto& member : aState.mMembers) {
-    cell.mAdviceProxies.push_back({ .mNode = member, .mOpenQueries = {} });
+  for (const auto& [node, member] : aState.mMembers) {
+    cell.mAdviceProxies.push_back({ .mNode = node, .mOpenQueries = {} });
   }
   aState.mCell = RestoreCell(std::move(cell), aEvent.Records(), aNow, aOut);
   for (const auto& [number, wave] : aState.mWaves) {
     HandleWave(*aState.mCell, wave, aNow, aOut);
   }
   aState.mPhase = OwnerPhase::Owner;
+  aState.mRelays = {};
   Emit(
     aOut,
     WatchWorkers::Create({ .mFollow = true, .mPause = aState.mSettings.Cell().RegistryInterval() })
@@ -272,6 +273,7 @@
   aState.mPhase = OwnerPhase::Member;
   aState.mRetryAt = Time::Never();
   aState.mCell.reset();
+  aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
   RequeueForwardedCalls(aState);
   if (aState.mOwner && !IsClaimOfThisProcess(aState, *aState.mOwner)) {
--- /dev/null
+++ b/modules/by_entry/detail/Relays.cpp
@@ -0,0 +1,382 @@
+#include "by_entry/detail/Relays.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/HandleOrders.h"
+#include "by_cell/HandlePolls.h"
+#include "by_cell/detail/Emit.h"
+#include "by_membership/Rendezvous.h"
+
+namespace by::detail {
+
+namespace {
+
+/// Time for the hops to a relay and back, beyond the time that the relay gives the worker.
+constexpr Time kRelayMargin = Time::FromMilliseconds(400);
+/// A member that has been silent this much longer than the last one heard gets no orders.
+constexpr Time kRelaySilence = Time::FromMilliseconds(1200);
+/// How long a relay that left an order unanswered gets no orders.
+constexpr Time kSuspension = Time::FromMilliseconds(2000);
+/// A new owner sends no orders for this long, so that members can link first.
+constexpr Time kLinkDelay = Time::FromMilliseconds(200);
+constexpr std::uint64_t kEpochShift = 32;
+
+Time
+LastHeard(const EntryState& aState)
+{
+  Time last{};
+  for (const auto& [node, member] : aState.mMembers) {
+    last = std::max(last, member.mHeardAt);
+  }
+  return last;
+}
+
+/// Silence counts from the last message of any member, so that an owner that is behind does not
+/// take all of them for silent.
+bool
+IsUsable(const EntryState& aState, const std::string& aNode, const MemberRow& aMember, Time aHeard)
+{
+  return aMember.mHeardAt + kRelaySilence > aHeard && !aState.mRelays.mSuspended.contains(aNode);
+}
+
+ZoneId
+ZoneOf(const EntryState& aState, const std::string& aWorker)
+{
+  const auto it = aState.mCell->mWorkers.find(aWorker);
+  return it == aState.mCell->mWorkers.end() ? ZoneId() : it->second.mRegistration.Zone();
+}
+
+/// Selects a worker's relay: members in the worker's availability zone first, without the one that
+/// could not reach the worker.
+/// @returns the node; empty where no member is usable.
+std::string
+SelectRelay(const EntryState& aState, const std::string& aWorker)
+{
+  const auto zone = ZoneOf(aState, aWorker);
+  const auto failed = aState.mRelays.mFailedRelay.find(aWorker);
+  const auto heard = LastHeard(aState);
+  std::vector<NodeId> nearby;
+  std::vector<NodeId> all;
+  for (const auto& [node, member] : aState.mMembers) {
+    const bool hasFailed = failed != aState.mRelays.mFailedRelay.end() && failed->second == node;
+    if (hasFailed || !IsUsable(aState, node, member, heard)) {
+      continue;
+    }
+    all.emplace_back(node);
+    if (member.mZone == zone) {
+      nearby.emplace_back(node);
+    }
+  }
+  return RendezvousOwner(nearby.empty() ? all : nearby, aWorker).Text();
+}
+
+const std::string&
+RelayOf(EntryState& aState, const std::string& aWorker)
+{
+  auto [it, isNew] = aState.mRelays.mRelayOfWorker.try_emplace(aWorker);
+  if (isNew) {
+    it->second = SelectRelay(aState, aWorker);
+  }
+  return it->second;
+}
+
+/// Describes what remains to be done if an order is not answered.
+struct WithoutAnswer
+{
+  std::variant<PollWorker, StartAnswered, StopAnswered> operator()(const StartRun& aOrder) const
+  {
+    return StartAnswered::Create({ .mWorker = aOrder.Worker(),
+                                   .mTask = aOrder.Task(),
+                                   .mRun = aOrder.Run(),
+                                   .mOutcome = OrderOutcome::Unanswered })
+      .value();
+  }
+  std::variant<PollWorker, StartAnswered, StopAnswered> operator()(const StopRun& aOrder) const
+  {
+    return StopAnswered::Create({ .mWorker = aOrder.Worker(),
+                                  .mTask = aOrder.Task(),
+                                  .mRun = aOrder.Run(),
+                                  .mOutcome = OrderOutcome::Unanswered })
+      .value();
+  }
+  std::variant<PollWorker, StartAnswered, StopAnswered> operator()(const PollWorker& aOrder) const
+  {
+    return aOrder;
+  }
+};
+
+Time
+WaitOf(const WorkerOrder& aOrder)
+{
+  const auto* poll = std::get_if<PollWorker>(&aOrder.Body());
+  return poll == nullptr ? Time() : poll->Wait();
+}
+
+using Outbox = std::map<std::string, std::vector<WorkerOrder>>;
+
+/// Puts an order into the outbox of its worker's relay.
+/// @returns whether it did; otherwise this node sends the order itself.
+template<class Order>
+bool
+Enqueue(EntryState& aState, const Order& aOrder, Time aNow, Outbox& aOutbox)
+{
+  const auto& relay = RelayOf(aState, aOrder.Worker());
+  if (relay.empty()) {
+    return false;
+  }
+  auto& relays = aState.mRelays;
+  const auto number = (aState.mEpoch << kEpochShift) | ++relays.mLastNumber;
+  auto order = WorkerOrder::Create({ .mBody = aOrder.WithNumber(number) }).value();
+  const auto deadline =
+    aNow + WaitOf(order) + aState.mSettings.Cell().OrderTimeout() + kRelayMargin;
+  relays.mOpen.emplace(number, OpenOrder{ relay, deadline, WithoutAnswer()(aOrder) });
+  aOutbox[relay].push_back(std::move(order));
+  return true;
+}
+
+void
+FlushOutbox(Outbox aOutbox, Effects& aOut)
+{
+  for (auto& [relay, orders] : aOutbox) {
+    auto message = LinkMessage::Create(
+                     { .mBody = RelayOrders::Create({ .mOrders = std::move(orders) }).value() })
+                     .value();
+    Emit(aOut, SendToMember::Create({ .mNode = relay, .mMessage = std::move(message) }).value());
+  }
+}
+
+void
+ReportUnanswered(EntryState& aState, const OpenOrder& aOrder, Time aNow, Effects& aOut)
+{
+  if (const auto* start = std::get_if<StartAnswered>(&aOrder.mWithoutAnswer)) {
+    HandleStartAnswered(*aState.mCell, *start, aNow, aOut);
+  } else if (const auto* stop = std::get_if<StopAnswered>(&aOrder.mWithoutAnswer)) {
+    HandleStopAnswered(*aState.mCell, *stop, aNow, aOut);
+  }
+}
+
+/// Settles all orders at a relay. Its polls become effects of the owner again, which
+/// RelayWorkerOrders() sends through other relays at the end of the step.
+void
+SettleOrdersOf(EntryState& aState, const std::string& aRelay, Time aNow, Effects& aOut)
+{
+  std::vector<OpenOrder> settled;
+  std::erase_if(aState.mRelays.mOpen, [&](const auto& aEntry) {
+    if (aEntry.second.mRelay != aRelay) {
+      return false;
+    }
+    settled.push_back(aEntry.second);
+    return true;
+  });
+  std::erase_if(aState.mRelays.mRelayOfWorker,
+                [&](const auto& aEntry) { return aEntry.second == aRelay; });
+  for (const auto& order : settled) {
+    if (const auto* poll = std::get_if<PollWorker>(&order.mWithoutAnswer)) {
+      Emit(aOut, *poll);
+    } else {
+      ReportUnanswered(aState, order, aNow, aOut);
+    }
+  }
+}
+
+void
+Suspend(EntryState& aState, const std::string& aRelay, Time aNow, Effects& aOut)
+{
+  Log(
+    aOut,
+    "relay.suspended",
+    aRelay,
+    absl::StrCat("open_orders=",
+                 std::count_if(aState.mRelays.mOpen.begin(),
+                               aState.mRelays.mOpen.end(),
+                               [&](const auto& aEntry) { return aEntry.second.mRelay == aRelay; }),
+                 " for_ms=",
+                 kSuspension.Milliseconds()));
+  aState.mRelays.mSuspended[aRelay] = aNow + kSuspension;
+  SettleOrdersOf(aState, aRelay, aNow, aOut);
+}
+
+/// Remembers the relay that could not reach a worker, so that the next order takes another way.
+void
+NoteReachability(EntryState& aState,
+                 const std::string& aWorker,
+                 const std::string& aRelay,
+                 OrderOutcome aOutcome)
+{
+  if (aOutcome == OrderOutcome::Unanswered || aOutcome == OrderOutcome::NotSent) {
+    aState.mRelays.mFailedRelay[aWorker] = aRelay;
+    aState.mRelays.mRelayOfWorker.erase(aWorker);
+  }
+}
+
+/// Passes an answer to the cell.
+struct AnswerHandler
+{
+  EntryState& mState;
+  const std::string& mRelay;
+  Time mNow;
+  Effects& mOut;
+
+  void operator()(const StartAnswered& aAnswer) const
+  {
+    NoteReachability(mState, aAnswer.Worker(), mRelay, aAnswer.Outcome());
+    HandleStartAnswered(*mState.mCell, aAnswer, mNow, mOut);
+  }
+  void operator()(const StopAnswered& aAnswer) const
+  {
+    NoteReachability(mState, aAnswer.Worker(), mRelay, aAnswer.Outcome());
+    HandleStopAnswered(*mState.mCell, aAnswer, mNow, mOut);
+  }
+  void operator()(const WorkerPolled& aAnswer) const
+  {
+    NoteReachability(mState, aAnswer.Worker(), mRelay, aAnswer.Outcome());
+    HandlePolled(*mState.mCell, aAnswer, mNow, mOut);
+  }
+};
+
+bool
+IsWorkerOrder(const EntryEffect& aEffect)
+{
+  const auto& body = aEffect.Body();
+  return std::holds_alternative<StartRun>(body) || std::holds_alternative<StopRun>(body) ||
+         std::holds_alternative<PollWorker>(body);
+}
+
+void
+HoldOrders(Effects& aHeld, Effects& aOut)
+{
+  const auto orders = std::stable_partition(
+    aOut.begin(), aOut.end(), [](const auto& aEffect) { return !IsWorkerOrder(aEffect); });
+  std::move(orders, aOut.end(), std::back_inserter(aHeld));
+  aOut.erase(orders, aOut.end());
+}
+
+std::uint64_t
+NumberOf(const WorkerAnswer& aAnswer)
+{
+  return std::visit([](const auto& aBody) { return aBody.Number(); }, aAnswer.Body());
+}
+
+} // namespace
+
+void
+RelayWorkerOrders(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Owner ||
+      aState.mCell->mWorkers.size() <= aState.mSettings.Cell().DirectWorkerLimit()) {
+    return;
+  }
+  auto& held = aState.mRelays.mHeld;
+  if (aNow < aState.mCell->mOwnerSince + kLinkDelay) {
+    HoldOrders(held, aOut);
+    return;
+  }
+  std::move(held.begin(), held.end(), std::back_inserter(aOut));
+  held.clear();
+  Outbox outbox;
+  std::erase_if(aOut, [&](const EntryEffect& aEffect) {
+    const auto& body = aEffect.Body();
+    if (const auto* start = std::get_if<StartRun>(&body)) {
+      return Enqueue(aState, *start, aNow, outbox);
+    }
+    if (const auto* stop = std::get_if<StopRun>(&body)) {
+      return Enqueue(aState, *stop, aNow, outbox);
+    }
+    if (const auto* poll = std::get_if<PollWorker>(&body)) {
+      return Enqueue(aState, *poll, aNow, outbox);
+    }
+    return false;
+  });
+  FlushOutbox(std::move(outbox), aOut);
+}
+
+void
+HandleRelayAnswers(EntryState& aState,
+                   const std::string& aRelay,
+                   const RelayAnswers& aAnswers,
+                   Time aNow,
+                   Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Owner) {
+    return;
+  }
+  for (const auto& answer : aAnswers.Answers()) {
+    const auto open = aState.mRelays.mOpen.find(NumberOf(answer));
+    if (open == aState.mRelays.mOpen.end() || open->second.mRelay != aRelay) {
+      continue;
+    }
+    aState.mRelays.mOpen.erase(open);
+    std::visit(AnswerHandler{ aState, aRelay, aNow, aOut }, answer.Body());
+  }
+}
+
+void
+RebalanceRelays(EntryState& aState)
+{
+  aState.mRelays.mRelayOfWorker.clear();
+}
+
+void
+HandleRelayLost(EntryState& aState, const std::string& aRelay, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase == OwnerPhase::Owner) {
+    SettleOrdersOf(aState, aRelay, aNow, aOut);
+  }
+}
+
+void
+ExpireRelayedOrders(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Owner) {
+    return;
+  }
+  auto& relays = aState.mRelays;
+  if (std::erase_if(relays.mSuspended, [&](const auto& aEntry) { return aEntry.second <= aNow; }) >
+      0) {
+    relays.mRelayOfWorker.clear();
+  }
+  std::set<std::string> late;
+  for (const auto& [number, order] : relays.mOpen) {
+    if (order.mDeadline <= aNow) {
+      late.insert(order.mRelay);
+    }
+  }
+  const auto heard = LastHeard(aState);
+  for (const auto& [node, member] : aState.mMembers) {
+    if (!relays.mSuspended.contains(node) && !IsUsable(aState, node, member, heard)) {
+      late.insert(node);
+    }
+  }
+  for (const auto& relay : late) {
+    Suspend(aState, relay, aNow, aOut);
+  }
+}
+
+void
+PerformRelayOrders(const RelayOrders& aOrders, Effects& aOut)
+{
+  for (const auto& order : aOrders.Orders()) {
+    std::visit([&](const auto& aOrder) { Emit(aOut, aOrder); }, order.Body());
+  }
+}
+
+void
+ReturnRelayedAnswer(const EntryState& aState, WorkerAnswer aAnswer, Effects& aOut)
+{
+  if (!aState.mLinkUp) {
+    return;
+  }
+  auto answers = RelayAnswers::Create({ .mAnswers = { std::move(aAnswer) } }).value();
+  Emit(aOut,
+       SendToOwner::Create(
+         { .mMessage = LinkMessage::Create({ .mBody = std::move(answers) }).value() })
+         .value());
+}
+
+} // namespace by::detail
--- /dev/null
+++ b/modules/by_entry/detail/Relays.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+
+#include "by_cell/Effects.h"
+#include "by_entry/EntryState.h"
+#include "by_schema/RelayAnswers.h"
+#include "by_schema/RelayOrders.h"
+#include "by_schema/WorkerAnswer.h"
+
+namespace by::detail {
+
+/// Replaces the owner's orders among the effects of a step by messages to the nodes that relay
+/// them. Does nothing while the cell has few workers.
+void
+RelayWorkerOrders(EntryState& aState, Time aNow, Effects& aOut);
+
+/// Handles the answers that a relay returns to the owner. Answers to orders that are no longer open
+/// are dropped.
+void
+HandleRelayAnswers(EntryState& aState,
+                   const std::string& aRelay,
+                   const RelayAnswers& aAnswers,
+                   Time aNow,
+                   Effects& aOut);
+
+/// Distributes the workers over the relays anew, because a member has linked.
+void
+RebalanceRelays(EntryState& aState);
+
+/// Settles the orders that a lost node would have relayed.
+void
+HandleRelayLost(EntryState& aState, const std::string& aRelay, Time aNow, Effects& aOut);
+
+/// Settles the orders whose relays did not answer in time or have fallen silent.
+void
+ExpireRelayedOrders(EntryState& aState, Time aNow, Effects& aOut);
+
+/// Sends the orders that the owner asked this node to relay.
+void
+PerformRelayOrders(const RelayOrders& aOrders, Effects& aOut);
+
+/// Returns a worker's answer to the owner that asked this node to relay the order.
+void
+ReturnRelayedAnswer(const EntryState& aState, WorkerAnswer aAnswer, Effects& aOut);
+
+} // namespace by::detail
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -20,13 +20,13 @@
 void
 AnnounceLeaving(EntryState& aState, Effects& aOut)
 {
-  for (const auto& member : aState.mMembers) {
+  for (const auto& [node, member] : aState.mMembers) {
     auto leaving = OwnerLeaving::Create({ .mEpoch = aState.mEpoch }).value();
-    Emit(aOut,
-         SendToMember::Create(
-           { .mNode = member,
-             .mMessage = LinkMessage::Create({ .mBody = std::move(leaving) }).value() })
-           .value());
+    Emit(
+      aOut,
+      SendToMember::Create(
+        { .mNode = node, .mMessage = LinkMessage::Create({ .mBody = std::move(leaving) }).value() })
+        .value());
   }
   Emit(aOut,
        LeaveGroup::Create(
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -72,7 +72,9 @@
       Deliver(EventOf(MemberChanged::Create({ .mNode = aNode, .mUp = aUp }).value()));
     },
     [this](const std::string& aNode, const LinkMessage& aMessage) {
-      Deliver(EventOf(FromMember::Create({ .mNode = aNode, .mMessage = aMessage }).value()));
+      Deliver(
+        EventOf(FromMember::Create({ .mNode = aNode, .mMessage = aMessage, .mReceived = BootNow() })
+                  .value()));
     });
   if (!members.ok()) {
     return members.status();
--- a/modules/by_links/LinkServer.cpp
+++ b/modules/by_links/LinkServer.cpp
@@ -126,6 +126,7 @@
   }
   link = aConnection;
   mChanged(*aNode, true);
+  mReceived(*aNode, aMessage);
 }
 
 void
--- a/modules/by_links/LinkServer.h
+++ b/modules/by_links/LinkServer.h
@@ -29,7 +29,7 @@
 public:
   /// Told that a node has named itself on a link, or that its link is over.
   using Changed = std::function<void(const std::string&, bool)>;
-  /// Told of each further message of a node.
+  /// Told of each message of a node, beginning with the one that names it.
   using Received = std::function<void(const std::string&, const LinkMessage&)>;
 
   /// Listens.
--- /dev/null
+++ b/tests/by_entry/RelayTest.cpp
@@ -0,0 +1,234 @@
+#include <algorithm>
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_entry/EntryFixture.h"
+
+using namespace by;
+
+namespace {
+
+constexpr int kWorkers = 100;
+constexpr Time kLinked = Time::FromMilliseconds(1000);
+
+Endpoint
+EndpointOf(int aWorker)
+{
+  return Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9000 + aWorker }).value();
+}
+
+WorkerRegistration
+Registration(int aWorker)
+{
+  return WorkerRegistration::Create(
+           { .mId = absl::StrCat("w", aWorker),
+             .mPool = "pool",
+             .mEndpoint = EndpointOf(aWorker),
+             .mZone = ZoneId(aWorker % 2 == 0 ? "z0" : "z1"),
+             .mCapacity = Resources::Create({ .mCpuMillis = 8000 }).value() })
+    .value();
+}
+
+/// An owner with members that relay its orders.
+struct RelayFixture : EntryFixture
+{
+  explicit RelayFixture(int aWorkers = kWorkers)
+  {
+    Configure();
+    BecomeOwner(1);
+    Link("m0", "z0");
+    Link("m1", "z1");
+    Advance(kLinked);
+    Hear();
+    WorkersChanged::Fields fields;
+    fields.mComplete = true;
+    for (int i = 0; i < aWorkers; ++i) {
+      fields.mPresent.push_back(Registration(i));
+    }
+    Deliver(WorkersChanged::Create(std::move(fields)).value());
+  }
+
+  template<class Body>
+  void Send(const std::string& aNode, Body aBody)
+  {
+    Deliver(
+      FromMember::Create({ .mNode = aNode,
+                           .mMessage = LinkMessage::Create({ .mBody = std::move(aBody) }).value(),
+                           .mReceived = mNow })
+        .value());
+  }
+
+  void Link(const std::string& aNode, const std::string& aZone)
+  {
+    Deliver(MemberChanged::Create({ .mNode = aNode, .mUp = true }).value());
+    Send(aNode, LinkHello::Create({ .mNode = aNode, .mZone = ZoneId(aZone) }).value());
+  }
+
+  /// Lets all members send a heartbeat.
+  void Hear()
+  {
+    for (const auto& [node, member] : std::map(mState.mMembers)) {
+      Send(node, LinkHeartbeat::Create({ .mEpoch = 1 }).value());
+    }
+  }
+
+  /// @returns the polls sent to each relay since the last call, by relay.
+  std::map<std::string, std::vector<PollWorker>> TakeRelayedPolls()
+  {
+    std::map<std::string, std::vector<PollWorker>> polls;
+    for (const auto& sent : Take<SendToMember>()) {
+      if (const auto* orders = std::get_if<RelayOrders>(&sent.Message().Body())) {
+        for (const auto& order : orders->Orders()) {
+          if (const auto* poll = std::get_if<PollWorker>(&order.Body())) {
+            polls[sent.Node()].push_back(*poll);
+          }
+        }
+      }
+    }
+    return polls;
+  }
+
+  /// Lets a relay return the answer to a poll.
+  void Answer(const std::string& aRelay, const PollWorker& aPoll, OrderOutcome aOutcome)
+  {
+    auto polled = WorkerPolled::Create(
+                    { .mWorker = aPoll.Worker(), .mOutcome = aOutcome, .mNumber = aPoll.Number() })
+                    .value();
+    Send(aRelay,
+         RelayAnswers::Create(
+           { .mAnswers = { WorkerAnswer::Create({ .mBody = std::move(polled) }).value() } })
+           .value());
+  }
+};
+
+std::size_t
+CountPolls(const std::map<std::string, std::vector<PollWorker>>& aPolls)
+{
+  std::size_t n = 0;
+  for (const auto& [relay, polls] : aPolls) {
+    n += polls.size();
+  }
+  return n;
+}
+
+} // namespace
+
+TEST_GROUP(Relay){};
+
+/// The owner of a large cell spent its whole processor share on calls to workers.
+TEST(Relay, OwnerOfManyWorkersCallsNoneItself)
+{
+  RelayFixture owner;
+  CHECK(owner.Take<PollWorker>().empty());
+  CHECK_EQUAL(kWorkers, CountPolls(owner.TakeRelayedPolls()));
+}
+
+TEST(Relay, OwnerOfFewWorkersCallsThemItself)
+{
+  RelayFixture owner(10);
+  CHECK_EQUAL(10, owner.Take<PollWorker>().size());
+  CHECK_EQUAL(0, CountPolls(owner.TakeRelayedPolls()));
+}
+
+TEST(Relay, WorkerIsCalledByAMemberOfItsAvailabilityZone)
+{
+  RelayFixture owner;
+  for (const auto& [relay, polls] : owner.TakeRelayedPolls()) {
+    for (const auto& poll : polls) {
+      const bool isEven = (poll.Endpoint().Port() - 9000) % 2 == 0;
+      CHECK_EQUAL(isEven ? "m0" : "m1", relay);
+    }
+  }
+}
+
+TEST(Relay, PollsOfALostRelayAreSentThroughAnother)
+{
+  RelayFixture owner;
+  const auto lost = owner.TakeRelayedPolls()["m0"].size();
+  owner.Deliver(MemberChanged::Create({ .mNode = "m0", .mUp = false }).value());
+  CHECK_EQUAL(lost, owner.TakeRelayedPolls()["m1"].size());
+}
+
+TEST(Relay, SilentRelayIsReplacedBeforeItsWorkersCountAsLost)
+{
+  RelayFixture owner;
+  const auto polls = owner.TakeRelayedPolls();
+  const auto lost = polls.at("m0").size();
+  for (const auto& poll : polls.at("m1")) {
+    owner.Answer("m1", poll, OrderOutcome::Accepted);
+  }
+  for (int i = 0; i < 3; ++i) {
+    owner.Advance(Time::FromMilliseconds(500));
+    owner.Send("m1", LinkHeartbeat::Create({ .mEpoch = 1 }).value());
+  }
+  owner.Advance(Time::FromMilliseconds(50));
+  CHECK(owner.TakeRelayedPolls()["m1"].size() >= lost);
+  for (const auto& [id, worker] : owner.mState.mCell->mWorkers) {
+    CHECK(worker.mHealth != WorkerHealth::LeaseExpiring);
+    CHECK_EQUAL(0, worker.mPollFailures);
+  }
+}
+
+TEST(Relay, AnswerOfAReplacedRelayIsNotTakenForTheLaterPoll)
+{
+  RelayFixture owner;
+  const auto polls = owner.TakeRelayedPolls();
+  owner.Deliver(MemberChanged::Create({ .mNode = "m0", .mUp = false }).value());
+  owner.Link("m0", "z0");
+  const auto& poll = polls.at("m0").front();
+  owner.Answer("m0", poll, OrderOutcome::Accepted);
+  CHECK(owner.mState.mCell->mWorkers.at(poll.Worker()).mPollInFlight);
+  CHECK(owner.mState.mCell->mWorkers.at(poll.Worker()).mHealth == WorkerHealth::Unseen);
+}
+
+TEST(Relay, WorkerThatARelayCannotReachIsPolledThroughAnotherNext)
+{
+  RelayFixture owner;
+  const auto poll = owner.TakeRelayedPolls()["m0"].front();
+  owner.Answer("m0", poll, OrderOutcome::Unanswered);
+  owner.Hear();
+  owner.Advance(Time::FromMilliseconds(300));
+  const auto next = owner.TakeRelayedPolls()["m1"];
+  CHECK(std::any_of(next.begin(), next.end(), [&](const PollWorker& aPoll) {
+    return aPoll.Worker() == poll.Worker();
+  }));
+}
+
+TEST(Relay, NewOwnerWaitsForMembersBeforeItCallsAllWorkersItself)
+{
+  EntryFixture owner;
+  owner.Configure();
+  owner.BecomeOwner(1);
+  WorkersChanged::Fields fields;
+  for (int i = 0; i < kWorkers; ++i) {
+    fields.mPresent.push_back(Registration(i));
+  }
+  owner.Deliver(WorkersChanged::Create(std::move(fields)).value());
+  CHECK(owner.Take<PollWorker>().empty());
+  owner.Advance(Time::FromMilliseconds(400));
+  CHECK_EQUAL(kWorkers, owner.Take<PollWorker>().size());
+}
+
+TEST(Relay, MemberSendsRelayedOrdersAndReturnsTheirAnswers)
+{
+  EntryFixture member;
+  member.Configure();
+  member.SetRemoteOwner(3);
+  auto poll = PollWorker::Create({ .mWorker = "w1", .mEpoch = 3, .mNumber = 77 }).value();
+  auto orders =
+    RelayOrders::Create({ .mOrders = { WorkerOrder::Create({ .mBody = poll }).value() } }).value();
+  member.Deliver(
+    FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = std::move(orders) }).value() })
+      .value());
+  CHECK(member.Take<PollWorker>() == std::vector{ poll });
+  member.Take<SendToOwner>();
+  member.Deliver(WorkerPolled::Create({ .mWorker = "w1", .mNumber = 77 }).value());
+  const auto sent = member.Take<SendToOwner>();
+  CHECK_EQUAL(1, sent.size());
+  const auto* answers = std::get_if<RelayAnswers>(&sent.front().Message().Body());
+  CHECK(answers != nullptr);
+  CHECK_EQUAL(1, answers->Answers().size());
+}
