--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "OwnerLoad.h"
 #include "by_json/by_json.h"
 #include "by_json/generated/backend_json.h"
 #include "by_json/generated/platform_json.h"
@@ -244,5 +245,15 @@
   for (const std::int64_t vms : { 48, 480, 4304 }) {
     by::MeasureIdleNode(vms);
   }
+  for (const auto& [jobs, backlog] : { std::pair{ 25, 0 }, { 95, 0 }, { 95, 600 }, { 130, 0 } }) {
+    constexpr int kWorkers = 350;
+    constexpr int kSeconds = 10;
+    const auto load = by::MeasureOwnerLoad(kWorkers, jobs, kSeconds, backlog);
+    const auto size = std::to_string(jobs) + "+" + std::to_string(backlog);
+    std::printf("owner,milliseconds_a_second,%s,%.1f\n", size.c_str(), load.mMillisecondsASecond);
+    std::printf("owner,starts_a_second,%s,%.0f\n", size.c_str(), load.mStartsASecond);
+    std::printf("owner,events_a_second,%s,%.0f\n", size.c_str(), load.mEventsASecond);
+    std::printf("owner,open_jobs,%s,%ld\n", size.c_str(), static_cast<long>(load.mOpenJobs));
+  }
   return 0;
 }
