Keep the cost of an owner's step from growing with what waits

An owner that was behind got more work from each event: every event that found a poll due went over all workers and their runs, every placement pass went over all workers for each step that waits for advice, and selected the workers of a query before it knew whether a node was free to send it. Polls are now found by their due time, a step that needs advice is placed on the holders of its tickets, a pass sends four queries at most and looks for a free node first, and passes over all workers come every 40 ms.

The simulation now confirms the newest owner every 300 ms, as by_entry does on GroupJoined. No check changed.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -86,12 +86,14 @@
   bool mPlacementNeeded{ false };
   /// The earliest time of the next placement pass.
   Time mNextPlacement{};
-  /// When the periodic checks last ran.
+  /// When the periodic checks last ran, and the last pass over all workers.
   Time mLastCheck{};
+  Time mLastWorkerUpdate{};
   /// Periodic checks that placed tasks although no event had requested a placement pass.
   std::uint64_t mMissedWakeups{ 0 };
-  /// The earliest time at which a poll of a worker is due.
-  Time mPollDue{};
+  /// The workers by the time when their next poll is due. A worker whose time has changed stands
+  /// in several places, of which only the one at its current time counts.
+  absl::btree_set<std::pair<Time, std::string>> mPollQueue;
 };
 
 } // namespace by
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -83,6 +83,12 @@
   detail::Emit(aOut, PollWorker::Create(std::move(fields)).value());
 }
 
+bool
+CanBePolled(const WorkerRow& aWorker)
+{
+  return !aWorker.mPollInFlight && aWorker.mRegistration.Endpoint().Port() > 0;
+}
+
 /// Resends the start and stop orders whose retry time has come.
 void
 ResendOrders(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
@@ -111,6 +117,9 @@
   }
   auto& worker = it->second;
   worker.mPollInFlight = false;
+  if (worker.mNextPoll != Time::Never()) {
+    aState.mPollQueue.emplace(worker.mNextPoll, aEvent.Worker());
+  }
   if (aEvent.Outcome() == OrderOutcome::Fenced) {
     detail::MarkFencedByWorker(aState, aEvent.Worker(), aOut);
     return;
@@ -143,10 +152,23 @@
     aState, worker, wasUnreachable ? aNow : detail::NextPollTime(aState, worker, aNow));
 }
 
+void
+SendDuePolls(CellState& aState, Time aNow, Effects& aOut)
+{
+  auto& queue = aState.mPollQueue;
+  while (!queue.empty() && queue.begin()->first <= aNow) {
+    const auto [due, id] = *queue.begin();
+    queue.erase(queue.begin());
+    const auto it = aState.mWorkers.find(id);
+    if (it != aState.mWorkers.end() && it->second.mNextPoll == due && CanBePolled(it->second)) {
+      SendPoll(aState, it->second, aNow, aOut);
+    }
+  }
+}
+
 void
 UpdateWorkers(CellState& aState, Time aNow, Effects& aOut)
 {
-  auto due = Time::Never();
   std::vector<std::string> forgotten;
   for (auto& [id, worker] : aState.mWorkers) {
     if (worker.mHealth == WorkerHealth::Unseen && !worker.mRegistered && !worker.mRuns.empty()) {
@@ -161,21 +183,16 @@
       forgotten.push_back(id);
       continue;
     }
-    const bool hasAddress = worker.mRegistration.Endpoint().Port() > 0;
-    if (!worker.mPollInFlight && hasAddress && worker.mNextPoll <= aNow) {
+    if (CanBePolled(worker) && worker.mNextPoll <= aNow) {
       SendPoll(aState, worker, aNow, aOut);
     }
     ResendOrders(aState, worker, aNow, aOut);
-    if (!worker.mPollInFlight && hasAddress) {
-      due = std::min(due, worker.mNextPoll);
-    }
   }
   for (const auto& id : forgotten) {
     if (aNow > aState.mWorkers.at(id).mDeregisteredAt + kForgetDelay) {
       aState.mWorkers.erase(id);
     }
   }
-  aState.mPollDue = due;
 }
 
 } // namespace by
--- a/modules/by_cell/HandlePolls.h
+++ b/modules/by_cell/HandlePolls.h
@@ -10,6 +10,10 @@
 void
 HandlePolled(CellState& aState, const WorkerPolled& aEvent, Time aNow, Effects& aOut);
 
+/// Sends the polls that are due.
+void
+SendDuePolls(CellState& aState, Time aNow, Effects& aOut);
+
 /// Sends the polls and retries that are due, ends the runs of workers whose lease has expired, and
 /// removes workers that left the registry and have no runs.
 void
--- a/modules/by_cell/StepAdvice.h
+++ b/modules/by_cell/StepAdvice.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
@@ -14,8 +15,8 @@
 {
   /// The tickets that permit a run, by worker.
   absl::flat_hash_map<std::string, std::string> mTickets;
-  /// When the tickets expire, by worker.
-  absl::flat_hash_map<std::string, Time> mValidUntil;
+  /// When the tickets expire, by worker; ordered, so that equal inputs give equal decisions.
+  absl::btree_map<std::string, Time> mValidUntil;
   /// Workers that may not run the step; a denial is final, so that they are not queried again.
   absl::flat_hash_set<std::string> mDeniedWorkers;
   /// Whether a query is open.
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -21,6 +21,8 @@
 
 /// Interval between the checks for work that events did not trigger.
 constexpr Time kCheckInterval = Time::FromMilliseconds(250);
+/// Interval between the passes over all workers that resend orders and end expired leases.
+constexpr Time kWorkerUpdateInterval = Time::FromMilliseconds(40);
 
 void
 OpenDueJobs(CellState& aState, Time aNow)
@@ -69,9 +71,7 @@
   if (aState.mPlacementNeeded && aNow >= aState.mNextPlacement) {
     detail::PlaceTasks(aState, aNow, aOut);
   }
-  if (aState.mPollDue <= aNow) {
-    UpdateWorkers(aState, aNow, aOut);
-  }
+  SendDuePolls(aState, aNow, aOut);
   FlushRecords(aState, aNow, aOut);
 }
 
@@ -80,7 +80,10 @@
 {
   OpenDueJobs(aState, aNow);
   AnswerStalledCallers(aState, aNow, aOut);
-  aState.mPollDue = std::min(aState.mPollDue, aNow);
+  if (aNow >= aState.mLastWorkerUpdate + kWorkerUpdateInterval) {
+    aState.mLastWorkerUpdate = aNow;
+    UpdateWorkers(aState, aNow, aOut);
+  }
   if (aNow < aState.mLastCheck + kCheckInterval) {
     return;
   }
@@ -116,7 +119,7 @@
 Time
 NextWorkTime(const CellState& aState)
 {
-  auto next = aState.mPollDue;
+  auto next = aState.mPollQueue.empty() ? Time::Never() : aState.mPollQueue.begin()->first;
   if (!aState.mSchedule.empty()) {
     next = std::min(next, aState.mSchedule.begin()->first);
   }
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -45,7 +45,7 @@
   bool mPollInFlight{ false };
   Time mPollSentAt{};
   /// When to send the next poll; Never() where none is needed.
-  Time mNextPoll{};
+  Time mNextPoll{ Time::Never() };
   /// Consecutive polls that failed.
   std::uint32_t mPollFailures{ 0 };
   /// The number of the last end that was processed, and of the last one that is stored.
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -137,6 +137,12 @@
   return it != aAdvice.mValidUntil.end() && aNow + kTicketMargin < it->second;
 }
 
+bool
+MayQueryAdvice(const StepAdvice& aAdvice, Time aNow)
+{
+  return aAdvice.mNextQuery <= aNow && (!aAdvice.mQueryOpen || aNow >= aAdvice.mQueryDeadline);
+}
+
 bool
 CanQueryAdvice(const CellState& aState, Time aNow)
 {
@@ -195,18 +201,21 @@
 {
   const auto& policy = PolicyOf(aState, aJob).Advice();
   auto& advice = aJob.mOccurrences.at(aOccurrence).mSteps[aStep].mAdvice;
-  if (!policy || advice.mNextQuery > aNow || (advice.mQueryOpen && aNow < advice.mQueryDeadline) ||
-      !CanQueryAdvice(aState, aNow)) {
+  if (!policy || !MayQueryAdvice(advice, aNow) || !CanQueryAdvice(aState, aNow)) {
     return;
   }
-  const auto spare = SpareFactor(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow);
-  auto workers = SelectWorkers(aState, StepOf(aJob, aStep), spare, advice, aCandidates, aNow);
-  const auto decisionTime = DecisionTime(*policy, workers.size());
-  auto* proxy = workers.empty() ? nullptr : FindFreeProxy(aState, decisionTime, aNow);
   advice.mNextQuery = aNow + kQueryInterval;
+  const auto limit = CountWorkersToQuery(StepOf(aJob, aStep));
+  auto* proxy = FindFreeProxy(aState, DecisionTime(*policy, limit), aNow);
   if (proxy == nullptr) {
     return;
   }
+  const auto spare = SpareFactor(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow);
+  auto workers = SelectWorkers(aState, StepOf(aJob, aStep), spare, advice, aCandidates, aNow);
+  if (workers.empty()) {
+    return;
+  }
+  const auto decisionTime = DecisionTime(*policy, workers.size());
   const auto timeout =
     decisionTime * static_cast<std::int64_t>(proxy->mOpenQueries.size() + 1) + kAnswerMargin;
   advice.mQueryOpen = true;
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -23,6 +23,10 @@
             Time aNow,
             Effects& aOut);
 
+/// @returns whether a step has no open query and its last one is old enough for another.
+bool
+MayQueryAdvice(const StepAdvice& aAdvice, Time aNow);
+
 /// @returns whether a node is free to send a query.
 bool
 CanQueryAdvice(const CellState& aState, Time aNow);
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxStepsPerPass = 400;
 /// A placement pass ends after this many steps without capacity or advice.
 constexpr std::size_t kMaxMissesPerPass = 60;
+/// Advice queries per placement pass, since selecting the workers to ask for takes long.
+constexpr std::size_t kMaxQueriesPerPass = 4;
 /// Minimum interval between passes, so that many events share one.
 constexpr Time kPassInterval = Time::FromMilliseconds(5);
 /// Workers whose slowness differs by less than this rank as equally fast, and free capacity decides
@@ -80,6 +82,23 @@
   return n;
 }
 
+/// @returns the usable workers that a step has valid tickets for, by name.
+Candidates
+TicketHolders(CellState& aState, const StepAdvice& aAdvice, const std::string& aPool, Time aNow)
+{
+  Candidates holders;
+  for (const auto& [id, until] : aAdvice.mValidUntil) {
+    if (!HasTicket(aAdvice, id, aNow)) {
+      continue;
+    }
+    const auto it = aState.mWorkers.find(id);
+    if (it != aState.mWorkers.end() && IsUsable(it->second, aPool, aNow)) {
+      holders.push_back(&it->second);
+    }
+  }
+  return holders;
+}
+
 /// The state of one placement pass over the ready steps.
 struct Pass
 {
@@ -89,6 +108,7 @@
   std::map<std::string, Candidates> mPools;
   std::size_t mPlaced{ 0 };
   std::size_t mMisses{ 0 };
+  std::size_t mQueries{ 0 };
 
   Candidates& Pool(const std::string& aPool)
   {
@@ -103,11 +123,7 @@
 /// @returns an upper bound, by processor time, on the tasks of a step that the candidates can host;
 /// counting stops at a limit.
 std::size_t
-CountSlots(const Candidates& aCandidates,
-           const JobStep& aStep,
-           const StepAdvice* aAdvice,
-           Time aNow,
-           std::size_t aLimit)
+CountSlots(const Candidates& aCandidates, const JobStep& aStep, std::size_t aLimit)
 {
   const auto cpu = EffectiveDemand(aStep).CpuMillis();
   std::size_t n = 0;
@@ -115,8 +131,7 @@
     if (n >= aLimit) {
       return n;
     }
-    if (!CanHost(*worker, aStep) ||
-        (aAdvice != nullptr && !HasTicket(*aAdvice, worker->mRegistration.Id(), aNow))) {
+    if (!CanHost(*worker, aStep)) {
       continue;
     }
     n += cpu == 0 ? aLimit : static_cast<std::size_t>(FreeCapacity(*worker).CpuMillis() / cpu);
@@ -128,7 +143,6 @@
 FindBestWorker(Pass& aPass,
                const Candidates& aCandidates,
                const JobStep& aStep,
-               const StepAdvice* aAdvice,
                const JobTaskKey& aTask,
                const RackId* aRack)
 {
@@ -138,8 +152,7 @@
   WorkerRow* best = nullptr;
   std::pair<Suitability, std::int64_t> bestScore;
   for (auto* worker : aCandidates) {
-    if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack) ||
-        (aAdvice != nullptr && !HasTicket(*aAdvice, worker->mRegistration.Id(), aPass.mNow))) {
+    if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack)) {
       continue;
     }
     if (worker->mQuarantinedUntil > Time() && !worker->mRuns.empty()) {
@@ -191,8 +204,7 @@
 PlaceIndependentTasks(Pass& aPass,
                       JobRow& aJob,
                       const ReadyKey& aKey,
-                      const Candidates& aCandidates,
-                      const StepAdvice* aAdvice)
+                      const Candidates& aCandidates)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
@@ -201,7 +213,7 @@
     if (row->mProgress.Phase() != JobTaskPhase::Waiting || row->mLiveRuns > 0) {
       continue;
     }
-    auto* worker = FindBestWorker(aPass, aCandidates, step, aAdvice, task, nullptr);
+    auto* worker = FindBestWorker(aPass, aCandidates, step, task, nullptr);
     if (worker == nullptr) {
       return;
     }
@@ -216,14 +228,13 @@
                 const JobRow& aJob,
                 const ReadyKey& aKey,
                 const Candidates& aCandidates,
-                const StepAdvice* aAdvice,
                 const RackId* aRack)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   std::vector<WorkerRow*> hosts;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
     const auto task = TaskOf(aKey, i);
-    auto* worker = FindBestWorker(aPass, aCandidates, step, aAdvice, task, aRack);
+    auto* worker = FindBestWorker(aPass, aCandidates, step, task, aRack);
     if (worker == nullptr) {
       break;
     }
@@ -252,24 +263,20 @@
 }
 
 void
-PlaceGang(Pass& aPass,
-          JobRow& aJob,
-          const ReadyKey& aKey,
-          const Candidates& aCandidates,
-          const StepAdvice* aAdvice)
+PlaceGang(Pass& aPass, JobRow& aJob, const ReadyKey& aKey, const Candidates& aCandidates)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   std::vector<WorkerRow*> hosts;
   if (step.SameRack()) {
     for (const auto& rack : RacksOf(aCandidates)) {
-      hosts = FindGangWorkers(aPass, aJob, aKey, aCandidates, aAdvice, &rack);
+      hosts = FindGangWorkers(aPass, aJob, aKey, aCandidates, &rack);
       if (hosts.size() == step.Count()) {
         break;
       }
     }
   }
   if (hosts.size() < step.Count()) {
-    hosts = FindGangWorkers(aPass, aJob, aKey, aCandidates, aAdvice, nullptr);
+    hosts = FindGangWorkers(aPass, aJob, aKey, aCandidates, nullptr);
   }
   if (hosts.size() < step.Count()) {
     return;
@@ -294,22 +301,34 @@
     return;
   }
   const auto& policy = PolicyOf(aPass.mState, *job);
-  const auto& candidates = aPass.Pool(policy.Pool());
   auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
-  const auto* advice = policy.Advice() ? &row.mAdvice : nullptr;
+  const bool needsAdvice = policy.Advice().has_value();
+  const auto holders = needsAdvice
+                         ? TicketHolders(aPass.mState, row.mAdvice, policy.Pool(), aPass.mNow)
+                         : Candidates();
+  const auto& candidates = needsAdvice ? holders : aPass.Pool(policy.Pool());
   const auto& step = StepOf(*job, aKey.mStep);
   const std::size_t needed = step.Gang() ? step.Count() : 1;
-  if (CountSlots(candidates, step, advice, aPass.mNow, needed) < needed) {
-    ++aPass.mMisses;
-  } else if (step.Gang()) {
-    PlaceGang(aPass, *job, aKey, candidates, advice);
+  if (CountSlots(candidates, step, needed) < needed) {
+    aPass.mMisses += candidates.empty() ? 0 : 1;
   } else {
-    PlaceIndependentTasks(aPass, *job, aKey, candidates, advice);
+    if (step.Gang()) {
+      PlaceGang(aPass, *job, aKey, candidates);
+    } else {
+      PlaceIndependentTasks(aPass, *job, aKey, candidates);
+    }
+    RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
   }
-  RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
-  if (advice != nullptr && row.mReady) {
-    QueryAdvice(
-      aPass.mState, *job, aKey.mOccurrence, aKey.mStep, candidates, aPass.mNow, aPass.mOut);
+  if (needsAdvice && row.mReady && aPass.mQueries < kMaxQueriesPerPass &&
+      MayQueryAdvice(row.mAdvice, aPass.mNow)) {
+    ++aPass.mQueries;
+    QueryAdvice(aPass.mState,
+                *job,
+                aKey.mOccurrence,
+                aKey.mStep,
+                aPass.Pool(policy.Pool()),
+                aPass.mNow,
+                aPass.mOut);
   }
 }
 
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -382,8 +382,10 @@
 void
 SchedulePoll(CellState& aState, WorkerRow& aWorker, Time aTime)
 {
-  aWorker.mNextPoll = std::min(aWorker.mNextPoll, aTime);
-  aState.mPollDue = std::min(aState.mPollDue, aTime);
+  if (aTime < aWorker.mNextPoll) {
+    aWorker.mNextPoll = aTime;
+    aState.mPollQueue.emplace(aTime, aWorker.mRegistration.Id());
+  }
 }
 
 } // namespace by::detail
--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Interval between the answers of the group that confirm the newest owner. [ms]
+constexpr std::int64_t kConfirmInterval = 300;
 constexpr int kWorkers = 4;
 constexpr const char* kNode = "owner";
 
@@ -103,9 +105,19 @@
   for (const auto& later : due) {
     later.mAction();
   }
+  ConfirmOwner();
   Deliver(mOwner, [this](CellState& aCell, Effects& aOut) { CheckCell(aCell, mNow, aOut); });
 }
 
+void
+CellSimulation::ConfirmOwner()
+{
+  if (mNow.Milliseconds() % kConfirmInterval == 0) {
+    auto& confirmed = mOwner->mCell.mConfirmedAt;
+    confirmed = std::max(confirmed, mNow);
+  }
+}
+
 void
 CellSimulation::SubmitRandomJobs()
 {
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -99,6 +99,8 @@
   void ReportViolation(const std::string& aRule, const std::string& aSeen);
 
   void Step(bool aWithoutFaults);
+  /// Confirms the newest owner, as the answers of the group do while the store is quiet.
+  void ConfirmOwner();
   void SubmitRandomJobs();
   void Perform(const std::shared_ptr<Owner>& aOwner, Effects aEffects);
   void Deliver(const std::shared_ptr<Owner>& aOwner,
