Let relayed orders and their answers share messages

With every member as a relay the owner had a message for each order and each answer, a thousand a second, and each costs two wake-ups and several system calls. At most 12 members relay now, the largest first; orders wait 5 ms for others to the same relay, answers 5 ms where the owner acts on them and 60 ms otherwise. A relay that fell silent is found by comparison with the other members as before.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "by_cell/CellState.h"
 #include "by_entry/MemberRow.h"
@@ -14,6 +15,7 @@
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/EntrySettings.h"
 #include "by_schema/MaintenanceWave.h"
+#include "by_schema/WorkerAnswer.h"
 
 namespace by {
 
@@ -50,6 +52,9 @@
 
   /// How the owner's orders reach the workers.
   RelayState mRelays;
+  /// Answers to relayed orders that wait to be returned to the owner, and when they are sent.
+  std::vector<WorkerAnswer> mRelayedAnswers;
+  Time mReturnAnswersAt{ Time::Never() };
 
   /// The newest claim that was read; empty until one is read.
   std::optional<CellClaim> mOwner;
--- a/modules/by_entry/RelayState.h
+++ b/modules/by_entry/RelayState.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "by_cell/Effects.h"
 #include "by_core/Time.h"
 #include "by_entry/OpenOrder.h"
+#include "by_schema/WorkerOrder.h"
 
 namespace by {
 
@@ -26,6 +28,9 @@
   std::map<std::string, std::string> mFailedRelay;
   /// Orders of a new owner that wait for members to link.
   Effects mHeld;
+  /// Orders that wait for others to the same relay, and when they are sent.
+  std::map<std::string, std::vector<WorkerOrder>> mOutbox;
+  Time mSendAt{ Time::Never() };
 };
 
 } // namespace by
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -132,7 +132,7 @@
     if (aEvent.Number() == 0) {
       ForwardToCell(aHandler, aEvent);
     } else {
-      detail::ReturnRelayedAnswer(mState, WorkerAnswer::Create({ .mBody = aEvent }).value(), mOut);
+      detail::KeepRelayedAnswer(mState, WorkerAnswer::Create({ .mBody = aEvent }).value(), mNow);
     }
   }
   template<class Event>
@@ -188,6 +188,7 @@
     }
   }
   detail::RelayWorkerOrders(aState, aNow, out);
+  detail::ReturnRelayedAnswers(aState, aNow, out);
   detail::BroadcastStoreState(aState, aNow, out);
   detail::ContinueStop(aState, aNow, out);
   detail::PublishReadiness(aState, aNow, out);
@@ -198,12 +199,13 @@
 Time
 NextTick(const EntryState& aState, Time aNow)
 {
-  auto next = aNow + kMemberTickInterval;
+  auto next = std::min(aNow + kMemberTickInterval, aState.mReturnAnswersAt);
   if (!aState.mJoinInFlight && aState.mConfig && !aState.mStopping) {
     next = std::min(next, aState.mNextJoin);
   }
   if (aState.mCell) {
-    next = std::min({ next, aNow + kOwnerTickInterval, NextWorkTime(*aState.mCell) });
+    next = std::min(
+      { next, aNow + kOwnerTickInterval, NextWorkTime(*aState.mCell), aState.mRelays.mSendAt });
   }
   return std::max(next, aNow + kMinTickInterval);
 }
--- a/modules/by_entry/detail/Relays.cpp
+++ b/modules/by_entry/detail/Relays.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -17,8 +18,16 @@
 
 namespace {
 
-/// Time for the hops to a relay and back, beyond the time that the relay gives the worker.
-constexpr Time kRelayMargin = Time::FromMilliseconds(400);
+/// A relay answers each order in time, so a missing answer has other causes than a slow worker. The
+/// margin allows for an owner that is behind with reading answers.
+constexpr Time kRelayMargin = Time::FromMilliseconds(3000);
+/// Members that relay orders; with fewer of them, more orders and answers share a message.
+constexpr std::size_t kMaxRelays = 12;
+/// How long an order waits for others to the same relay.
+constexpr Time kSendDelay = Time::FromMilliseconds(5);
+/// How long an answer waits for others, if the owner acts on it and if it does not.
+constexpr Time kReturnDelay = Time::FromMilliseconds(5);
+constexpr Time kIdleReturnDelay = Time::FromMilliseconds(60);
 /// A member that has been silent this much longer than the last one heard gets no orders.
 constexpr Time kRelaySilence = Time::FromMilliseconds(1200);
 /// How long a relay that left an order unanswered gets no orders.
@@ -52,6 +61,31 @@
   return it == aState.mCell->mWorkers.end() ? ZoneId() : it->second.mRegistration.Zone();
 }
 
+/// @returns the usable members that relay orders: those with the largest processor share, and of
+/// equal ones the same as long as they stay linked.
+std::vector<std::string>
+SelectRelays(const EntryState& aState)
+{
+  const auto heard = LastHeard(aState);
+  std::vector<std::tuple<std::int64_t, std::uint64_t, std::string>> ranked;
+  for (const auto& [node, member] : aState.mMembers) {
+    if (IsUsable(aState, node, member, heard)) {
+      ranked.emplace_back(-static_cast<std::int64_t>(member.mProcessorShare),
+                          RendezvousWeight(NodeId(node), "relay"),
+                          node);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> relays;
+  for (const auto& [share, weight, node] : ranked) {
+    if (relays.size() == kMaxRelays) {
+      break;
+    }
+    relays.push_back(node);
+  }
+  return relays;
+}
+
 /// Selects a worker's relay: members in the worker's availability zone first, without the one that
 /// could not reach the worker.
 /// @returns the node; empty where no member is usable.
@@ -60,16 +94,14 @@
 {
   const auto zone = ZoneOf(aState, aWorker);
   const auto failed = aState.mRelays.mFailedRelay.find(aWorker);
-  const auto heard = LastHeard(aState);
   std::vector<NodeId> nearby;
   std::vector<NodeId> all;
-  for (const auto& [node, member] : aState.mMembers) {
-    const bool hasFailed = failed != aState.mRelays.mFailedRelay.end() && failed->second == node;
-    if (hasFailed || !IsUsable(aState, node, member, heard)) {
+  for (const auto& node : SelectRelays(aState)) {
+    if (failed != aState.mRelays.mFailedRelay.end() && failed->second == node) {
       continue;
     }
     all.emplace_back(node);
-    if (member.mZone == zone) {
+    if (aState.mMembers.at(node).mZone == zone) {
       nearby.emplace_back(node);
     }
   }
@@ -118,13 +150,11 @@
   return poll == nullptr ? Time() : poll->Wait();
 }
 
-using Outbox = std::map<std::string, std::vector<WorkerOrder>>;
-
 /// Puts an order into the outbox of its worker's relay.
 /// @returns whether it did; otherwise this node sends the order itself.
 template<class Order>
 bool
-Enqueue(EntryState& aState, const Order& aOrder, Time aNow, Outbox& aOutbox)
+Enqueue(EntryState& aState, const Order& aOrder, Time aNow)
 {
   const auto& relay = RelayOf(aState, aOrder.Worker());
   if (relay.empty()) {
@@ -136,14 +166,19 @@
   const auto deadline =
     aNow + WaitOf(order) + aState.mSettings.Cell().OrderTimeout() + kRelayMargin;
   relays.mOpen.emplace(number, OpenOrder{ relay, deadline, WithoutAnswer()(aOrder) });
-  aOutbox[relay].push_back(std::move(order));
+  relays.mOutbox[relay].push_back(std::move(order));
+  relays.mSendAt = std::min(relays.mSendAt, aNow + kSendDelay);
   return true;
 }
 
 void
-FlushOutbox(Outbox aOutbox, Effects& aOut)
+SendOutbox(RelayState& aRelays, Time aNow, Effects& aOut)
 {
-  for (auto& [relay, orders] : aOutbox) {
+  if (aNow < aRelays.mSendAt) {
+    return;
+  }
+  aRelays.mSendAt = Time::Never();
+  for (auto& [relay, orders] : std::exchange(aRelays.mOutbox, {})) {
     auto message = LinkMessage::Create(
                      { .mBody = RelayOrders::Create({ .mOrders = std::move(orders) }).value() })
                      .value();
@@ -174,6 +209,7 @@
     settled.push_back(aEntry.second);
     return true;
   });
+  aState.mRelays.mOutbox.erase(aRelay);
   std::erase_if(aState.mRelays.mRelayOfWorker,
                 [&](const auto& aEntry) { return aEntry.second == aRelay; });
   for (const auto& order : settled) {
@@ -263,6 +299,18 @@
   return std::visit([](const auto& aBody) { return aBody.Number(); }, aAnswer.Body());
 }
 
+/// @returns whether the owner acts on an answer: a run has ended, or an order was not carried out.
+bool
+IsUrgent(const WorkerAnswer& aAnswer)
+{
+  const auto* polled = std::get_if<WorkerPolled>(&aAnswer.Body());
+  if (polled != nullptr && !polled->Report().Ended().empty()) {
+    return true;
+  }
+  return std::visit([](const auto& aBody) { return aBody.Outcome() != OrderOutcome::Accepted; },
+                    aAnswer.Body());
+}
+
 } // namespace
 
 void
@@ -279,21 +327,20 @@
   }
   std::move(held.begin(), held.end(), std::back_inserter(aOut));
   held.clear();
-  Outbox outbox;
   std::erase_if(aOut, [&](const EntryEffect& aEffect) {
     const auto& body = aEffect.Body();
     if (const auto* start = std::get_if<StartRun>(&body)) {
-      return Enqueue(aState, *start, aNow, outbox);
+      return Enqueue(aState, *start, aNow);
     }
     if (const auto* stop = std::get_if<StopRun>(&body)) {
-      return Enqueue(aState, *stop, aNow, outbox);
+      return Enqueue(aState, *stop, aNow);
     }
     if (const auto* poll = std::get_if<PollWorker>(&body)) {
-      return Enqueue(aState, *poll, aNow, outbox);
+      return Enqueue(aState, *poll, aNow);
     }
     return false;
   });
-  FlushOutbox(std::move(outbox), aOut);
+  SendOutbox(aState.mRelays, aNow, aOut);
 }
 
 void
@@ -367,16 +414,28 @@
 }
 
 void
-ReturnRelayedAnswer(const EntryState& aState, WorkerAnswer aAnswer, Effects& aOut)
+KeepRelayedAnswer(EntryState& aState, WorkerAnswer aAnswer, Time aNow)
+{
+  const auto delay = IsUrgent(aAnswer) ? kReturnDelay : kIdleReturnDelay;
+  aState.mReturnAnswersAt = std::min(aState.mReturnAnswersAt, aNow + delay);
+  aState.mRelayedAnswers.push_back(std::move(aAnswer));
+}
+
+void
+ReturnRelayedAnswers(EntryState& aState, Time aNow, Effects& aOut)
 {
-  if (!aState.mLinkUp) {
+  if (aNow < aState.mReturnAnswersAt) {
     return;
   }
-  auto answers = RelayAnswers::Create({ .mAnswers = { std::move(aAnswer) } }).value();
-  Emit(aOut,
-       SendToOwner::Create(
-         { .mMessage = LinkMessage::Create({ .mBody = std::move(answers) }).value() })
-         .value());
+  aState.mReturnAnswersAt = Time::Never();
+  auto answers =
+    RelayAnswers::Create({ .mAnswers = std::exchange(aState.mRelayedAnswers, {}) }).value();
+  if (aState.mLinkUp) {
+    Emit(aOut,
+         SendToOwner::Create(
+           { .mMessage = LinkMessage::Create({ .mBody = std::move(answers) }).value() })
+           .value());
+  }
 }
 
 } // namespace by::detail
--- a/modules/by_entry/detail/Relays.h
+++ b/modules/by_entry/detail/Relays.h
@@ -40,8 +40,13 @@
 void
 PerformRelayOrders(const RelayOrders& aOrders, Effects& aOut);
 
-/// Returns a worker's answer to the owner that asked this node to relay the order.
+/// Keeps a worker's answer for the owner that asked this node to relay the order. Answers leave
+/// together: those that the owner acts on after a few milliseconds, others later.
 void
-ReturnRelayedAnswer(const EntryState& aState, WorkerAnswer aAnswer, Effects& aOut);
+KeepRelayedAnswer(EntryState& aState, WorkerAnswer aAnswer, Time aNow);
+
+/// Returns the kept answers to the owner when they are due.
+void
+ReturnRelayedAnswers(EntryState& aState, Time aNow, Effects& aOut);
 
 } // namespace by::detail
