Poll workers that register after they counted as lost

A worker whose address becomes known is polled at once, whatever it counts as.

Test: SuccessorPollsAWorkerThatRegistersAfterItCountedAsLost, which fails without the change.

--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -61,7 +61,7 @@
   if (moved && worker.mHealth == WorkerHealth::LeaseExpired) {
     worker.mHealth = WorkerHealth::Unseen;
   }
-  if (moved && worker.mHealth == WorkerHealth::Unseen) {
+  if (moved) {
     detail::SchedulePoll(aState, worker, aNow);
   }
   aState.mPlacementNeeded = true;
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -82,6 +82,28 @@
   CHECK_EQUAL(8, starts.front().Epoch());
 }
 
+/// A successor never polled workers that it took for lost before it read the registry, and their
+/// runs blocked the cell until the leases had expired.
+TEST(Workers, SuccessorPollsAWorkerThatRegistersAfterItCountedAsLost)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  CellFixture next(0);
+  CellState empty;
+  empty.mEpoch = cell.mCell.mEpoch + 1;
+  empty.mConfig = cell.mCell.mConfig;
+  empty.mConfirmedAt = next.mNow;
+  empty.mOwnerSince = next.mNow;
+  next.mCell = RestoreCell(std::move(empty), cell.Stored(), next.mNow, next.mOut);
+  next.AdvanceTime(Time::FromMilliseconds(100));
+  WorkersChanged::Fields workers;
+  workers.mPresent = { cell.mCell.mWorkers.at("w1").mRegistration };
+  HandleWorkersChanged(
+    next.mCell, WorkersChanged::Create(std::move(workers)).value(), next.mNow, next.mOut);
+  next.Advance();
+  CHECK_EQUAL(1, next.TakePolls().size());
+}
+
 TEST(Workers, SuccessorWaitsForAWorkerThatDoesNotAnswer)
 {
   CellFixture cell;
