Hand the cell of a small owner over to a larger member

Cause: the election and the preemptive claims did not look at processor time, and nothing moved the cell afterwards.

Change: an owner with less than half of the share of its largest steady member names it as successor; it claims at once, the others wait for a bounded time, and the owner serves until it sees the claim or withdraws. Small nodes claim a released cell later. A new owner announces itself at once.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "by_cell/CellState.h"
+#include "by_entry/HandoverState.h"
 #include "by_entry/MemberRow.h"
 #include "by_entry/OpenCall.h"
 #include "by_entry/OwnerPhase.h"
@@ -41,6 +42,8 @@
   OwnerPhase mPhase{ OwnerPhase::Member };
   /// The epoch that this node last claimed.
   std::uint64_t mEpoch{ 0 };
+  /// The newest epoch known when this node began to claim; empty if no claim was known.
+  std::optional<std::uint64_t> mClaimedAfter;
   /// The number of the last request to read the claim.
   std::uint64_t mClaimReadNumber{ 0 };
   /// When a failed step of acquiring the cell is retried; Never() if none failed.
@@ -48,11 +51,15 @@
   /// The cell, while this node owns it; empty otherwise.
   std::optional<CellState> mCell;
 
+  /// The handover of the cell to a larger node.
+  HandoverState mHandover;
   /// How the owner's orders reach the workers.
   RelayState mRelays;
 
   /// The newest claim that was read; empty until one is read.
   std::optional<CellClaim> mOwner;
+  /// When the newest claim was read.
+  Time mOwnerKnownAt{};
   /// Whether the link to the owner is up.
   bool mLinkUp{ false };
   /// When the link to the owner went down.
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -7,6 +7,7 @@
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Ownership.h"
 #include "by_entry/detail/Relays.h"
@@ -39,6 +40,8 @@
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
     }
+    detail::ContinueHandover(mState, mNow, mOut);
+    detail::ExpireHandover(mState, mNow, mOut);
   }
   void operator()(const JobCall& aEvent) const { detail::HandleCall(mState, aEvent, mNow, mOut); }
   void operator()(const ClusterConfig& aEvent) const
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -9,6 +9,7 @@
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Relays.h"
 
 namespace by::detail {
@@ -112,12 +113,15 @@
       absl::StrCat("epoch ", aClaim.Epoch()),
       absl::StrCat("node=", aClaim.Node(), " link=", aClaim.Link().Address()));
   aState.mOwner = aClaim;
+  aState.mOwnerKnownAt = aNow;
   aState.mLinkUp = false;
   aState.mLinkDownAt = aNow;
   aState.mOwnerActive = false;
   aState.mOwnerLeaving = false;
   aState.mOwnerLostStore = false;
   aState.mOwnerReleasedAt = Time::Never();
+  aState.mHandover.mAwaitedUntil = Time::Never();
+  aState.mHandover.mIsSuccessor = false;
   if (aState.mPhase != OwnerPhase::Owner) {
     RequeueForwardedCalls(aState);
   }
@@ -193,11 +197,7 @@
     // A query has no side effects, so the epoch of the owner that sent it is not checked.
     Emit(aOut, *query);
   } else if (const auto* leaving = std::get_if<OwnerLeaving>(&body)) {
-    Log(
-      aOut, "owner.leaving", absl::StrCat("epoch ", leaving->Epoch()), "next=rejoin the group now");
-    aState.mNextJoin = aNow;
-    aState.mOwnerLeaving = true;
-    aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
+    HandleOwnerLeaving(aState, *leaving, aNow, aOut);
   } else if (const auto* orders = std::get_if<RelayOrders>(&body)) {
     PerformRelayOrders(*orders, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
@@ -266,6 +266,12 @@
   if (std::exchange(aState.mStoreLossPublished, isLost) == isLost) {
     return;
   }
+  SendMemberHeartbeats(aState, aNow, aOut);
+}
+
+void
+SendMemberHeartbeats(const EntryState& aState, Time aNow, Effects& aOut)
+{
   for (const auto& [node, member] : aState.mMembers) {
     SendMemberHeartbeat(aState, node, aNow, aOut);
   }
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -37,6 +37,10 @@
 void
 BroadcastStoreState(EntryState& aState, Time aNow, Effects& aOut);
 
+/// Sends all members the heartbeat that says whether this node is the owner and has the store.
+void
+SendMemberHeartbeats(const EntryState& aState, Time aNow, Effects& aOut);
+
 /// Sends heartbeats to the owner and reopens the link when the owner is not heard from.
 void
 MaintainLink(EntryState& aState, Time aNow, Effects& aOut);
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -25,6 +25,14 @@
 /// number of steps derived from their incarnation, so that they seldom claim at the same time.
 constexpr std::int64_t kPreemptiveClaimStepMs = 15;
 constexpr std::uint64_t kPreemptiveClaimSteps = 8;
+/// Nodes with less processor time than a share claim a released cell later, so that a larger node
+/// becomes the owner where there is one. [millicores]
+constexpr std::uint32_t kSmallShare = 250;
+constexpr std::uint32_t kMediumShare = 500;
+constexpr Time kSmallShareDelay = Time::FromMilliseconds(150);
+constexpr Time kMediumShareDelay = Time::FromMilliseconds(75);
+/// A linked owner that has just claimed the cell is given this long to load it.
+constexpr Time kOwnerLoadTimeout = Time::FromMilliseconds(1500);
 /// Minimum time between claims of a node that was not elected. It keeps nodes that cannot reach
 /// each other from claiming the cell from each other endlessly.
 constexpr Time kPreemptiveClaimInterval = Time::FromMilliseconds(3000);
@@ -42,14 +50,42 @@
          aClaim.Incarnation() == aState.mSettings.Incarnation();
 }
 
+/// @returns how long this node leaves the claim of a released cell to larger nodes. An elected node
+/// does not wait if the owner has left, since a cell without an owner costs more than a small one.
+Time
+ShareDelay(const EntryState& aState)
+{
+  const auto share = aState.mSettings.ProcessorShare();
+  if (share >= kMediumShare || (aState.mElected && !aState.mLinkUp)) {
+    return {};
+  }
+  return share < kSmallShare ? kSmallShareDelay : kMediumShareDelay;
+}
+
+/// @returns whether another node has claimed the cell since this node began to claim it.
+bool
+IsForestalled(const EntryState& aState, const CellClaim& aClaim)
+{
+  return aState.mClaimedAfter && aClaim.Epoch() > *aState.mClaimedAfter &&
+         !IsClaimOfThisProcess(aState, aClaim);
+}
+
 void
-BeginClaim(EntryState& aState, Effects& aOut)
+ReadNewestClaim(EntryState& aState, Effects& aOut)
 {
   aState.mPhase = OwnerPhase::ReadingClaim;
   aState.mRetryAt = Time::Never();
   Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mClaimReadNumber }).value());
 }
 
+void
+BeginClaim(EntryState& aState, Effects& aOut)
+{
+  aState.mHandover.mIsSuccessor = false;
+  aState.mClaimedAfter = aState.mOwner ? std::optional(aState.mOwner->Epoch()) : std::nullopt;
+  ReadNewestClaim(aState, aOut);
+}
+
 void
 BeginLoad(EntryState& aState, std::uint64_t aEpoch, Effects& aOut)
 {
@@ -131,10 +167,12 @@
   }
   const bool hasNoOtherOwner = !aState.mOwner || aState.mOwner->Node() == aState.mSettings.Node();
   const bool isUnreachable = !aState.mLinkUp && aNow > aState.mLinkDownAt + kOwnerLossTimeout;
-  const bool isInactive =
-    aState.mLinkUp && !aState.mOwnerActive && aNow > aState.mOwnerHeardAt + kOwnerLossTimeout;
-  if (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || aState.mOwnerLeaving ||
-                          aState.mOwnerLostStore)) {
+  const bool isInactive = aState.mLinkUp && !aState.mOwnerActive &&
+                          aNow > aState.mOwnerHeardAt + kOwnerLossTimeout &&
+                          aNow > aState.mOwnerKnownAt + kOwnerLoadTimeout;
+  const bool isReleased = (aState.mOwnerLeaving || aState.mOwnerLostStore) &&
+                          aNow >= aState.mOwnerReleasedAt + ShareDelay(aState);
+  if (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || isReleased)) {
     Log(aOut,
         "owner.claiming",
         aState.mSettings.Node(),
@@ -153,10 +191,11 @@
   }
   const auto step =
     static_cast<std::int64_t>(aState.mSettings.Incarnation() % kPreemptiveClaimSteps);
-  const auto preemptAt =
-    aState.mOwnerReleasedAt + Time::FromMilliseconds(step * kPreemptiveClaimStepMs);
-  if (!hasNoOtherOwner && preemptAt <= aNow &&
-      aNow > aState.mPreemptiveClaimAt + kPreemptiveClaimInterval) {
+  const auto preemptAt = aState.mOwnerReleasedAt + ShareDelay(aState) +
+                         Time::FromMilliseconds(step * kPreemptiveClaimStepMs);
+  const bool mayPreempt =
+    preemptAt <= aNow && aNow > aState.mPreemptiveClaimAt + kPreemptiveClaimInterval;
+  if (!hasNoOtherOwner && (aState.mHandover.mIsSuccessor || mayPreempt)) {
     aState.mPreemptiveClaimAt = aNow;
     Log(aOut,
         "owner.claiming",
@@ -166,7 +205,9 @@
                      " store_lost=",
                      aState.mOwnerLostStore,
                      " link_up=",
-                     aState.mLinkUp));
+                     aState.mLinkUp,
+                     " successor=",
+                     aState.mHandover.mIsSuccessor));
     BeginClaim(aState, aOut);
   }
 }
@@ -192,8 +233,9 @@
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
   }
-  if (claim && !aState.mElected && !IsClaimOfThisProcess(aState, *claim) &&
-      aState.mOwnerReleasedAt == Time::Never()) {
+  if (claim && (IsForestalled(aState, *claim) ||
+                (!aState.mElected && !IsClaimOfThisProcess(aState, *claim) &&
+                 aState.mOwnerReleasedAt == Time::Never()))) {
     // Another node claimed first; its claim has just been recorded as the owner's.
     aState.mPhase = OwnerPhase::Member;
     return;
@@ -260,6 +302,7 @@
       .value());
   Emit(aOut, ConnectToOwner());
   aState.mLinkUp = false;
+  SendMemberHeartbeats(aState, aNow, aOut);
   ForwardCalls(aState, aNow, aOut);
 }
 
@@ -273,6 +316,7 @@
   aState.mPhase = OwnerPhase::Member;
   aState.mRetryAt = Time::Never();
   aState.mCell.reset();
+  aState.mHandover.mSuccessor.clear();
   aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
   RequeueForwardedCalls(aState);
@@ -289,7 +333,7 @@
   }
   aState.mRetryAt = Time::Never();
   if (aState.mPhase == OwnerPhase::ReadingClaim) {
-    BeginClaim(aState, aOut);
+    ReadNewestClaim(aState, aOut);
   } else if (aState.mPhase == OwnerPhase::Loading) {
     Emit(aOut, LoadCell::Create({ .mEpoch = aState.mEpoch }).value());
   }
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -6,6 +6,7 @@
 
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Ownership.h"
 
 namespace by::detail {
@@ -18,16 +19,9 @@
 constexpr Time kAnswerFlushTime = Time::FromMilliseconds(700);
 
 void
-AnnounceLeaving(EntryState& aState, Effects& aOut)
+LeaveCellAndGroup(const EntryState& aState, Effects& aOut)
 {
-  for (const auto& [node, member] : aState.mMembers) {
-    auto leaving = OwnerLeaving::Create({ .mEpoch = aState.mEpoch }).value();
-    Emit(
-      aOut,
-      SendToMember::Create(
-        { .mNode = node, .mMessage = LinkMessage::Create({ .mBody = std::move(leaving) }).value() })
-        .value());
-  }
+  AnnounceLeaving(aState, {}, aOut);
   Emit(aOut,
        LeaveGroup::Create(
          { .mMember = absl::StrCat(aState.mSettings.Node(), "/", aState.mSettings.Incarnation()) })
@@ -49,7 +43,7 @@
       "node.stopping",
       aState.mSettings.Node(),
       absl::StrCat("grace_ms=", aEvent.Grace().Milliseconds(), " calls=", aState.mCalls.size()));
-  AnnounceLeaving(aState, aOut);
+  LeaveCellAndGroup(aState, aOut);
 }
 
 void
