Read all messages that a link holds at once

Cause: a link issued one read for the length and one for the body of each message, and handed each message on by itself. The first message of a handler left in a write of its own, the rest in a second one.

Change: LinkConnection reads what has arrived into a buffer and decodes every whole message in it; the messages of one read are handed on together. Messages that one handler sends leave in one write.

--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -62,8 +62,10 @@
       Deliver(
         EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
     },
-    [this](const LinkMessage& aMessage) {
-      Deliver(EventOf(FromOwner::Create({ .mMessage = aMessage }).value()));
+    [this](std::vector<LinkMessage> aMessages) {
+      for (auto& message : aMessages) {
+        Deliver(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
+      }
     });
   auto members = LinkServer::Create(
     mTraffic,
@@ -71,10 +73,13 @@
     [this](const std::string& aNode, bool aUp) {
       Deliver(EventOf(MemberChanged::Create({ .mNode = aNode, .mUp = aUp }).value()));
     },
-    [this](const std::string& aNode, const LinkMessage& aMessage) {
-      Deliver(
-        EventOf(FromMember::Create({ .mNode = aNode, .mMessage = aMessage, .mReceived = BootNow() })
-                  .value()));
+    [this](const std::string& aNode, std::vector<LinkMessage> aMessages) {
+      const auto now = BootNow();
+      for (auto& message : aMessages) {
+        Deliver(EventOf(
+          FromMember::Create({ .mNode = aNode, .mMessage = std::move(message), .mReceived = now })
+            .value()));
+      }
     });
   if (!members.ok()) {
     return members.status();
--- a/modules/by_links/LinkClient.h
+++ b/modules/by_links/LinkClient.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,8 +25,8 @@
 public:
   /// Told that the link to a peer is up or down, and whether the peer's machine refused it.
   using Changed = std::function<void(const Endpoint&, bool aUp, bool aRefused)>;
-  /// Told of each message of the peer.
-  using Received = std::function<void(const LinkMessage&)>;
+  /// Told of the messages of one read from the peer, in their order.
+  using Received = std::function<void(std::vector<LinkMessage>)>;
 
   /// @param aContext runs the link; outlives it.
   static std::shared_ptr<LinkClient> Create(boost::asio::io_context& aContext,
--- a/modules/by_links/LinkServer.cpp
+++ b/modules/by_links/LinkServer.cpp
@@ -77,11 +77,11 @@
       self->mOpen.insert(connection);
       std::weak_ptr<detail::LinkConnection> held = connection;
       connection->Start(
-        [weak, held, node](const LinkMessage& aMessage) {
+        [weak, held, node](std::vector<LinkMessage> aMessages) {
           const auto server = weak.lock();
           const auto link = held.lock();
           if (server && link) {
-            server->TakeFirst(link, node, aMessage);
+            server->Take(link, node, std::move(aMessages));
           }
         },
         [weak, held, node] {
@@ -103,15 +103,15 @@
 }
 
 void
-LinkServer::TakeFirst(const std::shared_ptr<detail::LinkConnection>& aConnection,
-                      const std::shared_ptr<std::string>& aNode,
-                      const LinkMessage& aMessage)
+LinkServer::Take(const std::shared_ptr<detail::LinkConnection>& aConnection,
+                 const std::shared_ptr<std::string>& aNode,
+                 std::vector<LinkMessage> aMessages)
 {
   if (!aNode->empty()) {
-    mReceived(*aNode, aMessage);
+    mReceived(*aNode, std::move(aMessages));
     return;
   }
-  const auto* hello = std::get_if<LinkHello>(&aMessage.Body());
+  const auto* hello = std::get_if<LinkHello>(&aMessages.front().Body());
   if (hello == nullptr || hello->Node().empty()) {
     mOpen.erase(aConnection);
     aConnection->Close();
@@ -126,7 +126,7 @@
   }
   link = aConnection;
   mChanged(*aNode, true);
-  mReceived(*aNode, aMessage);
+  mReceived(*aNode, std::move(aMessages));
 }
 
 void
--- a/modules/by_links/LinkServer.h
+++ b/modules/by_links/LinkServer.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -29,8 +30,8 @@
 public:
   /// Told that a node has named itself on a link, or that its link is over.
   using Changed = std::function<void(const std::string&, bool)>;
-  /// Told of each message of a node, beginning with the one that names it.
-  using Received = std::function<void(const std::string&, const LinkMessage&)>;
+  /// Told of the messages of one read from a node, in their order; the first of all names the node.
+  using Received = std::function<void(const std::string&, std::vector<LinkMessage>)>;
 
   /// Listens.
   /// @returns the server, or Unavailable where the port can't be had.
@@ -51,9 +52,9 @@
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
-  void TakeFirst(const std::shared_ptr<detail::LinkConnection>& aConnection,
-                 const std::shared_ptr<std::string>& aNode,
-                 const LinkMessage& aMessage);
+  void Take(const std::shared_ptr<detail::LinkConnection>& aConnection,
+            const std::shared_ptr<std::string>& aNode,
+            std::vector<LinkMessage> aMessages);
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   Changed mChanged;
--- a/modules/by_links/detail/LinkConnection.cpp
+++ b/modules/by_links/detail/LinkConnection.cpp
@@ -3,10 +3,12 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "by_links/RecordCodec.h"
+#include "by_links/detail/SplitMessages.h"
+#include "by_wire/LengthPrefix.h"
 
 namespace by::detail {
 
@@ -16,8 +18,6 @@
 
 /// A peer that does not read for so many messages is given up.
 constexpr std::size_t kQueueLimit = 20000;
-/// The largest message is one job; a longer length is not one of ours.
-constexpr std::size_t kMessageLimit = 16UL * 1024 * 1024;
 
 } // namespace
 
@@ -33,19 +33,20 @@
   mClosed = std::move(aClosed);
   error_code ignored;
   mSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  ReadLength();
+  Read();
 }
 
 void
 LinkConnection::Send(const LinkMessage& aMessage)
 {
-  if (mQueue.size() >= kQueueLimit) {
+  if (mQueued >= kQueueLimit) {
     Fail();
     return;
   }
-  mQueue.push_back(WithLength(EncodeMessage(aMessage)));
-  if (!mWriting) {
-    WriteNext();
+  mQueue += WithLength(EncodeMessage(aMessage));
+  ++mQueued;
+  if (!std::exchange(mWriting, true)) {
+    boost::asio::post(mSocket.get_executor(), [self = shared_from_this()] { self->Write(); });
   }
 }
 
@@ -59,59 +60,56 @@
 }
 
 void
-LinkConnection::ReadLength()
+LinkConnection::Read()
 {
-  auto read = [self = shared_from_this()](error_code aError, std::size_t) {
-    const auto n = BigEndian(self->mLength);
-    if (aError || n > kMessageLimit) {
+  MakeRoom(mInput);
+  auto read = [self = shared_from_this()](error_code aError, std::size_t aSize) {
+    if (aError) {
       self->Fail();
       return;
     }
-    self->ReadBody(n);
+    self->mInput.mEnd += aSize;
+    self->TakeMessages();
   };
-  boost::asio::async_read(mSocket, boost::asio::buffer(mLength), std::move(read));
+  mSocket.async_read_some(
+    boost::asio::buffer(mInput.mBytes.data() + mInput.mEnd, mInput.mBytes.size() - mInput.mEnd),
+    std::move(read));
 }
 
 void
-LinkConnection::ReadBody(std::size_t aLength)
+LinkConnection::TakeMessages()
 {
-  mBody.resize(aLength);
-  auto read = [self = shared_from_this()](error_code aError, std::size_t) {
-    const auto message = aError ? absl::InvalidArgumentError("broken") : DecodeMessage(self->mBody);
-    if (!message.ok()) {
-      self->Fail();
-      return;
-    }
-    // The handler may close the connection, which drops the handler itself.
-    const auto received = self->mReceived;
-    if (received) {
-      received(*message);
-    }
-    self->ReadLength();
-  };
-  boost::asio::async_read(mSocket, boost::asio::buffer(mBody), std::move(read));
+  std::vector<LinkMessage> messages;
+  const auto status = SplitMessages(mInput, messages);
+  // The handler may close the connection, which drops the handler itself.
+  const auto received = mReceived;
+  if (received && !messages.empty()) {
+    received(std::move(messages));
+  }
+  if (!status.ok()) {
+    Fail();
+    return;
+  }
+  Read();
 }
 
 void
-LinkConnection::WriteNext()
+LinkConnection::Write()
 {
   if (mQueue.empty()) {
+    mWriting = false;
     return;
   }
-  mWriting = true;
-  // Messages that queued up leave in one write.
   mWritten.clear();
-  for (const auto& message : mQueue) {
-    mWritten += message;
-  }
-  mQueue.clear();
+  std::swap(mWritten, mQueue);
+  mQueued = 0;
   auto written = [self = shared_from_this()](error_code aError, std::size_t) {
-    self->mWriting = false;
     if (aError) {
+      self->mWriting = false;
       self->Fail();
       return;
     }
-    self->WriteNext();
+    self->Write();
   };
   boost::asio::async_write(mSocket, boost::asio::buffer(mWritten), std::move(written));
 }
--- a/modules/by_links/detail/LinkConnection.h
+++ b/modules/by_links/detail/LinkConnection.h
@@ -1,16 +1,15 @@
 #pragma once
 
-#include <array>
-#include <cstdint>
-#include <deque>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "by_links/detail/ReceiveBuffer.h"
 #include "by_schema/LinkMessage.h"
-#include "by_wire/LengthPrefix.h"
 
 namespace by::detail {
 
@@ -18,8 +17,8 @@
 class LinkConnection : public std::enable_shared_from_this<LinkConnection>
 {
 public:
-  /// Told of each message.
-  using Received = std::function<void(const LinkMessage&)>;
+  /// Told of the messages of one read, in their order; never empty.
+  using Received = std::function<void(std::vector<LinkMessage>)>;
   /// Told once that the connection is over.
   using Closed = std::function<void()>;
 
@@ -27,23 +26,25 @@
 
   /// Reads messages until the connection ends.
   void Start(Received aReceived, Closed aClosed);
-  /// Queues a message; a queue that is full ends the connection.
+  /// Queues a message; a queue that is full ends the connection. Messages that one handler of the
+  /// io_context sends leave in one write.
   void Send(const LinkMessage& aMessage);
   /// Ends the connection; Closed is not called.
   void Close();
 
 private:
-  void ReadLength();
-  void ReadBody(std::size_t aLength);
-  void WriteNext();
+  void Read();
+  void TakeMessages();
+  void Write();
   void Fail();
 
   boost::asio::ip::tcp::socket mSocket;
   Received mReceived;
   Closed mClosed;
-  std::array<unsigned char, kLengthSize> mLength{};
-  std::string mBody;
-  std::deque<std::string> mQueue;
+  ReceiveBuffer mInput;
+  /// Messages that wait for the current write to end, and how many they are.
+  std::string mQueue;
+  std::size_t mQueued{ 0 };
   std::string mWritten;
   bool mWriting{ false };
 };
