Record the progress of each task by itself

Each change of a task wrote the progress of all tasks of its occurrence, so that a job of 37 tasks wrote a record of some 2 KB about 40 times. A task now has a record of its own, task/ID/K/N, written when its progress has changed. Every change of progress marks its task, so that a batch still holds all changes of one step: gang members, an assignment before its start, an end before it is acknowledged. The record of a done task has no worker, process start or checkpoint. At the end of a job only those of its records are dropped that were written, by this owner or, as restored, by an earlier one. Records of whole occurrences are still read; a task's own record is newer. A batch that the store rejected drops the tasks of the jobs that it refuses, in one pass.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -20,6 +20,7 @@
 #include "by_cell/WorkerRow.h"
 #include "by_schema/CellSettings.h"
 #include "by_schema/ClusterConfig.h"
+#include "by_schema/JobTaskKey.h"
 
 namespace by {
 
@@ -56,9 +57,9 @@
   /// Nodes that can query the advice service.
   std::vector<AdviceProxyRow> mAdviceProxies;
 
-  /// Changes since the last append: accepted jobs, progress of occurrences, outcomes, deleted keys.
+  /// Changes since the last append: accepted jobs, tasks with new progress, outcomes, deleted keys.
   std::vector<std::string> mNewJobs;
-  absl::btree_set<std::pair<std::string, std::uint32_t>> mNewProgress;
+  absl::btree_set<JobTaskKey> mNewProgress;
   std::vector<std::string> mNewOutcomes;
   std::vector<std::string> mDeletedKeys;
   /// The batch that collects starts and ends for the next append.
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleWaves.h"
@@ -28,15 +29,17 @@
   return CellRecord::Create({ .mBody = std::move(aBody) }).value();
 }
 
-OccurrenceProgress
-MakeProgress(const std::string& aJob, std::uint32_t aIndex, const OccurrenceRow& aRow)
+/// @returns the progress as it is recorded; where a done task ran no longer matters.
+TaskProgress
+MakeRecordedProgress(const TaskProgress& aProgress)
 {
-  OccurrenceProgress::Fields fields{ .mJob = aJob, .mIndex = aIndex, .mTasks = {} };
-  fields.mTasks.reserve(aRow.mTasks.size());
-  for (const auto& task : aRow.mTasks) {
-    fields.mTasks.push_back(task.mProgress);
+  if (aProgress.Phase() != JobTaskPhase::Done) {
+    return aProgress;
   }
-  return OccurrenceProgress::Create(std::move(fields)).value();
+  return TaskProgress::Create({ .mPhase = aProgress.Phase(),
+                                .mRun = aProgress.Run(),
+                                .mFailedRuns = aProgress.FailedRuns() })
+    .value();
 }
 
 void
@@ -54,11 +57,21 @@
 void
 AddProgressRecords(CellState& aState, AppendBatch& aBatch)
 {
-  for (const auto& [id, index] : aState.mNewProgress) {
-    if (const auto* row = detail::FindOccurrence(aState, id, index)) {
-      aBatch.mRecords.push_back(MakeKeyedRecord(ProgressRecordKey(id, index),
-                                                MakeCellRecord(MakeProgress(id, index, *row))));
+  for (const auto& key : aState.mNewProgress) {
+    auto* occurrence = detail::FindOccurrence(aState, key.Job(), key.Occurrence());
+    if (occurrence == nullptr) {
+      continue;
     }
+    const auto index = occurrence->mSteps[key.Step()].mFirst + key.Index();
+    auto& task = occurrence->mTasks[index];
+    task.mRecorded = true;
+    auto record = TaskRecord::Create({ .mJob = key.Job(),
+                                       .mOccurrence = key.Occurrence(),
+                                       .mIndex = index,
+                                       .mProgress = MakeRecordedProgress(task.mProgress) })
+                    .value();
+    aBatch.mRecords.push_back(MakeKeyedRecord(TaskRecordKey(key.Job(), key.Occurrence(), index),
+                                              MakeCellRecord(std::move(record))));
   }
   aState.mNewProgress.clear();
 }
@@ -205,16 +218,28 @@
   }
 }
 
-/// Removes a job's records from a batch that the store has not applied.
-void
-RemoveJobRecords(AppendBatch& aBatch, const std::string& aId, const JobRow& aJob)
+/// @returns the job that a record accepts or whose task it describes, or nullptr.
+const std::string*
+JobOfRecord(const KeyedRecord& aRecord)
 {
-  std::vector<std::string> keys{ JobRecordKey(aId) };
-  for (const auto& [index, occurrence] : aJob.mOccurrences) {
-    keys.push_back(ProgressRecordKey(aId, index));
+  if (!aRecord.Record()) {
+    return nullptr;
+  }
+  const auto& body = aRecord.Record()->Body();
+  if (const auto* job = std::get_if<Job>(&body)) {
+    return &job->Id();
   }
+  const auto* task = std::get_if<TaskRecord>(&body);
+  return task == nullptr ? nullptr : &task->Job();
+}
+
+/// Removes the records of jobs from a batch that the store has not applied.
+void
+RemoveJobRecords(AppendBatch& aBatch, const absl::flat_hash_set<std::string>& aJobs)
+{
   std::erase_if(aBatch.mRecords, [&](const KeyedRecord& aRecord) {
-    return std::find(keys.begin(), keys.end(), aRecord.Key()) != keys.end();
+    const auto* job = JobOfRecord(aRecord);
+    return job != nullptr && aJobs.contains(*job);
   });
 }
 
@@ -227,14 +252,14 @@
   if (batch.mUncertain) {
     return;
   }
+  absl::flat_hash_set<std::string> refused;
   for (const auto& id : std::exchange(batch.mJobs, {})) {
-    const auto* job = detail::FindJob(aState, id);
-    if (job == nullptr) {
-      continue;
+    if (detail::FindJob(aState, id) != nullptr) {
+      RefuseSubmitters(aState, id, aNow, aOut);
+      refused.insert(id);
     }
-    RemoveJobRecords(batch, id, *job);
-    RefuseSubmitters(aState, id, aNow, aOut);
   }
+  RemoveJobRecords(batch, refused);
   if (batch.mRecords.empty()) {
     aState.mNextSequence = batch.mSequence;
     auto& ends = aState.mNextBatch.mEnds;
--- a/modules/by_cell/OccurrenceRow.h
+++ b/modules/by_cell/OccurrenceRow.h
@@ -17,6 +17,8 @@
   Time mDue{};
   /// Whether all of its tasks are done.
   bool mDone{ false };
+  /// Whether the store holds a record of the whole occurrence, which only earlier versions write.
+  bool mRecorded{ false };
 };
 
 } // namespace by
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -19,7 +19,8 @@
 struct Sorted
 {
   std::vector<const Job*> mJobs;
-  std::vector<const OccurrenceProgress*> mProgress;
+  std::vector<const OccurrenceProgress*> mOccurrences;
+  std::vector<const TaskRecord*> mTasks;
   std::vector<const JobOutcome*> mOutcomes;
   std::vector<const MaintenanceRecord*> mMaintenance;
 };
@@ -35,8 +36,10 @@
     const auto& body = record.Record()->Body();
     if (const auto* job = std::get_if<Job>(&body)) {
       sorted.mJobs.push_back(job);
-    } else if (const auto* progress = std::get_if<OccurrenceProgress>(&body)) {
-      sorted.mProgress.push_back(progress);
+    } else if (const auto* task = std::get_if<TaskRecord>(&body)) {
+      sorted.mTasks.push_back(task);
+    } else if (const auto* occurrence = std::get_if<OccurrenceProgress>(&body)) {
+      sorted.mOccurrences.push_back(occurrence);
     } else if (const auto* outcome = std::get_if<JobOutcome>(&body)) {
       sorted.mOutcomes.push_back(outcome);
     } else if (const auto* maintenance = std::get_if<MaintenanceRecord>(&body)) {
@@ -47,55 +50,86 @@
 }
 
 void
-RestoreRun(CellState& aState, const JobRow& aJob, const JobTaskKey& aTask, Time aNow)
+RestoreRun(CellState& aState,
+           const JobRow& aJob,
+           const JobTaskKey& aTask,
+           const TaskProgress& aProgress,
+           Time aNow)
 {
-  const auto* task = detail::FindTask(aState, aTask);
-  const auto& id = task->mProgress.Worker();
+  const auto& id = aProgress.Worker();
   auto& worker = aState.mWorkers[id];
   if (worker.mRegistration.Id().empty()) {
     worker.mRegistration = worker.mRegistration.WithId(id);
-    worker.mProcessStart = task->mProgress.WorkerProcessStart();
+    worker.mProcessStart = aProgress.WorkerProcessStart();
   }
   auto row = detail::MakeRunRow(detail::StepOf(aJob, aTask.Step()), RunPhase::Inherited, aNow);
   // A waiting task whose record names a worker was requeued; its run there still has to be stopped.
-  row.mStopRequested = task->mProgress.Phase() == JobTaskPhase::Waiting;
-  detail::AddRun(aState, worker, { aTask, task->mProgress.Run() }, std::move(row));
+  row.mStopRequested = aProgress.Phase() == JobTaskPhase::Waiting;
+  detail::AddRun(aState, worker, { aTask, aProgress.Run() }, std::move(row));
 }
 
 void
-RestoreProgress(CellState& aState, JobRow& aJob, const OccurrenceProgress& aProgress, Time aNow)
+RestoreTask(JobRow& aJob, TaskRow& aTask, const TaskProgress& aProgress)
 {
-  auto it = aJob.mOccurrences.find(aProgress.Index());
-  if (it == aJob.mOccurrences.end() || it->second.mTasks.size() != aProgress.Tasks().size()) {
+  aTask.mProgress = aProgress;
+  aJob.mStarted =
+    aJob.mStarted || aProgress.Phase() == JobTaskPhase::Done || !aProgress.FailedRuns().empty();
+}
+
+/// Restores the tasks of an occurrence from the record that earlier versions wrote.
+void
+RestoreOccurrence(CellState& aState, const OccurrenceProgress& aRecord)
+{
+  auto* occurrence = detail::FindOccurrence(aState, aRecord.Job(), aRecord.Index());
+  if (occurrence == nullptr || occurrence->mTasks.size() != aRecord.Tasks().size()) {
     return;
   }
-  auto& occurrence = it->second;
-  for (std::size_t i = 0; i < occurrence.mTasks.size(); ++i) {
-    occurrence.mTasks[i].mProgress = aProgress.Tasks()[i];
-    aJob.mStarted = aJob.mStarted || aProgress.Tasks()[i].Phase() == JobTaskPhase::Done ||
-                    !aProgress.Tasks()[i].FailedRuns().empty();
+  auto& job = *detail::FindJob(aState, aRecord.Job());
+  occurrence->mRecorded = true;
+  for (std::size_t i = 0; i < occurrence->mTasks.size(); ++i) {
+    RestoreTask(job, occurrence->mTasks[i], aRecord.Tasks()[i]);
   }
-  occurrence.mDone = true;
-  for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
-    auto& step = occurrence.mSteps[s];
+}
+
+void
+RestoreRecordedTask(CellState& aState, const TaskRecord& aRecord)
+{
+  auto* occurrence = detail::FindOccurrence(aState, aRecord.Job(), aRecord.Occurrence());
+  if (occurrence == nullptr || aRecord.Index() >= occurrence->mTasks.size()) {
+    return;
+  }
+  auto& task = occurrence->mTasks[aRecord.Index()];
+  task.mRecorded = true;
+  RestoreTask(*detail::FindJob(aState, aRecord.Job()), task, aRecord.Progress());
+}
+
+/// Derives which steps are done, and the runs on workers, from the progress of the tasks.
+void
+RestoreSteps(CellState& aState,
+             JobRow& aJob,
+             std::uint32_t aIndex,
+             OccurrenceRow& aOccurrence,
+             Time aNow)
+{
+  aOccurrence.mDone = true;
+  for (std::uint32_t s = 0; s < aOccurrence.mSteps.size(); ++s) {
+    auto& step = aOccurrence.mSteps[s];
     step.mDone = true;
     for (std::uint32_t i = 0; i < step.mCount; ++i) {
-      const auto phase = occurrence.mTasks[step.mFirst + i].mProgress.Phase();
-      step.mDone = step.mDone && phase == JobTaskPhase::Done;
-      const auto& progress = occurrence.mTasks[step.mFirst + i].mProgress;
-      if (phase != JobTaskPhase::Done && !progress.Worker().empty()) {
-        RestoreRun(
-          aState,
-          aJob,
+      const auto& progress = aOccurrence.mTasks[step.mFirst + i].mProgress;
+      const bool isDone = progress.Phase() == JobTaskPhase::Done;
+      step.mDone = step.mDone && isDone;
+      if (!isDone && !progress.Worker().empty()) {
+        const auto key =
           JobTaskKey::Create(
-            { .mJob = aProgress.Job(), .mOccurrence = aProgress.Index(), .mStep = s, .mIndex = i })
-            .value(),
-          aNow);
+            { .mJob = aJob.mJob.Id(), .mOccurrence = aIndex, .mStep = s, .mIndex = i })
+            .value();
+        RestoreRun(aState, aJob, key, progress, aNow);
       }
     }
-    occurrence.mDone = occurrence.mDone && step.mDone;
+    aOccurrence.mDone = aOccurrence.mDone && step.mDone;
   }
-  aJob.mDoneOccurrences += occurrence.mDone ? 1 : 0;
+  aJob.mDoneOccurrences += aOccurrence.mDone ? 1 : 0;
 }
 
 } // namespace
@@ -126,13 +160,18 @@
       accepted->Accepted() + ObjectiveTime(accepted->Definition(), accepted->Queue());
     detail::OpenDueOccurrences(state, job, aNow);
   }
-  for (const auto* progress : sorted.mProgress) {
-    if (auto* job = detail::FindJob(state, progress->Job())) {
-      RestoreProgress(state, *job, *progress, aNow);
-    }
+  for (const auto* occurrence : sorted.mOccurrences) {
+    RestoreOccurrence(state, *occurrence);
+  }
+  // A task's own record is newer than that of its occurrence.
+  for (const auto* task : sorted.mTasks) {
+    RestoreRecordedTask(state, *task);
   }
   std::vector<std::string> complete;
   for (auto& [id, job] : state.mJobs) {
+    for (auto& [index, occurrence] : job.mOccurrences) {
+      RestoreSteps(state, job, index, occurrence, aNow);
+    }
     if (!job.mStarted && job.mJob.Definition().Occurrences() == 0) {
       ++state.mUnstarted[{ job.mJob.Queue().Host(), job.mJob.Queue().PathPrefix() }];
     }
--- a/modules/by_cell/TaskRow.h
+++ b/modules/by_cell/TaskRow.h
@@ -14,6 +14,8 @@
   TaskProgress mProgress;
   /// Runs that may hold capacity on a worker; the task is placed again only when there are none.
   std::uint32_t mLiveRuns{ 0 };
+  /// Whether the store holds a record of the task, or may hold one.
+  bool mRecorded{ false };
 
   friend bool operator==(const TaskRow&, const TaskRow&) = default;
   friend auto operator<=>(const TaskRow&, const TaskRow&) = default;
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -74,6 +74,38 @@
   }
 }
 
+/// Forgets which tasks of a job have new progress.
+void
+RemoveNewProgress(CellState& aState, const std::string& aJob)
+{
+  auto& tasks = aState.mNewProgress;
+  const auto first = tasks.lower_bound(JobTaskKey::Create({ .mJob = aJob }).value());
+  auto last = first;
+  while (last != tasks.end() && last->Job() == aJob) {
+    ++last;
+  }
+  tasks.erase(first, last);
+}
+
+/// Drops the records of a job that the store holds or may hold.
+void
+DropRecords(CellState& aState, const JobRow& aJob)
+{
+  const auto& id = aJob.mJob.Id();
+  auto& keys = aState.mDeletedKeys;
+  keys.push_back(JobRecordKey(id));
+  for (const auto& [index, occurrence] : aJob.mOccurrences) {
+    if (occurrence.mRecorded) {
+      keys.push_back(ProgressRecordKey(id, index));
+    }
+    for (std::uint32_t i = 0; i < occurrence.mTasks.size(); ++i) {
+      if (occurrence.mTasks[i].mRecorded) {
+        keys.push_back(TaskRecordKey(id, index, i));
+      }
+    }
+  }
+}
+
 } // namespace
 
 OccurrenceRow&
@@ -197,9 +229,7 @@
   StopRuns(aState, it->second, aNow, aOut);
   // Removing planned runs may have made steps ready again.
   RemoveReadySteps(aState, it->second);
-  for (const auto& [index, occurrence] : it->second.mOccurrences) {
-    aState.mNewProgress.erase({ aJob, index });
-  }
+  RemoveNewProgress(aState, aJob);
   absl::erase_if(aState.mSchedule, [&](const auto& aEntry) { return aEntry.second == aJob; });
   std::erase(aState.mNewJobs, aJob);
   aState.mJobs.erase(it);
@@ -277,11 +307,8 @@
   outcome.mSubmitters = std::move(job.mSubmitters);
   aState.mOutcomesByEnd.emplace(aNow, aJob);
   aState.mNewOutcomes.push_back(aJob);
-  aState.mDeletedKeys.push_back(JobRecordKey(aJob));
-  for (std::uint32_t n = 0; n < job.mNextOccurrence; ++n) {
-    aState.mDeletedKeys.push_back(ProgressRecordKey(aJob, n));
-    aState.mNewProgress.erase({ aJob, n });
-  }
+  DropRecords(aState, job);
+  RemoveNewProgress(aState, aJob);
   std::erase(aState.mNewJobs, aJob);
   aState.mJobs.erase(it);
   aState.mPlacementNeeded = true;
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -174,8 +174,7 @@
 void
 Assign(Pass& aPass, JobRow& aJob, const JobTaskKey& aTask, WorkerRow& aWorker, std::uint32_t aRun)
 {
-  auto* task = FindTask(aPass.mState, aTask);
-  ChangeProgress(*task, [&](auto& aFields) {
+  ChangeProgress(aPass.mState, aTask, [&](auto& aFields) {
     aFields.mPhase = JobTaskPhase::Assigned;
     aFields.mRun = aRun;
     aFields.mWorker = aWorker.mRegistration.Id();
@@ -184,7 +183,6 @@
   const RunId run{ aTask, aRun };
   auto row = MakeRunRow(StepOf(aJob, aTask.Step()), RunPhase::Planned, aPass.mNow);
   AddRun(aPass.mState, aWorker, run, std::move(row));
-  aPass.mState.mNewProgress.emplace(aTask.Job(), aTask.Occurrence());
   aPass.mState.mNextBatch.mStarts.emplace_back(aWorker.mRegistration.Id(), run);
   ++aPass.mPlaced;
   Log(aPass.mOut,
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -37,18 +37,12 @@
   return aJob.mOccurrences.at(aTask.Occurrence()).mSteps[aTask.Step()];
 }
 
-void
-MarkProgress(CellState& aState, const JobTaskKey& aTask)
-{
-  aState.mNewProgress.emplace(aTask.Job(), aTask.Occurrence());
-}
-
 /// Marks all members as done; the end of one member stands for all of them.
 void
 FinishGang(CellState& aState, JobRow& aJob, const JobTaskKey& aTask)
 {
   for (const auto& member : GangMembers(aTask, StepRowOf(aJob, aTask))) {
-    ChangeProgress(*FindTask(aState, member), [](auto& aFields) {
+    ChangeProgress(aState, member, [](auto& aFields) {
       aFields.mPhase = JobTaskPhase::Done;
       aFields.mCheckpoint.clear();
     });
@@ -63,11 +57,10 @@
     Requeue(aState, aTask, aNow, aOut);
     return;
   }
-  MarkProgress(aState, aTask);
   if (step.Gang()) {
     FinishGang(aState, aJob, aTask);
   } else {
-    ChangeProgress(*FindTask(aState, aTask), [](auto& aFields) {
+    ChangeProgress(aState, aTask, [](auto& aFields) {
       aFields.mPhase = JobTaskPhase::Done;
       aFields.mCheckpoint.clear();
     });
@@ -99,9 +92,7 @@
   if (std::find(known.begin(), known.end(), aRun.mRun) != known.end()) {
     return;
   }
-  MarkProgress(aState, task);
-  ChangeProgress(*FindTask(aState, task),
-                 [&](auto& aFields) { aFields.mFailedRuns.push_back(aRun.mRun); });
+  ChangeProgress(aState, task, [&](auto& aFields) { aFields.mFailedRuns.push_back(aRun.mRun); });
   const auto attempts = std::max<std::size_t>(1, PolicyOf(aState, aJob).MaxAttempts());
   const auto failures = CountFailures(aState, aJob, task);
   Log(aOut,
@@ -114,9 +105,9 @@
 }
 
 void
-ClearWorker(TaskRow& aTask)
+ClearWorker(CellState& aState, const JobTaskKey& aTask)
 {
-  ChangeProgress(aTask, [](auto& aFields) { aFields.mWorker.clear(); });
+  ChangeProgress(aState, aTask, [](auto& aFields) { aFields.mWorker.clear(); });
 }
 
 bool
@@ -137,8 +128,7 @@
                          ? GangMembers(aTask, StepRowOf(*job, aTask))
                          : std::vector<JobTaskKey>{ aTask };
   for (const auto& member : members) {
-    ChangeProgress(*FindTask(aState, member),
-                   [&](auto& aFields) { aFields.mCheckpoint = aCheckpoint; });
+    ChangeProgress(aState, member, [&](auto& aFields) { aFields.mCheckpoint = aCheckpoint; });
   }
 }
 
@@ -187,8 +177,7 @@
     --task->mLiveRuns;
     if (task->mProgress.Phase() == JobTaskPhase::Waiting && task->mProgress.Run() == aRun.mRun &&
         task->mProgress.Worker() == aWorker.mRegistration.Id()) {
-      ClearWorker(*task);
-      MarkProgress(aState, aRun.mTask);
+      ClearWorker(aState, aRun.mTask);
     }
     RefreshStep(
       aState, *FindJob(aState, aRun.mTask.Job()), aRun.mTask.Occurrence(), aRun.mTask.Step());
@@ -361,14 +350,13 @@
     const auto worker = task->mProgress.Worker();
     const RunId run{ member, task->mProgress.Run() };
     // The record names the worker until the run has ended, so that a successor knows of the run.
-    ChangeProgress(*task, [](auto& aFields) { aFields.mPhase = JobTaskPhase::Waiting; });
+    ChangeProgress(aState, member, [](auto& aFields) { aFields.mPhase = JobTaskPhase::Waiting; });
     if (HasRun(aState, worker, run)) {
       RequestStop(aState, worker, run, aNow, aOut);
     } else {
-      ClearWorker(*task);
+      ClearWorker(aState, member);
     }
   }
-  MarkProgress(aState, aTask);
   RefreshStep(aState, *job, aTask.Occurrence(), aTask.Step());
 }
 
--- a/modules/by_cell/detail/Tables.h
+++ b/modules/by_cell/detail/Tables.h
@@ -41,14 +41,19 @@
 RunRow
 MakeRunRow(const JobStep& aStep, RunPhase aPhase, Time aNow);
 
-/// Changes fields of a task's progress.
+/// Changes fields of a task's progress; the next append records the change.
 template<class Change>
 void
-ChangeProgress(TaskRow& aTask, Change aChange)
+ChangeProgress(CellState& aState, const JobTaskKey& aTask, Change aChange)
 {
-  auto fields = aTask.mProgress.ToFields();
+  auto& progress = FindTask(aState, aTask)->mProgress;
+  auto fields = progress.ToFields();
   aChange(fields);
-  aTask.mProgress = TaskProgress::Create(std::move(fields)).value();
+  auto changed = TaskProgress::Create(std::move(fields)).value();
+  if (changed != progress) {
+    progress = std::move(changed);
+    aState.mNewProgress.insert(aTask);
+  }
 }
 
 } // namespace by::detail
--- a/modules/by_jobs/RecordKeys.cpp
+++ b/modules/by_jobs/RecordKeys.cpp
@@ -10,6 +10,12 @@
   return absl::StrCat("job/", aJob);
 }
 
+std::string
+TaskRecordKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aIndex)
+{
+  return absl::StrCat("task/", aJob, "/", aOccurrence, "/", aIndex);
+}
+
 std::string
 ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence)
 {
--- a/modules/by_jobs/RecordKeys.h
+++ b/modules/by_jobs/RecordKeys.h
@@ -9,7 +9,12 @@
 std::string
 JobRecordKey(const std::string& aJob);
 
-/// @returns the key of the record of an occurrence's progress.
+/// @param aIndex the index of the task among the occurrence's tasks.
+/// @returns the key of the record of a task's progress.
+std::string
+TaskRecordKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aIndex);
+
+/// @returns the key of the record of an occurrence's progress, which earlier versions wrote.
 std::string
 ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence);
 
--- /dev/null
+++ b/tests/by_cell/RecordsTest.cpp
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/match.h"
+
+#include "by_cell/CellFixture.h"
+#include "by_cell/TakeAll.h"
+#include "by_jobs/by_jobs.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace by;
+
+namespace {
+
+const TaskProgress&
+ProgressOf(const CellFixture& aCell, const std::string& aJob, std::size_t aIndex)
+{
+  return aCell.mCell.mJobs.at(aJob).mOccurrences.at(0).mTasks.at(aIndex).mProgress;
+}
+
+/// Ends a run on a worker and advances until the append with the change is sent.
+std::vector<KeyedRecord>
+RecordsOfAnEnd(CellFixture& aCell,
+               const std::string& aWorker,
+               std::uint64_t aNumber,
+               const RunId& aRun)
+{
+  aCell.mOut.clear();
+  aCell.Poll(aWorker, {}, { CellFixture::Ended(aNumber, aRun, RunEnd::Done) });
+  aCell.mNow = aCell.mNow + Time::FromMilliseconds(20);
+  aCell.Advance();
+  const auto appends = TakeAll<AppendToCell>(aCell.mOut);
+  return appends.empty() ? std::vector<KeyedRecord>() : appends.back().Records();
+}
+
+bool
+AreAllOutcomes(const std::vector<KeyedRecord>& aRecords)
+{
+  return std::all_of(aRecords.begin(), aRecords.end(), [](const KeyedRecord& aRecord) {
+    return absl::StartsWith(aRecord.Key(), "outcome/");
+  });
+}
+
+KeyedRecord
+Record(std::string aKey, decltype(CellRecord::Fields::mBody) aBody)
+{
+  return KeyedRecord::Create(
+           { .mKey = std::move(aKey),
+             .mRecord = CellRecord::Create({ .mBody = std::move(aBody) }).value() })
+    .value();
+}
+
+TaskProgress
+DoneTask()
+{
+  return TaskProgress::Create({ .mPhase = JobTaskPhase::Done, .mRun = 1 }).value();
+}
+
+} // namespace
+
+TEST_GROUP(Records){};
+
+TEST(Records, DoneTaskIsRecordedAloneAndWithoutItsPlace)
+{
+  // Guards against a record that grows with the width of the job and is written once for each of
+  // its tasks, which fills the owner's link.
+  CellFixture cell(2);
+  cell.Submit("j", { CellFixture::Step(1), CellFixture::Step(1), CellFixture::Step(1) });
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(3, starts.size());
+  const auto& first = starts.front();
+  const auto records = RecordsOfAnEnd(cell, first.Worker(), 1, RunId{ first.Task(), first.Run() });
+  CHECK_EQUAL(1, records.size());
+  const auto* task = std::get_if<TaskRecord>(&records.front().Record()->Body());
+  CHECK(task != nullptr);
+  CHECK(task->Progress() == DoneTask());
+}
+
+TEST(Records, EndedJobDropsWhatWasWrittenAndNothingElse)
+{
+  // The second step never begins, so that its task has no record.
+  CellFixture cell;
+  auto second = CellFixture::Step(3);
+  second.mAfter = { 0 };
+  cell.Submit("j", { CellFixture::Step(2), second });
+  cell.Call(JobCallKind::Cancel, "j");
+  cell.StoreAll();
+  CHECK_EQUAL(1, cell.Stored().size());
+  CHECK(AreAllOutcomes(cell.Stored()));
+  std::set<std::string> written;
+  for (const auto& record : cell.mRecords) {
+    CHECK(record.Record() || written.contains(record.Key()));
+    written.insert(record.Key());
+  }
+}
+
+TEST(Records, SuccessorDropsTheRecordsOfItsPredecessor)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(2) });
+  auto next = cell.Successor();
+  next.Call(JobCallKind::Cancel, "j");
+  next.StoreAll();
+  CHECK_EQUAL(1, next.Stored().size());
+  CHECK(AreAllOutcomes(next.Stored()));
+}
+
+TEST(Records, OccurrenceOfAnEarlierVersionIsReadAndDropped)
+{
+  // The earlier version recorded both tasks; the record of the second task is newer.
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(3) });
+  const auto job = cell.mCell.mJobs.at("j").mJob;
+  auto failed =
+    TaskProgress::Create({ .mPhase = JobTaskPhase::Waiting, .mRun = 1, .mFailedRuns = { 1 } })
+      .value();
+  CellFixture earlier;
+  earlier.mCell.mEpoch = cell.mCell.mEpoch;
+  earlier.mRecords = {
+    Record(JobRecordKey("j"), job),
+    Record(ProgressRecordKey("j", 0),
+           OccurrenceProgress::Create(
+             { .mJob = "j", .mIndex = 0, .mTasks = { DoneTask(), failed, failed } })
+             .value()),
+    Record(
+      TaskRecordKey("j", 0, 1),
+      TaskRecord::Create({ .mJob = "j", .mOccurrence = 0, .mIndex = 1, .mProgress = DoneTask() })
+        .value())
+  };
+  auto next = earlier.Successor();
+  CHECK(ProgressOf(next, "j", 0) == DoneTask());
+  CHECK(ProgressOf(next, "j", 1) == DoneTask());
+  CHECK_EQUAL(1, ProgressOf(next, "j", 2).FailedRuns().size());
+  next.Call(JobCallKind::Cancel, "j");
+  next.StoreAll();
+  CHECK_EQUAL(1, next.Stored().size());
+  CHECK(AreAllOutcomes(next.Stored()));
+}
+
+TEST(Records, RejectedJobLeavesNoTaskInItsBatch)
+{
+  // A batch that the store rejected is sent again without its jobs; a task's record that stayed in
+  // it would be kept for good.
+  CellFixture cell;
+  cell.Submit("k", { CellFixture::Step(1), CellFixture::Step(1) });
+  const auto start = cell.TakeStarts().front();
+  cell.Poll(start.Worker(),
+            {},
+            { CellFixture::Ended(1, RunId{ start.Task(), start.Run() }, RunEnd::Done) });
+  cell.StoreAll();
+  cell.mOut.clear();
+  cell.SubmitUnstored("j", { CellFixture::Step(2) });
+  cell.Call(JobCallKind::Cancel, "k");
+  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
+  cell.Advance();
+  const auto& batch = cell.mCell.mInFlight->mRecords;
+  CHECK(std::any_of(batch.begin(), batch.end(), [](const KeyedRecord& aRecord) {
+    return absl::StartsWith(aRecord.Key(), "task/j/");
+  }));
+  cell.Store(StoreOutcome::Refused);
+  cell.AdvanceTimeStoring(Time::FromSeconds(1));
+  CHECK_EQUAL(1, cell.Stored().size());
+  CHECK(AreAllOutcomes(cell.Stored()));
+}
