Count what a cell's owner appends to the store

bergamotyard-capacity prints the records and bytes (keys and encoded records) that the owner of the simulated cell appends each second.

--- a/bench/capacity/OwnerLoad.cpp
+++ b/bench/capacity/OwnerLoad.cpp
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/by_cell.h"
+#include "by_links/RecordCodec.h"
 #include "by_schema/EntryEvent.h"
 
 namespace by {
@@ -111,6 +112,8 @@
   Clock::duration mSpent{};
   std::int64_t mStarts{ 0 };
   std::int64_t mEvents{ 0 };
+  std::int64_t mRecords{ 0 };
+  std::size_t mRecordBytes{ 0 };
 };
 
 Simulation::Simulation(int aWorkers)
@@ -200,6 +203,11 @@
   for (const auto& effect : aEffects) {
     const auto& body = effect.Body();
     if (const auto* append = std::get_if<AppendToCell>(&body)) {
+      for (const auto& record : append->Records()) {
+        ++mRecords;
+        mRecordBytes +=
+          record.Key().size() + (record.Record() ? EncodeRecord(*record.Record()).size() : 0);
+      }
       auto done = CellAppended::Create({ .mEpoch = 1, .mSequence = append->Sequence() }).value();
       mDue.emplace(mMs + kAppendMs, EntryEvent::Create({ .mBody = std::move(done) }).value());
     } else if (const auto* start = std::get_if<StartRun>(&body)) {
@@ -292,6 +300,8 @@
   simulation.mSpent = {};
   simulation.mStarts = 0;
   simulation.mEvents = 0;
+  simulation.mRecords = 0;
+  simulation.mRecordBytes = 0;
   int submitted = 0;
   while (submitted < aBacklog) {
     simulation.Submit(submitted++);
@@ -307,6 +317,8 @@
              std::chrono::duration<double, std::milli>(simulation.mSpent).count() / seconds,
            .mStartsASecond = static_cast<double>(simulation.mStarts) / seconds,
            .mEventsASecond = static_cast<double>(simulation.mEvents) / seconds,
+           .mRecordsASecond = static_cast<double>(simulation.mRecords) / seconds,
+           .mRecordBytesASecond = static_cast<double>(simulation.mRecordBytes) / seconds,
            .mOpenJobs = static_cast<std::int64_t>(simulation.mCell.mJobs.size()) };
 }
 
--- a/bench/capacity/OwnerLoad.h
+++ b/bench/capacity/OwnerLoad.h
@@ -11,6 +11,9 @@
   double mMillisecondsASecond{ 0 };
   double mStartsASecond{ 0 };
   double mEventsASecond{ 0 };
+  /// Records that the owner appends to the store, and the size of their keys and content. [bytes]
+  double mRecordsASecond{ 0 };
+  double mRecordBytesASecond{ 0 };
   /// Jobs that had not ended at the end.
   std::int64_t mOpenJobs{ 0 };
 };
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -253,6 +253,8 @@
     std::printf("owner,milliseconds_a_second,%s,%.1f\n", size.c_str(), load.mMillisecondsASecond);
     std::printf("owner,starts_a_second,%s,%.0f\n", size.c_str(), load.mStartsASecond);
     std::printf("owner,events_a_second,%s,%.0f\n", size.c_str(), load.mEventsASecond);
+    std::printf("owner,records_a_second,%s,%.0f\n", size.c_str(), load.mRecordsASecond);
+    std::printf("owner,record_bytes_a_second,%s,%.0f\n", size.c_str(), load.mRecordBytesASecond);
     std::printf("owner,open_jobs,%s,%ld\n", size.c_str(), static_cast<long>(load.mOpenJobs));
   }
   return 0;
