Encode and decode values without a stream

Cause: each encoded or decoded value built a std::stringstream, with its locale, a copy of the bytes and a virtual call for each field.

Change: two small cereal archives, ByteWriter and ByteReader, work on a string and a string_view. Bytes are those of cereal's portable archive on a little-endian machine, which is the only kind that is built for.

The tests compare with cereal's own archive, and with bytes of a claim written before the change. by_links, by_schema, by_node, by_entry, by_entryd and platform tests pass.

--- a/modules/by_wire/BinaryCodec.h
+++ b/modules/by_wire/BinaryCodec.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <sstream>
 #include <string>
 #include <string_view>
 
-#include <cereal/archives/portable_binary.hpp>
-
 #include "absl/status/statusor.h"
 #include "absl/strings/str_cat.h"
 
+#include "by_wire/detail/ByteReader.h"
+#include "by_wire/detail/ByteWriter.h"
+
 namespace by {
 
 /// @returns a value's bytes; its cereal functions must be visible.
@@ -16,12 +16,9 @@
 std::string
 EncodeBinary(const T& aValue)
 {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(aValue);
-  }
-  return std::move(stream).str();
+  detail::ByteWriter archive;
+  archive(aValue);
+  return archive.Take();
 }
 
 /// @returns the value, or InvalidArgument where the bytes are not one.
@@ -29,12 +26,11 @@
 absl::StatusOr<T>
 DecodeBinary(std::string_view aBytes)
 {
-  std::istringstream stream{ std::string(aBytes) };
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    detail::ByteReader archive(aBytes);
     T value;
     archive(value);
-    if (stream.peek() != std::istringstream::traits_type::eof()) {
+    if (!archive.IsAtEnd()) {
       return absl::InvalidArgumentError("bytes are left over");
     }
     return value;
