Drop forwarded requests that nobody waits for

What callers saw: an owner that was behind stayed behind after the cause was over; callers gave up after 2 s, repeated, and the owner worked on requests whose callers had left.

Cause: a forwarded request did not say until when its caller waits.

Change: CellRequest.timeout holds what is left of the answer wait or of the caller's deadline; the owner counts it from the arrival of the message and drops the request before it has any effect. Dropped requests are counted in one line a second at most.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -7,6 +7,7 @@
 
 #include "by_cell/CellState.h"
 #include "by_entry/HandoverState.h"
+#include "by_entry/LoadState.h"
 #include "by_entry/MemberRow.h"
 #include "by_entry/OpenCall.h"
 #include "by_entry/OwnerPhase.h"
@@ -51,6 +52,8 @@
   /// The cell, while this node owns it; empty otherwise.
   std::optional<CellState> mCell;
 
+  /// How far this node is behind.
+  LoadState mLoad;
   /// The handover of the cell to a larger node.
   HandoverState mHandover;
   /// How the owner's orders reach the workers.
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -36,6 +36,7 @@
     detail::RetryClaim(mState, mNow, mOut);
     detail::MaintainLink(mState, mNow, mOut);
     detail::ExpireCalls(mState, mNow, mOut);
+    detail::ReportDroppedRequests(mState, mNow, mOut);
     detail::ExpireRelayedOrders(mState, mNow, mOut);
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -1,6 +1,7 @@
 #include "by_entry/detail/Calls.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -13,6 +14,9 @@
 
 namespace {
 
+/// Minimum time between two reports of dropped requests.
+constexpr Time kDropReportInterval = Time::FromMilliseconds(1000);
+
 void
 Answer(std::uint64_t aCall, JobReply::Fields aReply, Effects& aOut)
 {
@@ -64,9 +68,20 @@
   return aState.mPhase == OwnerPhase::Owner || (aState.mLinkUp && aState.mOwnerActive);
 }
 
+/// @returns when the node stops waiting for the owner's answer to a call.
+Time
+AnswerDeadline(const EntryState& aState, const OpenCall& aCall)
+{
+  return std::min(aCall.mArrived + aState.mSettings.AnswerWait(), aCall.mDeadline);
+}
+
 void
 ForwardCall(EntryState& aState, std::uint64_t aNumber, OpenCall& aCall, Time aNow, Effects& aOut)
 {
+  const auto deadline = AnswerDeadline(aState, aCall);
+  if (aNow >= deadline) {
+    return;
+  }
   aCall.mWasForwarded = true;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mForwardedTo = aState.mEpoch;
@@ -74,8 +89,10 @@
     return;
   }
   aCall.mForwardedTo = aState.mOwner->Epoch();
+  auto request = aCall.mRequest.WithTimeout(deadline - aNow);
   Emit(aOut,
-       SendToOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = aCall.mRequest }).value() })
+       SendToOwner::Create(
+         { .mMessage = LinkMessage::Create({ .mBody = std::move(request) }).value() })
          .value());
 }
 
@@ -151,6 +168,48 @@
   }
 }
 
+void
+HandleMemberRequest(EntryState& aState,
+                    const std::string& aNode,
+                    const CellRequest& aRequest,
+                    Time aReceived,
+                    Time aNow,
+                    Effects& aOut)
+{
+  if (aRequest.Timeout() > Time() && aReceived > Time() && aNow >= aReceived + aRequest.Timeout()) {
+    ++aState.mLoad.mDroppedRequests;
+    return;
+  }
+  if (aState.mPhase == OwnerPhase::Owner) {
+    HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
+    return;
+  }
+  Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
+  auto reply = JobReply::Create({ .mCall = aRequest.Call(),
+                                  .mOutcome = JobCallOutcome::Refused,
+                                  .mRetryAfter = aState.mSettings.RetryAfter() })
+                 .value();
+  Emit(aOut,
+       SendToMember::Create(
+         { .mNode = aNode, .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value() })
+         .value());
+}
+
+void
+ReportDroppedRequests(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mLoad.mDroppedRequests == 0 || aNow < aState.mLoad.mNextDropReport) {
+    return;
+  }
+  aState.mLoad.mNextDropReport = aNow + kDropReportInterval;
+  Log(
+    aOut,
+    "call.dropped",
+    aState.mSettings.Node(),
+    absl::StrCat(
+      "count=", std::exchange(aState.mLoad.mDroppedRequests, 0), " reason=callers no longer wait"));
+}
+
 void
 RequeueForwardedCalls(EntryState& aState)
 {
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -25,6 +25,20 @@
 void
 RequeueForwardedCalls(EntryState& aState);
 
+/// Handles a request that a member forwarded. A request whose caller no longer waits is dropped
+/// without any effect; its node has already answered.
+void
+HandleMemberRequest(EntryState& aState,
+                    const std::string& aNode,
+                    const CellRequest& aRequest,
+                    Time aReceived,
+                    Time aNow,
+                    Effects& aOut);
+
+/// Logs how many requests were dropped since the last report.
+void
+ReportDroppedRequests(EntryState& aState, Time aNow, Effects& aOut);
+
 /// Answers the requests that have reached their deadline or their maximum wait.
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut);
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -83,26 +83,6 @@
   }
 }
 
-void
-HandleMemberRequest(EntryState& aState,
-                    const std::string& aNode,
-                    const CellRequest& aRequest,
-                    Time aNow,
-                    Effects& aOut)
-{
-  if (aState.mPhase == OwnerPhase::Owner) {
-    HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
-    return;
-  }
-  Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
-  auto reply = JobReply::Create({ .mCall = aRequest.Call(),
-                                  .mOutcome = JobCallOutcome::Refused,
-                                  .mRetryAfter = aState.mSettings.RetryAfter() })
-                 .value();
-  Emit(aOut,
-       SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(reply)) }).value());
-}
-
 } // namespace
 
 void
@@ -218,7 +198,7 @@
     }
   }
   if (const auto* request = std::get_if<CellRequest>(&body)) {
-    HandleMemberRequest(aState, aEvent.Node(), *request, aNow, aOut);
+    HandleMemberRequest(aState, aEvent.Node(), *request, aEvent.Received(), aNow, aOut);
   } else if (const auto* advice = std::get_if<AdviceAnswered>(&body)) {
     if (aState.mCell) {
       HandleAdvice(*aState.mCell, *advice, aNow, aOut);
