--- /dev/null
+++ b/scripts/soak_entry/judge.py
@@ -0,0 +1,205 @@
+"""What clients and workers have seen of each job, and the rules that it is held against."""
+
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+CANCEL_S = 3.0
+EARLY_S = 0.25
+# A late order is carried out this long after it was sent at most, and a busy machine adds to it.
+ORDER_SLACK_S = 10.0
+MAX_ATTEMPTS = 6
+
+
+@dataclass
+class Task:
+    running: set = field(default_factory=set)
+    failed: int = 0  # ends that workers have listed
+    failed_noted: int = 0
+    done: bool = False  # an end `done` was listed
+    done_noted: bool = False
+    starts_after_done: list = field(default_factory=list)
+    checkpoints: set = field(default_factory=set)
+    starts: int = 0
+
+
+@dataclass
+class Job:
+    name: str
+    queue: str
+    body: dict
+    sent_at: float = 0.0
+    answers: list = field(default_factory=list)  # one for each attempt that has ended: a status, or "none"
+    open_attempts: int = 0
+    accepted_at: float = 0.0
+    cancel_sent_at: float = 0.0
+    cancelled_at: float = 0.0
+    state: str = ""
+    tasks: dict = field(default_factory=lambda: defaultdict(Task))  # (occurrence, step, index)
+
+    def refused(self):
+        return (not self.open_attempts and bool(self.answers) and
+                all(a in (429, 503, 404) for a in self.answers))
+
+    def wanted(self):
+        occurrences = range(max(1, self.body.get("repeats", 0)))
+        return [(k, s, i) for k in occurrences for s, step in enumerate(self.body["steps"])
+                for i in range(step.get("count", 1))]
+
+    def is_done(self, key):
+        """Whether the end of a task, or for a gang the end of one of its members, was listed as done."""
+        k, s, _ = key
+        step = self.body["steps"][s]
+        if step.get("gang"):
+            return any(self.tasks[k, s, i].done for i in range(step.get("count", 1)))
+        return self.tasks[key].done
+
+
+class Judge:
+    def __init__(self, pools):
+        self.pools = pools  # queue -> service of its workers
+        self.jobs = {}
+        self.violations = []
+        self.counts = Counter()
+        self.begin = time.monotonic()
+
+    def violate(self, rule, text):
+        self.violations.append(f"{time.monotonic() - self.begin:.2f} s: {rule}: {text}")
+
+    def split(self, name):
+        job, k, step, index = name.split(".")
+        return self.jobs.get(job), (int(k), int(step), int(index))
+
+    def started(self, run, order, worker):
+        """A worker has begun a task."""
+        self.counts["starts"] += 1
+        job, key = self.split(run.task)
+        what = f"{run.task} run {run.number} on {worker.id}"
+        if job is None or key not in set(job.wanted()):
+            self.violate("UNASKED", f"{what} was never submitted")
+            return
+        k, s, _ = key
+        step = job.body["steps"][s]
+        task = job.tasks[key]
+        now = time.monotonic()
+        task.starts += 1
+        if order["spec"] != job.body["spec"]:
+            self.violate("UNASKED", f"{what} has another spec")
+        if order.get("checkpoint") and not any(
+                order["checkpoint"] in job.tasks[k, s, i].checkpoints
+                for i in (range(step["count"]) if step.get("gang") else [key[2]])):
+            self.violate("UNASKED", f"{what} has a checkpoint that is not the task's")
+        if worker.service != self.pools[job.queue]:
+            self.violate("ROUTE", f"{what} of {worker.service}, queue {job.queue}")
+        if step.get("required_label") and step["required_label"] not in worker.labels:
+            self.violate("ROUTE", f"{what} lacks label {step['required_label']}")
+        limit = step.get("anti_affinity")
+        beside = sum(1 for r in worker.running.values() if r.task.rsplit(".", 1)[0] == run.task.rsplit(".", 1)[0])
+        if limit and beside > limit:
+            self.violate("ROUTE", f"{what}: {beside} tasks of the step on one worker, limit {limit}")
+        if job.refused():
+            self.violate("REFUSED", f"{what}: all attempts to submit it were refused: {job.answers}")
+        for earlier in step.get("after", []):
+            missing = [e for e in job.wanted() if e[0] == k and e[1] == earlier and not job.is_done(e)]
+            if missing:
+                self.violate("ORDER", f"{what}: {missing[0]} is not done")
+        if job.body.get("repeats"):
+            due = job.body["start_at_ms"] + k * job.body["interval_ms"]
+            if time.time() * 1000 < due - EARLY_S * 1000:
+                self.violate("ORDER", f"{what}: {due - time.time() * 1000:.0f} ms early")
+        for other in list(task.running):
+            other.worker.check_lease()
+        if task.running:
+            others = ", ".join(f"run {r.number} on {r.worker.id}" for r in task.running)
+            self.violate("TWICE", f"{what} beside {others}")
+        if self._noted(job, key):
+            self.violate("TWICE", f"{what}: it was done before, and that was acknowledged")
+        elif task.done:
+            task.starts_after_done.append(what)
+        if task.failed_noted >= MAX_ATTEMPTS:
+            self.violate("BUDGET", f"{what}: it has failed {task.failed_noted} times")
+        if job.cancelled_at and now > job.cancelled_at + CANCEL_S + ORDER_SLACK_S:
+            self.violate("UNASKED", f"{what}: cancelled {now - job.cancelled_at:.1f} s before")
+        used = worker.used()
+        if any(used[r] > worker.capacity[r] for r in used):
+            self.violate("LIMIT", f"{what}: {used} is over {worker.capacity}: {sorted(worker.running)}")
+        task.running.add(run)
+
+    def _noted(self, job, key):
+        k, s, _ = key
+        step = job.body["steps"][s]
+        if step.get("gang"):
+            return any(job.tasks[k, s, i].done_noted for i in range(step["count"]))
+        return job.tasks[key].done_noted
+
+    def ended(self, run, how):
+        job, key = self.split(run.task)
+        if job is None:
+            return
+        task = job.tasks[key]
+        task.running.discard(run)
+        self.counts[how] += 1
+        if how == "done":
+            task.done = True
+        elif how == "failed":
+            task.failed += 1
+
+    def noted(self, name, how):
+        """An end was acknowledged by the system while the lease of its worker held."""
+        job, key = self.split(name)
+        if job is None:
+            return
+        task = job.tasks[key]
+        if how == "done":
+            task.done_noted = True
+            for what in task.starts_after_done:
+                self.violate("TWICE", f"{what}: it was done before, and that was acknowledged later")
+            task.starts_after_done.clear()
+        elif how == "failed":
+            task.failed_noted += 1
+
+    def shown(self, job, state, node, asked_at):
+        """A client was told a job's state; None is an answer 410."""
+        what = f"job {job.name} at {node}"
+        if state is None:
+            if job.accepted_at and job.accepted_at < asked_at:
+                self.violate("LOST", f"{what}: 410, accepted {asked_at - job.accepted_at:.2f} s before")
+            return
+        if state == "completed":
+            missing = [key for key in job.wanted() if not job.is_done(key)]
+            if missing:
+                self.violate("MIXED", f"{what}: completed, but {missing[0]} is not done")
+        elif state == "failed":
+            if not any(task.failed >= MAX_ATTEMPTS for task in job.tasks.values()):
+                self.violate("LOST", f"{what}: failed without cause")
+        elif state == "cancelled":
+            if not job.cancel_sent_at:
+                self.violate("LOST", f"{what}: cancelled, but nobody asked for it")
+        elif state not in ("queued", "running"):
+            self.violate("MIXED", f"{what}: state {state!r}")
+        if job.state in ("completed", "failed", "cancelled") and state != job.state:
+            self.violate("MIXED", f"{what}: {state} after {job.state}")
+        job.state = state
+
+    def finish(self):
+        """What holds at the end, when nothing is open any more."""
+        for job in self.jobs.values():
+            started = any(t.starts for t in job.tasks.values())
+            if job.refused() and started:
+                self.violate("REFUSED", f"job {job.name} ran: {job.answers}")
+            if job.cancelled_at:
+                left = [k for k, t in job.tasks.items() if t.running]
+                if left:
+                    self.violate("UNASKED", f"job {job.name} was cancelled and {left[0]} still runs")
+            elif job.accepted_at and job.state not in ("completed", "failed", "cancelled"):
+                waiting = [k for k in job.wanted() if not job.is_done(k)]
+                self.violate("LOST", f"job {job.name} was accepted and is {job.state or 'unknown'} at the end; "
+                                     f"not done: {waiting[:3]} of {len(job.wanted())}")
+
+    def summary(self):
+        jobs = self.jobs.values()
+        accepted = [j for j in jobs if j.accepted_at]
+        refused = [j for j in jobs if j.refused()]
+        return (f"submitted={len(self.jobs)} accepted={len(accepted)} "
+                f"completed={sum(j.state == 'completed' for j in jobs)} refused={len(refused)} "
+                f"uncertain={len(self.jobs) - len(accepted) - len(refused)} violations={len(self.violations)}")
