--- a/scripts/soak_entry/faults.py
+++ b/scripts/soak_entry/faults.py
@@ -1,13 +1,144 @@
 """Faults drawn from a seed, in series that overlap."""
 
+import asyncio
 import random
+import re
+import time
+from dataclasses import dataclass
+
+from . import net
+
+OWNER = -1  # Stands for the node that owns the cell when the fault begins.
+KINDS = ("stop", "kill", "freeze", "reload", "config", "redeal", "store", "worker", "link", "silence", "reset",
+         "crash", "drain")
+WEIGHTS = (3, 4, 3, 1, 1, 1, 5, 4, 4, 2, 1, 3, 1)
+EFFECTS = {"store": ("delay", "refuse", "reset", "drop", "lose", "late"),
+           "worker": ("delay", "refuse", "reset", "drop", "lose", "late"),
+           "link": ("delay", "reset", "drop")}
+
+
+@dataclass(frozen=True)
+class Fault:
+    at: float  # seconds after the start of the load
+    kind: str
+    nodes: tuple = ()  # empty for all
+    workers: tuple = ()
+    seconds: float = 0.0
+    pause: float = 0.0
+    effect: str = ""
+    share: float = 1.0
+    scope: str = ""
 
 
 class Schedule:
     """What is done to a run, and when. The same seed draws the same faults."""
 
     def __init__(self, options, seed):
+        self.random = random.Random(f"{seed}/faults")
+        self.options = options
         self.events = []
+        if options.no_faults:
+            return
+        for _ in range(self.random.randrange(2, 6)):
+            kind = self.random.choices(KINDS, WEIGHTS)[0]
+            at = self.random.uniform(0.2, options.seconds / 2)
+            pause = self.random.choice((0.5, 1.0, 2.0, 4.0))
+            while at < options.seconds - 0.5 and len(self.events) < 60:
+                self.events.append(self._draw(kind, at))
+                at += pause * self.random.uniform(0.5, 1.5)
+        self.events.sort(key=lambda fault: fault.at)
+
+    def _some_nodes(self):
+        draw = self.random.random()
+        if draw < 0.4:
+            return (OWNER,)
+        if draw < 0.55:
+            return ()
+        count = self.random.choice((1, 1, 2, max(1, self.options.nodes // 2)))
+        return tuple(sorted(self.random.sample(range(self.options.nodes), min(count, self.options.nodes))))
+
+    def _draw(self, kind, at):
+        left = self.options.seconds - at
+        workers = tuple(sorted(self.random.sample(range(self.options.workers),
+                                                  self.random.choice((1, 2, max(1, self.options.workers // 4))))))
+        fault = dict(at=round(at, 3), kind=kind, nodes=self._some_nodes(), workers=workers,
+                     seconds=round(min(left, self.random.choice((0.3, 1.0, 2.0, 4.0))), 3),
+                     pause=round(self.random.uniform(0.1, 1.0), 3))
+        if kind in EFFECTS:
+            fault.update(effect=self.random.choice(EFFECTS[kind]), share=self.random.choice((1.0, 1.0, 0.5, 0.1)),
+                         pause=round(self.random.choice((0.01, 0.1, 0.4, 1.5)), 3))
+            if kind == "worker" and self.random.random() < 0.3:
+                fault.update(workers=())
+            if kind == "worker" and self.random.random() < 0.5:
+                fault.update(nodes=())
+        if kind in ("silence", "reset"):
+            fault.update(scope=self.random.choice(("store", "worker", "link")))
+        return Fault(**fault)
 
     async def play(self, site):
-        pass
+        begin = time.monotonic()
+        tasks = []
+        try:
+            for fault in self.events:
+                await asyncio.sleep(max(0.0, begin + fault.at - time.monotonic()))
+                tasks.append(asyncio.create_task(inject(site, fault)))
+            await asyncio.sleep(max(0.0, begin + self.options.seconds - time.monotonic()))
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+
+def owner_of(site):
+    """The node that claimed the cell last."""
+    records = site.store.parts["keyed.claims", 0].records
+    names = re.findall(rb"node-(\d\d)", records[-1]) if records else []
+    return int(names[0]) if names else 0
+
+
+async def on_node(node, action):
+    """One thing at a time is done to a process; a fault that meets another one is left out."""
+    if node.lock.locked():
+        return
+    async with node.lock:
+        await action()
+
+
+async def inject(site, fault):
+    indexes = {owner_of(site) if n == OWNER else n for n in fault.nodes}
+    nodes = [site.nodes[n] for n in sorted(indexes)] or site.nodes
+
+    async def restart(node, end):
+        await end()
+        await asyncio.sleep(fault.pause)
+        await node.start()
+
+    if fault.kind == "stop":
+        await asyncio.gather(*(on_node(n, lambda n=n: restart(n, n.stop)) for n in nodes))
+    elif fault.kind == "kill":
+        await asyncio.gather(*(on_node(n, lambda n=n: restart(n, n.kill)) for n in nodes))
+    elif fault.kind == "freeze":
+        await asyncio.gather(*(on_node(n, lambda n=n: n.freeze(fault.seconds)) for n in nodes))
+    elif fault.kind == "reload":
+        await asyncio.gather(*(on_node(n, n.reload) for n in nodes))
+    elif fault.kind == "config":
+        site.extra = [n for n in range(6) if site.random.random() < 0.5]
+        site.publish()
+    elif fault.kind == "redeal":
+        site.store.redeal()
+    elif fault.kind == "silence":
+        site.network.silence(fault.scope, indexes)
+    elif fault.kind == "reset":
+        site.network.reset(fault.scope, indexes)
+    elif fault.kind in ("crash", "drain"):
+        await asyncio.gather(*(site.cluster.rebirth(w, fault.pause, fault.kind == "drain") for w in fault.workers))
+    else:
+        targets = frozenset(fault.workers) if fault.kind == "worker" else frozenset()
+        late = fault.effect == "late"
+        rule = net.Rule(fault.kind, fault.effect, 3.0 if late else fault.pause, fault.share, frozenset(indexes),
+                        targets)
+        site.network.rules.append(rule)
+        try:
+            await asyncio.sleep(fault.seconds)
+        finally:
+            site.network.rules.remove(rule)
