--- a/scripts/soak_entry/judge.py
+++ b/scripts/soak_entry/judge.py
@@ -18,7 +18,7 @@
     failed_noted: int = 0
     done: bool = False  # an end `done` was listed
     done_noted: bool = False
-    starts_after_done: list = field(default_factory=list)
+    done_ends: dict = field(default_factory=dict)  # (worker, number of the end) -> starts after it
     checkpoints: set = field(default_factory=set)
     starts: int = 0
 
@@ -51,7 +51,7 @@
         k, s, _ = key
         step = self.body["steps"][s]
         if step.get("gang"):
-            return any(self.tasks[k, s, i].done for i in range(step.get("count", 1)))
+            return any(self.tasks[k, s, i].done for i in range(step["count"]))
         return self.tasks[key].done
 
 
@@ -114,8 +114,9 @@
             self.violate("TWICE", f"{what} beside {others}")
         if self._noted(job, key):
             self.violate("TWICE", f"{what}: it was done before, and that was acknowledged")
-        elif task.done:
-            task.starts_after_done.append(what)
+        for member in self._represented(job, key):
+            for starts in job.tasks[member].done_ends.values():
+                starts.append(what)
         if task.failed_noted >= MAX_ATTEMPTS:
             self.violate("BUDGET", f"{what}: it has failed {task.failed_noted} times")
         if job.cancelled_at and now > job.cancelled_at + CANCEL_S + ORDER_SLACK_S:
@@ -125,14 +126,17 @@
             self.violate("LIMIT", f"{what}: {used} is over {worker.capacity}: {sorted(worker.running)}")
         task.running.add(run)
 
-    def _noted(self, job, key):
+    @staticmethod
+    def _represented(job, key):
+        """The tasks whose end as done is the end of this one; one member's is that of its gang."""
         k, s, _ = key
         step = job.body["steps"][s]
-        if step.get("gang"):
-            return any(job.tasks[k, s, i].done_noted for i in range(step["count"]))
-        return job.tasks[key].done_noted
+        return [(k, s, i) for i in range(step["count"])] if step.get("gang") else [key]
+
+    def _noted(self, job, key):
+        return any(job.tasks[member].done_noted for member in self._represented(job, key))
 
-    def ended(self, run, how):
+    def ended(self, run, how, number):
         job, key = self.split(run.task)
         if job is None:
             return
@@ -141,10 +145,11 @@
         self.counts[how] += 1
         if how == "done":
             task.done = True
+            task.done_ends[run.worker.id, number] = []
         elif how == "failed":
             task.failed += 1
 
-    def noted(self, name, how):
+    def noted(self, name, how, worker, number):
         """An end was acknowledged by the system while the lease of its worker held."""
         job, key = self.split(name)
         if job is None:
@@ -152,9 +157,8 @@
         task = job.tasks[key]
         if how == "done":
             task.done_noted = True
-            for what in task.starts_after_done:
-                self.violate("TWICE", f"{what}: it was done before, and that was acknowledged later")
-            task.starts_after_done.clear()
+            for what in task.done_ends.pop((worker, number), []):
+                self.violate("TWICE", f"{what}: done on {worker} before, and that was acknowledged later")
         elif how == "failed":
             task.failed_noted += 1
 
--- a/scripts/soak_entry/net.py
+++ b/scripts/soak_entry/net.py
@@ -220,20 +220,34 @@
 
 
 class LinkProxy:
-    """Carries the links between nodes under the rules in force."""
+    """Carries the links between nodes under the rules in force; refuses them while the peer does not listen."""
 
     def __init__(self, network, port):
         self.network = network
         self.port = port
-        self.server = None
+        self.servers = {}
+
+    async def open(self, peer, nodes):
+        """Waits until a node listens, then takes links to it."""
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(node_address(peer), self.port)
+                break
+            except OSError:
+                await asyncio.sleep(0.01)
+        writer.close()
+        addresses = [peer_address(node, peer) for node in range(nodes) if node != peer]
+        if addresses:
+            self.servers[peer] = await asyncio.start_server(self._serve, addresses, self.port)
 
-    async def start(self, nodes):
-        addresses = [peer_address(i, j) for i in range(nodes) for j in range(nodes) if i != j]
-        self.server = await asyncio.start_server(self._serve, addresses, self.port)
+    def close(self, peer):
+        server = self.servers.pop(peer, None)
+        if server:
+            server.close()
 
     def stop(self):
-        if self.server:
-            self.server.close()
+        for peer in list(self.servers):
+            self.close(peer)
 
     async def _serve(self, reader, writer):
         node, peer = pair_of(writer.get_extra_info("sockname")[0])
--- a/scripts/soak_entry/nodes.py
+++ b/scripts/soak_entry/nodes.py
@@ -25,6 +25,7 @@
         self.settings_path = site.folder / f"{self.name}.json"
         self.log = open(site.folder / f"{self.name}.log", "ab")
         self.process = None
+        self.opening = None
         self.lock = asyncio.Lock()
         self.killed_at = 0.0
         self.ending = False  # the current process is being ended on purpose
@@ -58,9 +59,12 @@
             PROGRAM, stdout=self.log, stderr=self.log, start_new_session=True,
             env={"PATH": os.environ.get("PATH", ""), "BERGAMOTYARD_SETTINGS": str(self.settings_path)})
         self.site.network.spawn(self._watch(self.process))
+        self.opening = self.site.network.spawn(self.site.proxy.open(self.index, len(self.site.nodes)))
 
     async def _watch(self, process):
         status = await process.wait()
+        self.opening.cancel()
+        self.site.proxy.close(self.index)
         if process is self.process and not self.ending:
             self.killed_at = time.monotonic()
             self.site.judge.violate("ENDED", f"{self.name} ended by itself with status {status}")
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -54,7 +54,6 @@
         self.publish()
         await self.store.start(self.options.nodes)
         await self.cluster.start()
-        await self.proxy.start(self.options.nodes)
         await asyncio.gather(*(node.start() for node in self.nodes))
         for node in self.nodes:
             self.network.spawn(node.balance())
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -239,9 +239,10 @@
         if how == "stopped":
             run.saved_s = run.progress()
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
-        self.cluster.judge.ended(run, how)
         if how != "crashed":
             self.last_end += 1
+        self.cluster.judge.ended(run, how, self.last_end)
+        if how != "crashed":
             self.ended.append([self.last_end, run.task, run.number, how, self._save(run)])
             self.changed.set()
             self.changed = asyncio.Event()
@@ -268,7 +269,7 @@
         acked = order.get("acked_through", 0)
         for number, task, _, how, _ in self.ended:
             if number <= acked and number not in self.void:
-                self.cluster.judge.noted(task, how)
+                self.cluster.judge.noted(task, how, self.id, number)
         self.ended = [row for row in self.ended if row[0] > acked]
         wait = min(order.get("wait_ms", 0), 2000) / 1000
         if wait and not self.ended:
