Answer the calls that are open when a planned stop runs out of time

Callers keep using their open connections until the process is gone. A node without an owner holds each request for up to 800 ms, so that at the end of the grace time some were always open, and the process exited without an answer to them.

The unit test fails without the change.

--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -178,4 +178,13 @@
   });
 }
 
+void
+GiveUpCalls(EntryState& aState, Effects& aOut)
+{
+  for (const auto& [number, call] : aState.mCalls) {
+    ExpireCall(aState, number, call, "planned stop", aOut);
+  }
+  aState.mCalls.clear();
+}
+
 } // namespace by::detail
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -29,4 +29,8 @@
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut);
 
+/// Answers all open requests without the owner's answer, because the process exits.
+void
+GiveUpCalls(EntryState& aState, Effects& aOut);
+
 } // namespace by::detail
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -6,6 +6,7 @@
 
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Ownership.h"
 
 namespace by::detail {
@@ -69,7 +70,9 @@
         "node.stopped",
         aState.mSettings.Node(),
         absl::StrCat("open_calls=", aState.mCalls.size()));
-    Emit(aOut, ExitEntry::Create({ .mClean = aState.mCalls.empty() }).value());
+    const bool isClean = aState.mCalls.empty();
+    GiveUpCalls(aState, aOut);
+    Emit(aOut, ExitEntry::Create({ .mClean = isClean }).value());
   }
 }
 
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -235,6 +235,25 @@
   CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
 }
 
+// Callers keep using their open connections until the process is gone, so that at the end of the
+// grace time some requests have just been read. Without an owner they were still waiting for one,
+// and the process exited without an answer to them.
+TEST(Entry, CallsOpenAtTheEndOfTheGraceTimeAreAnswered)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  constexpr std::uint64_t kCalls = 13;
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    node.SendCall(call, JobCallKind::Submit, kJobPath);
+    node.Advance(Time::FromMilliseconds(400));
+  }
+  CHECK(node.Take<ExitEntry>().empty());
+  node.Advance(Time::FromMilliseconds(150));
+  CHECK_EQUAL(1, node.Take<ExitEntry>().size());
+  CHECK(node.TakeOutcomes() == std::vector(kCalls, JobCallOutcome::Refused));
+}
+
 TEST(Entry, ReloadedSettingsApplyExceptTheProcessIdentity)
 {
   EntryFixture node;
