Let an owner regain the store before another node claims the cell

The takeover by a node of 0.12 cores and the handover that followed took 1.9 s, and leases ran out meanwhile. A node whose own calls to the store failed within the last 500 ms now leaves a linked owner the time to regain it; a node that reaches the store claims as before.

Tests: OwnerMayRegainTheStoreBeforeAnotherNodeClaims fails without the change; NodeThatReachesTheStoreClaimsAtOnceFromAnOwnerThatDoesNot.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -38,6 +38,8 @@
   Time mNextJoin{};
   /// When the last successful join request was sent; zero before the first.
   Time mJoinedAt{};
+  /// When a call of this node to the store last failed; zero before the first.
+  Time mStoreFailedAt{};
   /// Whether the group elected this node to own the cell.
   bool mElected{ false };
 
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -33,6 +33,9 @@
 constexpr Time kMediumShareDelay = Time::FromMilliseconds(75);
 /// A linked owner that has just claimed the cell is given this long to load it.
 constexpr Time kOwnerLoadTimeout = Time::FromMilliseconds(1500);
+/// After an outage of the store, an owner that lost it is given this long to regain it before
+/// another node claims the cell.
+constexpr Time kStoreRegainTime = Time::FromMilliseconds(500);
 /// Minimum time between claims of a node that was not elected. It keeps nodes that cannot reach
 /// each other from claiming the cell from each other endlessly.
 constexpr Time kPreemptiveClaimInterval = Time::FromMilliseconds(3000);
@@ -62,6 +65,15 @@
   return share < kSmallShare ? kSmallShareDelay : kMediumShareDelay;
 }
 
+/// @returns whether an owner that reports the store as lost may just as well be hit by an outage
+/// that hit this node too, and may regain the store by itself.
+bool
+MayOwnerRegainStore(const EntryState& aState, Time aNow)
+{
+  return aState.mOwnerLostStore && !aState.mOwnerLeaving && aState.mLinkUp &&
+         aNow < aState.mStoreFailedAt + kStoreRegainTime;
+}
+
 /// @returns whether another node has claimed the cell since this node began to claim it.
 bool
 IsForestalled(const EntryState& aState, const CellClaim& aClaim)
@@ -131,6 +143,7 @@
 {
   aState.mJoinInFlight = false;
   if (aEvent.Outcome() != StoreOutcome::Done) {
+    aState.mStoreFailedAt = aNow;
     aState.mNextJoin = aNow;
     if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
       Log(aOut,
@@ -170,6 +183,9 @@
   const bool isInactive = aState.mLinkUp && !aState.mOwnerActive &&
                           aNow > aState.mOwnerHeardAt + kOwnerLossTimeout &&
                           aNow > aState.mOwnerKnownAt + kOwnerLoadTimeout;
+  if (MayOwnerRegainStore(aState, aNow)) {
+    return;
+  }
   const bool isReleased = (aState.mOwnerLeaving || aState.mOwnerLostStore) &&
                           aNow >= aState.mOwnerReleasedAt + ShareDelay(aState);
   if (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || isReleased)) {
@@ -216,7 +232,10 @@
 HandleClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut)
 {
   if (aEvent.Outcome() != StoreOutcome::Done) {
-    if (aState.mPhase == OwnerPhase::ReadingClaim) {
+    aState.mStoreFailedAt = aNow;
+    if (aState.mPhase == OwnerPhase::ReadingClaim && MayOwnerRegainStore(aState, aNow)) {
+      aState.mPhase = OwnerPhase::Member;
+    } else if (aState.mPhase == OwnerPhase::ReadingClaim) {
       aState.mRetryAt = aNow + kClaimRetryDelay;
     }
     return;
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -299,3 +299,34 @@
     return heartbeat != nullptr && heartbeat->StoreLost();
   }));
 }
+
+// After an outage of the store for all nodes the elected node claimed the cell at once, although
+// its owner regained the store within a tenth of a second. The takeover cost two seconds.
+TEST(Entry, OwnerMayRegainTheStoreBeforeAnotherNodeClaims)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered }).value());
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  node.Deliver(
+    FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+  node.Join(true);
+  node.Advance(Time::FromMilliseconds(400));
+  CHECK(node.Take<ReadClaim>().empty());
+  node.Advance(Time::FromMilliseconds(200));
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
+
+TEST(Entry, NodeThatReachesTheStoreClaimsAtOnceFromAnOwnerThatDoesNot)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  node.Deliver(
+    FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
