Refuse new jobs at once while the owner is behind

Cause: nothing measured how far the owner was behind, and entry nodes handed it any number of requests.

Change: an owner whose events wait longer than overload_delay refuses new jobs and says so in its heartbeats; entry nodes then refuse submissions that were never forwarded, and also do so beside many calls that stall. Refused callers come back at spread times, later the longer it lasts. The delay comes with the tick; until it is measured it is zero.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -72,6 +72,8 @@
   bool mOwnerActive{ false };
   bool mOwnerLeaving{ false };
   bool mOwnerLostStore{ false };
+  /// Since when the owner takes no new jobs because it is overloaded; Never() while it takes them.
+  Time mOwnerOverloadedAt{ Time::Never() };
   /// When the owner became known to be gone, leaving or without the store, so that any node may
   /// claim the cell; Never() otherwise.
   Time mOwnerReleasedAt{ Time::Never() };
--- a/modules/by_entry/LoadState.h
+++ b/modules/by_entry/LoadState.h
@@ -9,6 +9,14 @@
 /// What a node knows of how far it is behind.
 struct LoadState
 {
+  /// The longest time that an event has waited for the control thread before the last tick.
+  Time mQueueDelay{};
+  /// Since when events wait too long; Never() while they do not.
+  Time mOverloadedAt{ Time::Never() };
+  /// Since when events have waited only shortly; Never() while they do not.
+  Time mCalmSince{ Time::Never() };
+  /// Whether members were told that this node is overloaded.
+  bool mOverloadPublished{ false };
   /// Requests of members that were dropped since the last report, because their callers no longer
   /// waited, and when the next report is due.
   std::uint64_t mDroppedRequests{ 0 };
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -9,6 +9,7 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Ownership.h"
 #include "by_entry/detail/Relays.h"
 #include "by_entry/detail/Settings.h"
@@ -31,8 +32,9 @@
   Time mNow;
   Effects& mOut;
 
-  void operator()(const ClockTick&) const
+  void operator()(const ClockTick& aEvent) const
   {
+    detail::UpdateLoad(mState, aEvent.QueueDelay(), mNow, mOut);
     detail::RetryClaim(mState, mNow, mOut);
     detail::MaintainLink(mState, mNow, mOut);
     detail::ExpireCalls(mState, mNow, mOut);
@@ -192,7 +194,7 @@
     }
   }
   detail::RelayWorkerOrders(aState, aNow, out);
-  detail::BroadcastStoreState(aState, aNow, out);
+  detail::BroadcastOwnerState(aState, aNow, out);
   detail::ContinueStop(aState, aNow, out);
   detail::PublishReadiness(aState, aNow, out);
   RemoveAnsweredCalls(aState, out);
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -8,6 +8,7 @@
 
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
 
 namespace by::detail {
@@ -26,13 +27,31 @@
 }
 
 void
-Refuse(const EntryState& aState, std::uint64_t aCall, Effects& aOut)
+Refuse(const EntryState& aState, std::uint64_t aCall, Time aNow, Effects& aOut)
 {
   Answer(aCall,
-         { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = aState.mSettings.RetryAfter() },
+         { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = RetryDelay(aState, aCall, aNow) },
          aOut);
 }
 
+/// Refuses a request of a member.
+void
+RefuseMember(const EntryState& aState,
+             const std::string& aNode,
+             std::uint64_t aCall,
+             Time aNow,
+             Effects& aOut)
+{
+  auto reply = JobReply::Create({ .mCall = aCall,
+                                  .mOutcome = JobCallOutcome::Refused,
+                                  .mRetryAfter = RetryDelay(aState, aCall, aNow) })
+                 .value();
+  Emit(aOut,
+       SendToMember::Create(
+         { .mNode = aNode, .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value() })
+         .value());
+}
+
 /// Ends a call without the owner's answer. A forwarded submission or cancellation may have been
 /// carried out, so its outcome is uncertain. A query has no effect and can be refused.
 void
@@ -40,6 +59,7 @@
            std::uint64_t aNumber,
            const OpenCall& aCall,
            const char* aReason,
+           Time aNow,
            Effects& aOut)
 {
   const bool mayHaveRun = aCall.mWasForwarded && (aCall.mRequest.Kind() == JobCallKind::Submit ||
@@ -58,7 +78,7 @@
   if (mayHaveRun) {
     Answer(aNumber, { .mOutcome = JobCallOutcome::Uncertain }, aOut);
   } else {
-    Refuse(aState, aNumber, aOut);
+    Refuse(aState, aNumber, aNow, aOut);
   }
 }
 
@@ -82,6 +102,11 @@
   if (aNow >= deadline) {
     return;
   }
+  if (const char* reason = RefusalReason(aState, aCall, aNow)) {
+    Log(aOut, "call.refused", aCall.mRequest.Job(), absl::StrCat("reason=", reason));
+    Refuse(aState, aNumber, aNow, aOut);
+    return;
+  }
   aCall.mWasForwarded = true;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mForwardedTo = aState.mEpoch;
@@ -106,7 +131,7 @@
         "call.refused",
         aCall.Path(),
         absl::StrCat("reason=", aState.mExited ? "stopped" : "no configuration"));
-    Refuse(aState, aCall.Call(), aOut);
+    Refuse(aState, aCall.Call(), aNow, aOut);
     return;
   }
   const auto* queue = FindQueue(*aState.mConfig, aCall.Host(), aCall.Path());
@@ -180,19 +205,17 @@
     ++aState.mLoad.mDroppedRequests;
     return;
   }
-  if (aState.mPhase == OwnerPhase::Owner) {
-    HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
+  if (aState.mPhase != OwnerPhase::Owner) {
+    Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
+    RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
     return;
   }
-  Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
-  auto reply = JobReply::Create({ .mCall = aRequest.Call(),
-                                  .mOutcome = JobCallOutcome::Refused,
-                                  .mRetryAfter = aState.mSettings.RetryAfter() })
-                 .value();
-  Emit(aOut,
-       SendToMember::Create(
-         { .mNode = aNode, .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value() })
-         .value());
+  if (IsRefusedAsOverloaded(aState, aRequest)) {
+    Log(aOut, "job.refused", aRequest.Job(), "reason=owner overloaded");
+    RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
+    return;
+  }
+  HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
 }
 
 void
@@ -232,6 +255,7 @@
                aEntry.first,
                call,
                call.mForwardedTo ? "no answer from the owner" : "no owner",
+               aNow,
                aOut);
     return true;
   });
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -10,6 +10,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Relays.h"
 
 namespace by::detail {
@@ -49,15 +50,17 @@
          aNow;
 }
 
-/// Sends a member the heartbeat that says whether this node is the owner and has the store.
+/// Sends a member the heartbeat that says whether this node is the owner, has the store and takes
+/// new jobs.
 void
 SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
 {
   const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  auto heartbeat =
-    LinkHeartbeat::Create(
-      { .mEpoch = aState.mEpoch, .mOwner = isOwner, .mStoreLost = HasLostStore(aState, aNow) })
-      .value();
+  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
+                                           .mOwner = isOwner,
+                                           .mStoreLost = HasLostStore(aState, aNow),
+                                           .mOverloaded = IsOverloadedOwner(aState) })
+                     .value();
   Emit(
     aOut,
     SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
@@ -73,6 +76,8 @@
         absl::StrCat("epoch=", aHeartbeat.Epoch()));
   }
   aState.mOwnerLostStore = aHeartbeat.StoreLost();
+  aState.mOwnerOverloadedAt =
+    aHeartbeat.Overloaded() ? std::min(aState.mOwnerOverloadedAt, aNow) : Time::Never();
   if (aHeartbeat.StoreLost()) {
     aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
   } else if (!aState.mOwnerLeaving) {
@@ -99,6 +104,7 @@
   aState.mOwnerActive = false;
   aState.mOwnerLeaving = false;
   aState.mOwnerLostStore = false;
+  aState.mOwnerOverloadedAt = Time::Never();
   aState.mOwnerReleasedAt = Time::Never();
   aState.mHandover.mAwaitedUntil = Time::Never();
   aState.mHandover.mIsSuccessor = false;
@@ -139,6 +145,7 @@
   const bool wasUp = std::exchange(aState.mLinkUp, aEvent.Up());
   if (!aEvent.Up()) {
     aState.mOwnerActive = false;
+    aState.mOwnerOverloadedAt = Time::Never();
     RequeueForwardedCalls(aState);
     if (aEvent.Refused() && aState.mOwnerReleasedAt == Time::Never()) {
       aState.mOwnerReleasedAt = aNow;
@@ -240,12 +247,15 @@
 }
 
 void
-BroadcastStoreState(EntryState& aState, Time aNow, Effects& aOut)
+BroadcastOwnerState(EntryState& aState, Time aNow, Effects& aOut)
 {
   const bool isLost = HasLostStore(aState, aNow);
-  if (std::exchange(aState.mStoreLossPublished, isLost) == isLost) {
+  const bool isOverloaded = IsOverloadedOwner(aState);
+  if (std::exchange(aState.mStoreLossPublished, isLost) == isLost &&
+      aState.mLoad.mOverloadPublished == isOverloaded) {
     return;
   }
+  aState.mLoad.mOverloadPublished = isOverloaded;
   SendMemberHeartbeats(aState, aNow, aOut);
 }
 
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -33,9 +33,10 @@
 void
 HandleMemberChanged(EntryState& aState, const MemberChanged& aEvent, Time aNow, Effects& aOut);
 
-/// Notifies members as soon as this node, as the owner, loses or regains the store.
+/// Notifies members as soon as this node, as the owner, loses or regains the store, or becomes
+/// overloaded or has caught up.
 void
-BroadcastStoreState(EntryState& aState, Time aNow, Effects& aOut);
+BroadcastOwnerState(EntryState& aState, Time aNow, Effects& aOut);
 
 /// Sends all members the heartbeat that says whether this node is the owner and has the store.
 void
--- a/tests/by_entry/CallsTest.cpp
+++ b/tests/by_entry/CallsTest.cpp
@@ -38,6 +38,36 @@
     Deliver(MemberChanged::Create({ .mNode = "n2", .mUp = true }).value());
   }
 
+  /// Delivers a tick before which an event has waited.
+  void Tick(Time aQueueDelay)
+  {
+    Deliver(ClockTick::Create({ .mNumber = 1, .mQueueDelay = aQueueDelay }).value());
+  }
+
+  /// @returns the outcomes in replies to members since the last call.
+  std::vector<JobCallOutcome> TakeMemberOutcomes()
+  {
+    std::vector<JobCallOutcome> outcomes;
+    for (const auto& sent : Take<SendToMember>()) {
+      if (const auto* reply = std::get_if<JobReply>(&sent.Message().Body())) {
+        outcomes.push_back(reply->Outcome());
+      }
+    }
+    return outcomes;
+  }
+
+  /// @returns what the heartbeats to members say of overload since the last call.
+  std::vector<bool> TakeOverload()
+  {
+    std::vector<bool> overloaded;
+    for (const auto& sent : Take<SendToMember>()) {
+      if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&sent.Message().Body())) {
+        overloaded.push_back(heartbeat->Overloaded());
+      }
+    }
+    return overloaded;
+  }
+
   void Forward(const CellRequest& aRequest, Time aReceived)
   {
     Deliver(FromMember::Create({ .mNode = "n2",
@@ -57,6 +87,19 @@
     SetRemoteOwner(3);
   }
 
+  /// Delivers the owner's heartbeat.
+  void Beat(bool aOverloaded)
+  {
+    Deliver(
+      FromOwner::Create(
+        { .mMessage = LinkMessage::Create(
+                        { .mBody = LinkHeartbeat::Create(
+                                     { .mEpoch = 3, .mOwner = true, .mOverloaded = aOverloaded })
+                                     .value() })
+                        .value() })
+        .value());
+  }
+
   /// @returns the requests that were forwarded to the owner since the last call.
   std::vector<CellRequest> TakeRequests()
   {
@@ -135,3 +178,116 @@
                 return aLine.Event() == "call.dropped";
               }));
 }
+
+/// Requests waited at an owner that was behind until their callers gave up after 2 s.
+TEST_GROUP(Overload){};
+
+TEST(Overload, OwnerIsOverloadedUntilItHasBeenCalmForASecond)
+{
+  Owner owner;
+  const auto limit = owner.mState.mSettings.OverloadDelay();
+  owner.TakeOverload();
+  owner.Tick(limit);
+  CHECK(owner.TakeOverload().empty());
+  owner.Tick(limit + Time::FromMilliseconds(1));
+  CHECK(owner.TakeOverload() == std::vector{ true });
+  owner.Advance(Time::FromMilliseconds(900));
+  owner.Tick(Time::FromMilliseconds(limit.Milliseconds() / 2));
+  owner.Advance(Time::FromMilliseconds(1000));
+  CHECK(owner.TakeOverload().empty());
+  owner.Advance(Time::FromMilliseconds(100));
+  CHECK(owner.TakeOverload() == std::vector{ false });
+}
+
+TEST(Overload, OverloadedOwnerRefusesNewJobsOnly)
+{
+  Owner owner;
+  owner.Forward(RequestOf(owner, JobCallKind::Submit), owner.mNow);
+  owner.Advance(Time::FromMilliseconds(50));
+  owner.Deliver(
+    CellAppended::Create({ .mEpoch = 3, .mSequence = 1, .mOutcome = StoreOutcome::Done }).value());
+  CHECK(owner.TakeMemberOutcomes() == std::vector{ JobCallOutcome::Accepted });
+  owner.Tick(owner.mState.mSettings.OverloadDelay() * 2);
+  owner.Forward(RequestOf(owner, JobCallKind::Submit, "fedcba9876543210"), owner.mNow);
+  owner.Forward(RequestOf(owner, JobCallKind::Submit), owner.mNow);
+  owner.Forward(RequestOf(owner, JobCallKind::Show), owner.mNow);
+  CHECK(owner.TakeMemberOutcomes() ==
+        (std::vector{ JobCallOutcome::Refused, JobCallOutcome::Accepted, JobCallOutcome::Shown }));
+  CHECK_EQUAL(1, owner.mState.mCell->mJobs.size());
+  owner.SendCall(1, JobCallKind::Submit, "/q/00000000000000ff");
+  CHECK(owner.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
+  CHECK(owner.mState.mCalls.empty());
+}
+
+TEST(Overload, MemberRefusesNewJobsOfAnOverloadedOwnerItself)
+{
+  Member member;
+  member.Beat(true);
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  CHECK(member.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
+  CHECK(member.TakeRequests().empty());
+  member.SendCall(2, JobCallKind::Show, kJobPath);
+  member.SendCall(3, JobCallKind::Cancel, kJobPath);
+  CHECK_EQUAL(2, member.TakeRequests().size());
+  member.Beat(false);
+  member.SendCall(4, JobCallKind::Submit, kJobPath);
+  CHECK_EQUAL(1, member.TakeRequests().size());
+}
+
+TEST(Overload, SubmissionThatWasForwardedBeforeIsNotRefusedAsNotRun)
+{
+  Member member;
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.Deliver(
+    LinkChanged::Create({ .mPeer = member.mState.mOwner->Link(), .mUp = false }).value());
+  member.Deliver(
+    LinkChanged::Create({ .mPeer = member.mState.mOwner->Link(), .mUp = true }).value());
+  member.Take<SendToOwner>();
+  member.Beat(true);
+  CHECK_EQUAL(1, member.TakeRequests().size());
+  CHECK(member.TakeOutcomes().empty());
+}
+
+TEST(Overload, MemberRefusesSubmissionsBesideManyThatStall)
+{
+  Member member;
+  constexpr std::uint64_t kCalls = 33;
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    member.SendCall(call, JobCallKind::Submit, kJobPath);
+  }
+  member.Advance(Time::FromMilliseconds(500));
+  member.SendCall(kCalls + 1, JobCallKind::Submit, kJobPath);
+  CHECK(member.TakeOutcomes().empty());
+  member.Advance(Time::FromMilliseconds(550));
+  member.SendCall(kCalls + 2, JobCallKind::Submit, kJobPath);
+  CHECK(member.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
+  member.TakeRequests();
+  member.SendCall(kCalls + 3, JobCallKind::Show, kJobPath);
+  CHECK_EQUAL(1, member.TakeRequests().size());
+}
+
+TEST(Overload, RefusedCallersComeBackAtDifferentTimesAndLaterTheLongerItLasts)
+{
+  Member member;
+  member.Beat(true);
+  const auto takeDelays = [&](std::uint64_t aFirst) {
+    for (auto call = aFirst; call < aFirst + 4; ++call) {
+      member.SendCall(call, JobCallKind::Submit, kJobPath);
+    }
+    std::vector<Time> delays;
+    for (const auto& reply : member.Take<ReplyToCaller>()) {
+      delays.push_back(reply.Reply().RetryAfter());
+    }
+    return delays;
+  };
+  const auto early = takeDelays(4);
+  CHECK_EQUAL(4, early.size());
+  CHECK(early.front() >= member.mState.mSettings.RetryAfter());
+  CHECK(early.front() < early.back());
+  member.Advance(Time::FromMilliseconds(1400));
+  member.Beat(true);
+  const auto late = takeDelays(8);
+  CHECK_EQUAL(4, late.size());
+  CHECK(early.front() < late.front());
+  CHECK(late.back() <= Time::FromSeconds(3));
+}
