Confirm owners that the group did not elect

Cause: only appends and the group's answer to the elected node confirm an owner. One that was not elected and had nothing to store renewed no lease once authority_timeout (5 s) had passed.

Change: an owner that was not confirmed for 1 s reads the claim; its own claim as the newest confirms it as of the time when the read was sent.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -47,6 +47,10 @@
   std::optional<std::uint64_t> mClaimedAfter;
   /// The number of the last request to read the claim.
   std::uint64_t mClaimReadNumber{ 0 };
+  /// At the owner, when the last read of the claim that confirms its ownership was sent, and
+  /// whether it is unanswered.
+  Time mConfirmSentAt{};
+  bool mConfirmInFlight{ false };
   /// When a failed step of acquiring the cell is retried; Never() if none failed.
   Time mRetryAt{ Time::Never() };
   /// The cell, while this node owns it; empty otherwise.
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -43,6 +43,7 @@
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
     }
+    detail::ConfirmOwnership(mState, mNow, mOut);
     detail::ContinueHandover(mState, mNow, mOut);
     detail::ExpireHandover(mState, mNow, mOut);
   }
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint32_t kMediumShare = 500;
 constexpr Time kSmallShareDelay = Time::FromMilliseconds(150);
 constexpr Time kMediumShareDelay = Time::FromMilliseconds(75);
+/// An owner that the store has not confirmed for this long reads the claim, at most this often.
+constexpr Time kConfirmInterval = Time::FromMilliseconds(1000);
 /// A linked owner that has just claimed the cell is given this long to load it.
 constexpr Time kOwnerLoadTimeout = Time::FromMilliseconds(1500);
 /// Minimum time between claims of a node that was not elected. It keeps nodes that cannot reach
@@ -86,6 +88,22 @@
   ReadNewestClaim(aState, aOut);
 }
 
+/// Takes the answer to a read of ConfirmOwnership; claims that the store reports by itself have no
+/// end.
+void
+HandleConfirmation(EntryState& aState, const ClaimRead& aEvent)
+{
+  const bool isDone = aEvent.Outcome() == StoreOutcome::Done;
+  if (!aState.mConfirmInFlight || (isDone && aEvent.End() == 0)) {
+    return;
+  }
+  aState.mConfirmInFlight = false;
+  if (isDone && aState.mPhase == OwnerPhase::Owner && aEvent.Claim() &&
+      aEvent.Claim()->Epoch() == aState.mEpoch && IsClaimOfThisProcess(aState, *aEvent.Claim())) {
+    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aState.mConfirmSentAt);
+  }
+}
+
 void
 BeginLoad(EntryState& aState, std::uint64_t aEpoch, Effects& aOut)
 {
@@ -212,9 +230,23 @@
   }
 }
 
+void
+ConfirmOwnership(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Owner || aState.mConfirmInFlight ||
+      aNow < aState.mConfirmSentAt + kConfirmInterval ||
+      aNow < aState.mCell->mConfirmedAt + kConfirmInterval) {
+    return;
+  }
+  aState.mConfirmInFlight = true;
+  aState.mConfirmSentAt = aNow;
+  Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mClaimReadNumber }).value());
+}
+
 void
 HandleClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut)
 {
+  HandleConfirmation(aState, aEvent);
   if (aEvent.Outcome() != StoreOutcome::Done) {
     if (aState.mPhase == OwnerPhase::ReadingClaim) {
       aState.mRetryAt = aNow + kClaimRetryDelay;
@@ -316,6 +348,7 @@
   aState.mPhase = OwnerPhase::Member;
   aState.mRetryAt = Time::Never();
   aState.mCell.reset();
+  aState.mConfirmInFlight = false;
   aState.mHandover.mSuccessor.clear();
   aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
--- a/modules/by_entry/detail/Ownership.h
+++ b/modules/by_entry/detail/Ownership.h
@@ -36,6 +36,11 @@
 void
 HandleCellLoaded(EntryState& aState, const CellLoaded& aEvent, Time aNow, Effects& aOut);
 
+/// Reads the claim if the store has not confirmed this owner for a while. Only elected owners are
+/// confirmed by the group, and an owner without changes to store appends nothing.
+void
+ConfirmOwnership(EntryState& aState, Time aNow, Effects& aOut);
+
 /// Stops owning or claiming the cell; state that was not stored is discarded.
 /// @param aReason the reason for the log line.
 void
--- a/tests/by_entry/HandoverTest.cpp
+++ b/tests/by_entry/HandoverTest.cpp
@@ -275,3 +275,42 @@
   CHECK(member.Take<WriteClaim>().empty());
   CHECK(member.mState.mPhase == OwnerPhase::Member);
 }
+
+/// An owner that was not elected stopped renewing the leases of its workers once it had nothing to
+/// store for 5 s, since only the group's answer confirmed it.
+TEST(Handover, OwnerThatIsNotElectedIsConfirmedByItsClaim)
+{
+  EntryFixture owner;
+  owner.Configure();
+  owner.BecomeOwner(3);
+  owner.Join(false);
+  owner.Take<ReadClaim>();
+  owner.Advance(Time::FromMilliseconds(1050));
+  CHECK_EQUAL(1, owner.Take<ReadClaim>().size());
+  const auto confirmedAt = owner.mState.mCell->mConfirmedAt;
+  const auto claim =
+    CellClaim::Create(
+      { .mEpoch = 3, .mNode = "n1", .mIncarnation = 1, .mLink = owner.mState.mSettings.Link() })
+      .value();
+  owner.Advance(Time::FromMilliseconds(100));
+  // A claim that the store reports by itself may be older than the read.
+  owner.Deliver(
+    ClaimRead::Create({ .mOutcome = StoreOutcome::Done, .mClaim = claim, .mEnd = 0 }).value());
+  CHECK(owner.mState.mCell->mConfirmedAt == confirmedAt);
+  owner.Deliver(
+    ClaimRead::Create({ .mOutcome = StoreOutcome::Done, .mClaim = claim, .mEnd = 3 }).value());
+  CHECK(owner.mState.mCell->mConfirmedAt == confirmedAt + Time::FromMilliseconds(1000));
+}
+
+TEST(Handover, OwnerThatTheGroupConfirmsReadsNoClaim)
+{
+  EntryFixture owner;
+  owner.Configure();
+  owner.BecomeOwner(3);
+  owner.Take<ReadClaim>();
+  for (int i = 0; i < 10; ++i) {
+    owner.Advance(Time::FromMilliseconds(300));
+    owner.Join(true);
+  }
+  CHECK(owner.Take<ReadClaim>().empty());
+}
