--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -51,6 +51,10 @@
   std::optional<std::uint64_t> mClaimedAfter;
   /// The number of the last request to read the claim.
   std::uint64_t mClaimReadNumber{ 0 };
+  /// At the owner, when the last read of the claim that confirms its ownership was sent, and
+  /// whether it is unanswered.
+  Time mConfirmSentAt{};
+  bool mConfirmInFlight{ false };
   /// When a failed step of acquiring the cell is retried; Never() if none failed.
   Time mRetryAt{ Time::Never() };
   /// The cell, while this node owns it; empty otherwise.
@@ -79,6 +83,8 @@
   bool mOwnerActive{ false };
   bool mOwnerLeaving{ false };
   bool mOwnerLostStore{ false };
+  /// Since when the owner takes no new jobs because it is overloaded; Never() while it takes them.
+  Time mOwnerOverloadedAt{ Time::Never() };
   /// When the owner became known to be gone, leaving or without the store, so that any node may
   /// claim the cell; Never() otherwise.
   Time mOwnerReleasedAt{ Time::Never() };
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -65,7 +65,7 @@
         aState.mSettings.Node(),
         absl::StrCat("open_calls=", aState.mCalls.size()));
     const bool isClean = aState.mCalls.empty();
-    GiveUpCalls(aState, aOut);
+    GiveUpCalls(aState, aNow, aOut);
     Emit(aOut, ExitEntry::Create({ .mClean = isClean }).value());
   }
 }
