Queue the control thread's events in two classes

Cause: each event was a post to the control thread and its effects a post back, each with a wake-up, and events were handled in order of arrival, so that an owner that was behind let answers of the store and of workers wait for callers' requests.

Change: EventQueue holds the events. What keeps the cell going goes before callers' requests; within a class the order stays. A queue that was empty wakes the control thread once; it takes up to 64 events, and the traffic thread gets their effects in one post. The tick goes through the queue, so that messages that arrived before it still come before it, and carries the longest wait since the previous one.

--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -1,10 +1,13 @@
 #include "by_entryd/detail/EntryDaemonBody.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <unistd.h>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 #include <boost/json/serialize.hpp>
@@ -20,6 +23,8 @@
 
 /// Log lines that wait for their reader at most. [bytes]
 constexpr std::size_t kLogLimit = std::size_t{ 1024 } * 1024;
+/// Events that are handled in one step at most.
+constexpr std::size_t kBatchLimit = 64;
 /// The last answers have this long to leave once the decisions have ended.
 constexpr std::chrono::milliseconds kLastAnswers{ 200 };
 
@@ -63,9 +68,12 @@
         EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
     },
     [this](std::vector<LinkMessage> aMessages) {
+      std::vector<EntryEvent> events;
+      events.reserve(aMessages.size());
       for (auto& message : aMessages) {
-        Deliver(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
+        events.push_back(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
       }
+      Deliver(events);
     });
   auto members = LinkServer::Create(
     mTraffic,
@@ -75,11 +83,14 @@
     },
     [this](const std::string& aNode, std::vector<LinkMessage> aMessages) {
       const auto now = BootNow();
+      std::vector<EntryEvent> events;
+      events.reserve(aMessages.size());
       for (auto& message : aMessages) {
-        Deliver(EventOf(
+        events.push_back(EventOf(
           FromMember::Create({ .mNode = aNode, .mMessage = std::move(message), .mReceived = now })
             .value()));
       }
+      Deliver(events);
     });
   if (!members.ok()) {
     return members.status();
@@ -123,14 +134,44 @@
 void
 EntryDaemonBody::Deliver(EntryEvent aEvent)
 {
-  boost::asio::post(mControl, [this, event = std::move(aEvent)] { Take(event); });
+  Deliver(std::span(&aEvent, 1));
 }
 
 void
-EntryDaemonBody::Take(const EntryEvent& aEvent)
+EntryDaemonBody::Deliver(std::span<EntryEvent> aEvents)
 {
-  Perform(StepEntry(mState, aEvent, BootNow()));
+  if (mEvents.Push(aEvents, BootNow())) {
+    boost::asio::post(mControl, [this] { HandleEvents(); });
+  }
+}
+
+void
+EntryDaemonBody::HandleEvents()
+{
+  const auto now = BootNow();
+  const auto batch = mEvents.Take(kBatchLimit, now);
+  mQueueDelay = std::max(mQueueDelay, batch.mLongestWait);
+  Effects effects;
+  for (const auto& event : batch.mEvents) {
+    const bool isTick = std::holds_alternative<ClockTick>(event.Body());
+    auto step = StepEntry(mState, isTick ? NextTickEvent() : event, now);
+    std::move(step.begin(), step.end(), std::back_inserter(effects));
+  }
+  Perform(std::move(effects));
   ArmTimer();
+  if (batch.mLeft > 0) {
+    // Timers and signals get their turn between two batches.
+    boost::asio::post(mControl, [this] { HandleEvents(); });
+  }
+}
+
+EntryEvent
+EntryDaemonBody::NextTickEvent()
+{
+  mIsTickQueued = false;
+  return EventOf(
+    ClockTick::Create({ .mNumber = ++mTicks, .mQueueDelay = std::exchange(mQueueDelay, Time()) })
+      .value());
 }
 
 void
@@ -194,7 +235,7 @@
 void
 EntryDaemonBody::ArmTimer()
 {
-  if (mState.mExited) {
+  if (mState.mExited || mIsTickQueued) {
     return;
   }
   const auto now = BootNow();
@@ -216,7 +257,10 @@
 {
   mTimerDue = Time::Never();
   mLog.Flush();
-  Take(EventOf(ClockTick::Create({ .mNumber = ++mTicks }).value()));
+  // Messages that arrived before the tick are handled before it, so that no timer expires on what
+  // they say.
+  mIsTickQueued = true;
+  Deliver(EventOf(ClockTick()));
 }
 
 void
@@ -229,7 +273,7 @@
     if (aSignal == SIGHUP) {
       Reload();
     } else {
-      Take(EventOf(StopRequested::Create({ .mGrace = mGrace }).value()));
+      Deliver(EventOf(StopRequested::Create({ .mGrace = mGrace }).value()));
     }
     WatchSignals();
   });
@@ -247,7 +291,7 @@
   } else {
     fields.mError = std::string(read.status().message());
   }
-  Take(EventOf(SettingsRead::Create(std::move(fields)).value()));
+  Deliver(EventOf(SettingsRead::Create(std::move(fields)).value()));
 }
 
 } // namespace by::detail
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <span>
 #include <string>
 #include <thread>
 
@@ -15,6 +16,7 @@
 #include "by_entryd/EntryPorts.h"
 #include "by_entryd/ReloadedSettings.h"
 #include "by_entryd/detail/EntryMetrics.h"
+#include "by_entryd/detail/EventQueue.h"
 #include "by_links/by_links.h"
 #include "by_telemetry/LineSink.h"
 
@@ -31,11 +33,13 @@
   absl::Status Open(const OpenPorts& aOpen);
   /// Runs the control thread until the planned stop is complete.
   bool Run();
-  /// Posts an event to the control thread.
+  /// Queues an event for the control thread.
   void Deliver(EntryEvent aEvent);
 
 private:
-  void Take(const EntryEvent& aEvent);
+  void Deliver(std::span<EntryEvent> aEvents);
+  void HandleEvents();
+  EntryEvent NextTickEvent();
   void Perform(Effects aEffects);
   void PerformOnTraffic(const EntryEffect& aEffect);
   void Write(const LogLine& aLine);
@@ -55,6 +59,10 @@
   boost::asio::signal_set mSignals;
   Time mTimerDue{ Time::Never() };
   std::uint64_t mTicks{ 0 };
+  bool mIsTickQueued{ false };
+  EventQueue mEvents;
+  /// The longest wait of an event since the previous tick.
+  Time mQueueDelay{};
   bool mClean{ false };
   LineSink mLog;
   EntryMetrics mMetrics;
