Handle a batch of events in one step

Cause: the work that follows an event (claims, placement, records, relayed orders, the state of the store, readiness) ran after each single one, and each step sent its own messages to relays.

Change: StepEntry takes several events and does that work once after them; the step for one event is a batch of one. Two things stay with each event: calls that the cell has answered are removed at once, since a tick of the same batch would answer them again, and a cell that turns out to be fenced is given up before the next event.

Trial on a shared machine, an owner of 350 workers and 300 jobs, heartbeats of members, processor time an event: 0.19-0.20 us singly, 0.16 us in batches of 32.

by_entry_tests (6 new; the two for answered calls and the fenced cell fail without that part), by_entryd, by_cell and platform tests pass.

--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -1,6 +1,7 @@
 #include "by_entry/StepEntry.h"
 
 #include <algorithm>
+#include <cstddef>
 
 #include "absl/strings/str_cat.h"
 
@@ -146,16 +147,49 @@
 };
 
 /// Removes the calls of this node that the cell has answered.
+/// @param aFrom the number of effects that were examined before.
 void
-RemoveAnsweredCalls(EntryState& aState, const Effects& aOut)
+RemoveAnsweredCalls(EntryState& aState, const Effects& aOut, std::size_t aFrom = 0)
 {
-  for (const auto& effect : aOut) {
-    if (const auto* reply = std::get_if<ReplyToCaller>(&effect.Body())) {
+  for (std::size_t k = aFrom; k < aOut.size(); ++k) {
+    if (const auto* reply = std::get_if<ReplyToCaller>(&aOut[k].Body())) {
       aState.mCalls.erase(reply->Reply().Call());
     }
   }
 }
 
+/// Handles one event without the work that follows it.
+void
+HandleEvent(EntryState& aState, const EntryEvent& aEvent, Time aNow, Effects& aOut)
+{
+  if (!aState.mExited) {
+    std::visit(EventHandler{ aState, aNow, aOut }, aEvent.Body());
+  } else if (const auto* call = std::get_if<JobCall>(&aEvent.Body())) {
+    // Connections stay open until the last answers have been sent, so calls that still arrive are
+    // answered too.
+    detail::HandleCall(aState, *call, aNow, aOut);
+  }
+}
+
+/// Does the work that follows events.
+void
+FinishStep(EntryState& aState, Time aNow, Effects& aOut)
+{
+  detail::RenewMembership(aState, aNow, aOut);
+  detail::ClaimIfOwnerLost(aState, aNow, aOut);
+  if (aState.mCell) {
+    AdvanceCell(*aState.mCell, aNow, aOut);
+    if (aState.mCell->mFenced) {
+      detail::StepDown(aState, "a newer owner was detected", aNow, aOut);
+    }
+  }
+  detail::RelayWorkerOrders(aState, aNow, aOut);
+  detail::BroadcastStoreState(aState, aNow, aOut);
+  detail::ContinueStop(aState, aNow, aOut);
+  detail::PublishReadiness(aState, aNow, aOut);
+  RemoveAnsweredCalls(aState, aOut);
+}
+
 } // namespace
 
 EntryState
@@ -168,30 +202,30 @@
 
 Effects
 StepEntry(EntryState& aState, const EntryEvent& aEvent, Time aNow)
+{
+  return StepEntry(aState, std::span(&aEvent, 1), aNow);
+}
+
+Effects
+StepEntry(EntryState& aState, std::span<const EntryEvent> aEvents, Time aNow)
 {
   Effects out;
-  if (aState.mExited) {
-    // Connections stay open until the last answers have been sent, so calls that still arrive are
-    // answered too.
-    if (const auto* call = std::get_if<JobCall>(&aEvent.Body())) {
-      detail::HandleCall(aState, *call, aNow, out);
+  bool isFinished = true;
+  for (const auto& event : aEvents) {
+    const auto handled = out.size();
+    HandleEvent(aState, event, aNow, out);
+    // A later event must not answer the same call again.
+    RemoveAnsweredCalls(aState, out, handled);
+    // A cell that a newer owner has taken over handles no further events.
+    const bool isFenced = !aState.mExited && aState.mCell && aState.mCell->mFenced;
+    if (isFenced) {
+      FinishStep(aState, aNow, out);
     }
-    return out;
+    isFinished = isFenced || aState.mExited;
   }
-  std::visit(EventHandler{ aState, aNow, out }, aEvent.Body());
-  detail::RenewMembership(aState, aNow, out);
-  detail::ClaimIfOwnerLost(aState, aNow, out);
-  if (aState.mCell) {
-    AdvanceCell(*aState.mCell, aNow, out);
-    if (aState.mCell->mFenced) {
-      detail::StepDown(aState, "a newer owner was detected", aNow, out);
-    }
+  if (!isFinished) {
+    FinishStep(aState, aNow, out);
   }
-  detail::RelayWorkerOrders(aState, aNow, out);
-  detail::BroadcastStoreState(aState, aNow, out);
-  detail::ContinueStop(aState, aNow, out);
-  detail::PublishReadiness(aState, aNow, out);
-  RemoveAnsweredCalls(aState, out);
   return out;
 }
 
--- a/modules/by_entry/StepEntry.h
+++ b/modules/by_entry/StepEntry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <span>
+
 #include "by_cell/Effects.h"
 #include "by_entry/EntryState.h"
 #include "by_schema/EntryEvent.h"
@@ -16,6 +18,13 @@
 Effects
 StepEntry(EntryState& aState, const EntryEvent& aEvent, Time aNow);
 
+/// Handles several events as one step, with the effects of all in their order. The work that
+/// follows an event, such as placing tasks, storing records and relaying orders, is done once for
+/// all.
+/// @param aNow as above, for all events.
+Effects
+StepEntry(EntryState& aState, std::span<const EntryEvent> aEvents, Time aNow);
+
 /// @returns the time by which the next clock tick must be delivered.
 Time
 NextTick(const EntryState& aState, Time aNow);
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <iterator>
 #include <unistd.h>
 #include <utility>
 #include <variant>
@@ -149,15 +148,14 @@
 EntryDaemonBody::HandleEvents()
 {
   const auto now = BootNow();
-  const auto batch = mEvents.Take(kBatchLimit, now);
+  auto batch = mEvents.Take(kBatchLimit, now);
   mQueueDelay = std::max(mQueueDelay, batch.mLongestWait);
-  Effects effects;
-  for (const auto& event : batch.mEvents) {
-    const bool isTick = std::holds_alternative<ClockTick>(event.Body());
-    auto step = StepEntry(mState, isTick ? NextTickEvent() : event, now);
-    std::move(step.begin(), step.end(), std::back_inserter(effects));
+  for (auto& event : batch.mEvents) {
+    if (std::holds_alternative<ClockTick>(event.Body())) {
+      event = NextTickEvent();
+    }
   }
-  Perform(std::move(effects));
+  Perform(StepEntry(mState, batch.mEvents, now));
   ArmTimer();
   if (batch.mLeft > 0) {
     // Timers and signals get their turn between two batches.
