Tell how far the control thread is behind and on what

Cause: the logs of an overloaded owner could not tell a full processor from a full link, nor how long an event waits for the control thread.

Change: the metrics have a histogram of the queue delay, counters of handled and dropped events by kind, of messages and bytes over links by direction, and the processor time of the control thread by kind. The latter is sampled: one of 32 batches is handled event by event. control.behind is logged once a second at most while events wait over 100 ms, and call.dropped for a request whose member's link was lost.

--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <unistd.h>
 #include <utility>
 #include <variant>
@@ -14,7 +15,9 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_entryd/detail/EventKind.h"
 #include "by_runtime/BootClock.h"
+#include "by_runtime/ThreadClock.h"
 
 namespace by::detail {
 
@@ -24,6 +27,8 @@
 constexpr std::size_t kLogLimit = std::size_t{ 1024 } * 1024;
 /// Events that are handled in one step at most.
 constexpr std::size_t kBatchLimit = 64;
+/// One of so many batches is handled event by event to sample their processor time.
+constexpr std::uint64_t kBatchesPerSample = 32;
 /// The last answers have this long to leave once the decisions have ended.
 constexpr std::chrono::milliseconds kLastAnswers{ 200 };
 
@@ -60,6 +65,9 @@
 absl::Status
 EntryDaemonBody::Open(const OpenPorts& aOpen)
 {
+  const auto count = [this](LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes) {
+    mMetrics.CountLink(aDirection, aMessages, aBytes);
+  };
   mLink = LinkClient::Create(
     mTraffic,
     [this](const Endpoint& aPeer, bool aUp, bool aRefused) {
@@ -73,7 +81,8 @@
         events.push_back(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
       }
       Deliver(events);
-    });
+    },
+    count);
   auto members = LinkServer::Create(
     mTraffic,
     mState.mSettings.Link(),
@@ -90,7 +99,8 @@
             .value()));
       }
       Deliver(events);
-    });
+    },
+    count);
   if (!members.ok()) {
     return members.status();
   }
@@ -155,7 +165,16 @@
       event = NextTickEvent();
     }
   }
-  Perform(StepEntry(mState, batch.mEvents, now));
+  mMetrics.ObserveQueueDelay(batch.mLongestWait);
+  for (const auto& event : batch.mEvents) {
+    mMetrics.CountHandled(EventKind(event));
+  }
+  ReportDropped(batch.mDropped);
+  if (const auto line = ReportDelay(mDelayReport, mState.mSettings.Node(), batch, now)) {
+    Write(*line);
+  }
+  const bool isSampled = mBatches++ % kBatchesPerSample == 0;
+  Perform(isSampled ? StepSampled(batch.mEvents, now) : StepEntry(mState, batch.mEvents, now));
   ArmTimer();
   if (batch.mLeft > 0) {
     // Timers and signals get their turn between two batches.
@@ -163,6 +182,39 @@
   }
 }
 
+Effects
+EntryDaemonBody::StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow)
+{
+  Effects effects;
+  auto before = ThreadProcessorTime();
+  for (const auto& event : aEvents) {
+    auto step = StepEntry(mState, event, aNow);
+    std::move(step.begin(), step.end(), std::back_inserter(effects));
+    const auto after = ThreadProcessorTime();
+    mMetrics.ObserveProcessorTime(EventKind(event), after - before);
+    before = after;
+  }
+  return effects;
+}
+
+void
+EntryDaemonBody::ReportDropped(const std::vector<EntryEvent>& aEvents)
+{
+  for (const auto& event : aEvents) {
+    mMetrics.CountDropped(EventKind(event));
+    const auto* message = std::get_if<FromMember>(&event.Body());
+    const auto* request =
+      message == nullptr ? nullptr : std::get_if<CellRequest>(&message->Message().Body());
+    if (request != nullptr) {
+      Write(
+        LogLine::Create({ .mEvent = "call.dropped",
+                          .mSubject = request->Job(),
+                          .mDetail = absl::StrCat("from=", message->Node(), " reason=link lost") })
+          .value());
+    }
+  }
+}
+
 EntryEvent
 EntryDaemonBody::NextTickEvent()
 {
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -4,6 +4,7 @@
 #include <span>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,7 @@
 #include "by_entry/by_entry.h"
 #include "by_entryd/EntryPorts.h"
 #include "by_entryd/ReloadedSettings.h"
+#include "by_entryd/detail/DelayReport.h"
 #include "by_entryd/detail/EntryMetrics.h"
 #include "by_entryd/detail/EventQueue.h"
 #include "by_links/by_links.h"
@@ -39,6 +41,8 @@
 private:
   void Deliver(std::span<EntryEvent> aEvents);
   void HandleEvents();
+  Effects StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow);
+  void ReportDropped(const std::vector<EntryEvent>& aEvents);
   EntryEvent NextTickEvent();
   void Perform(Effects aEffects);
   void PerformOnTraffic(const EntryEffect& aEffect);
@@ -63,6 +67,8 @@
   EventQueue mEvents;
   /// The longest wait of an event since the previous tick.
   Time mQueueDelay{};
+  DelayReport mDelayReport;
+  std::uint64_t mBatches{ 0 };
   bool mClean{ false };
   LineSink mLog;
   EntryMetrics mMetrics;
--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -32,6 +32,27 @@
   { "job.ended", "age_ms", "received_to_ended" },
 };
 
+using CounterFamily = prometheus::Family<prometheus::Counter>;
+
+CounterFamily&
+AddFamily(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+/// @returns the counter of a kind of event, which is made at its first use.
+prometheus::Counter&
+OfKind(CounterFamily& aFamily,
+       std::map<std::string_view, prometheus::Counter*>& aCounters,
+       const char* aKind)
+{
+  auto& counter = aCounters[aKind];
+  if (counter == nullptr) {
+    counter = &aFamily.Add({ { "kind", aKind } });
+  }
+  return *counter;
+}
+
 } // namespace
 
 EntryMetrics::EntryMetrics()
@@ -44,7 +65,34 @@
               .Name("bergamotyard_stage_seconds")
               .Help("Time that jobs and runs took, by stage")
               .Register(*mRegistry))
+  , mHandled(&AddFamily(*mRegistry,
+                        "bergamotyard_handled_events_total",
+                        "Events that the control thread handled, by kind"))
+  , mDropped(&AddFamily(*mRegistry,
+                        "bergamotyard_dropped_events_total",
+                        "Events that were dropped before the control thread handled them, by kind"))
+  , mProcessorTime(&AddFamily(*mRegistry,
+                              "bergamotyard_control_processor_seconds_total",
+                              "Processor time of the control thread for sampled events, by kind"))
+  , mProcessorSamples(&AddFamily(*mRegistry,
+                                 "bergamotyard_control_processor_samples_total",
+                                 "Events whose processor time was sampled, by kind"))
+  , mQueueDelay(&prometheus::BuildHistogram()
+                   .Name("bergamotyard_queue_delay_seconds")
+                   .Help("Longest wait of an event for the control thread, at each batch")
+                   .Register(*mRegistry)
+                   .Add({}, kBounds))
 {
+  auto& messages =
+    AddFamily(*mRegistry, "bergamotyard_link_messages_total", "Messages over links, by direction");
+  auto& bytes =
+    AddFamily(*mRegistry, "bergamotyard_link_bytes_total", "Bytes over links, by direction");
+  const auto countersOf = [&](const char* aDirection) {
+    return LinkCounters{ .mMessages = &messages.Add({ { "direction", aDirection } }),
+                         .mBytes = &bytes.Add({ { "direction", aDirection } }) };
+  };
+  mReceived = countersOf("received");
+  mSent = countersOf("sent");
 }
 
 EntryMetrics::~EntryMetrics() = default;
@@ -76,6 +124,40 @@
   }
 }
 
+void
+EntryMetrics::CountHandled(const char* aKind)
+{
+  OfKind(*mHandled, mHandledByKind, aKind).Increment();
+}
+
+void
+EntryMetrics::CountDropped(const char* aKind)
+{
+  OfKind(*mDropped, mDroppedByKind, aKind).Increment();
+}
+
+void
+EntryMetrics::ObserveQueueDelay(Time aDelay)
+{
+  mQueueDelay->Observe(static_cast<double>(aDelay.Milliseconds()) / kMillisInSecond);
+}
+
+void
+EntryMetrics::ObserveProcessorTime(const char* aKind, std::chrono::nanoseconds aTime)
+{
+  OfKind(*mProcessorTime, mTimeByKind, aKind)
+    .Increment(std::chrono::duration<double>(aTime).count());
+  OfKind(*mProcessorSamples, mSamplesByKind, aKind).Increment();
+}
+
+void
+EntryMetrics::CountLink(LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes)
+{
+  const auto& counters = aDirection == LinkDirection::Received ? mReceived : mSent;
+  counters.mMessages->Increment(static_cast<double>(aMessages));
+  counters.mBytes->Increment(static_cast<double>(aBytes));
+}
+
 std::string
 EntryMetrics::Text() const
 {
--- a/modules/by_entryd/detail/EntryMetrics.h
+++ b/modules/by_entryd/detail/EntryMetrics.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "by_core/Time.h"
+#include "by_links/LinkDirection.h"
 #include "by_schema/LogLine.h"
 
 namespace prometheus {
@@ -16,8 +21,8 @@
 
 namespace by::detail {
 
-/// The metrics of an entry node: how often each decision was taken, and how long jobs and runs
-/// took.
+/// The metrics of an entry node: how often each decision was taken, how long jobs and runs took,
+/// and what the control thread and the links had to do.
 class EntryMetrics
 {
 public:
@@ -28,14 +33,42 @@
 
   /// Counts a decision, and the time that its line tells; for the control thread.
   void Count(const LogLine& aLine);
+  /// Counts an event that was handled, by its kind; for the control thread.
+  void CountHandled(const char* aKind);
+  /// Counts an event that was dropped, by its kind; for the control thread.
+  void CountDropped(const char* aKind);
+  /// Notes the longest wait of an event up to a batch; for the control thread.
+  void ObserveQueueDelay(Time aDelay);
+  /// Notes the processor time of one sampled event; for the control thread.
+  void ObserveProcessorTime(const char* aKind, std::chrono::nanoseconds aTime);
+  /// Counts messages of links; for the traffic thread.
+  void CountLink(LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes);
   /// @returns all metrics in Prometheus' text format; may be called from any thread.
   std::string Text() const;
 
 private:
+  struct LinkCounters
+  {
+    prometheus::Counter* mMessages;
+    prometheus::Counter* mBytes;
+  };
+
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>* mEvents;
   prometheus::Family<prometheus::Histogram>* mTimes;
+  prometheus::Family<prometheus::Counter>* mHandled;
+  prometheus::Family<prometheus::Counter>* mDropped;
+  prometheus::Family<prometheus::Counter>* mProcessorTime;
+  prometheus::Family<prometheus::Counter>* mProcessorSamples;
+  prometheus::Histogram* mQueueDelay;
+  LinkCounters mReceived;
+  LinkCounters mSent;
   std::map<std::string, prometheus::Counter*> mCounters;
+  /// The counters of each kind of event.
+  std::map<std::string_view, prometheus::Counter*> mHandledByKind;
+  std::map<std::string_view, prometheus::Counter*> mDroppedByKind;
+  std::map<std::string_view, prometheus::Counter*> mTimeByKind;
+  std::map<std::string_view, prometheus::Counter*> mSamplesByKind;
   std::map<std::string, prometheus::Histogram*> mHistograms;
 };
 
--- a/modules/by_entryd/detail/EventBatch.h
+++ b/modules/by_entryd/detail/EventBatch.h
@@ -14,6 +14,8 @@
   std::vector<EntryEvent> mEvents;
   /// The longest time that an event has waited so far, in this batch or still in the queue.
   Time mLongestWait{};
+  /// Requests that were dropped since the previous batch.
+  std::vector<EntryEvent> mDropped;
   /// Events that are left in the queue.
   std::size_t mLeft{ 0 };
 };
--- a/modules/by_entryd/detail/EventQueue.cpp
+++ b/modules/by_entryd/detail/EventQueue.cpp
@@ -58,6 +58,7 @@
 {
   const std::lock_guard lock(mMutex);
   EventBatch batch;
+  batch.mDropped = std::exchange(mDropped, {});
   batch.mEvents.reserve(std::min(aLimit, mUrgent.size() + mRequests.size()));
   TakeFrom(mUrgent, aLimit, aNow, batch);
   TakeFrom(mRequests, aLimit, aNow, batch);
@@ -65,21 +66,18 @@
   return batch;
 }
 
-std::uint64_t
-EventQueue::Dropped() const
-{
-  const std::lock_guard lock(mMutex);
-  return mDropped;
-}
-
 void
 EventQueue::Add(EntryEvent aEvent, Time aNow)
 {
   if (const auto* member = std::get_if<MemberChanged>(&aEvent.Body());
       member != nullptr && !member->Up()) {
-    mDropped += std::erase_if(mRequests, [&](const QueuedEvent& aQueued) {
+    std::erase_if(mRequests, [&](QueuedEvent& aQueued) {
       const auto* request = MemberRequest(aQueued.mEvent);
-      return request != nullptr && request->Node() == member->Node();
+      const bool isLost = request != nullptr && request->Node() == member->Node();
+      if (isLost) {
+        mDropped.push_back(std::move(aQueued.mEvent));
+      }
+      return isLost;
     });
   }
   auto& queue = IsRequest(aEvent) ? mRequests : mUrgent;
--- a/modules/by_entryd/detail/EventQueue.h
+++ b/modules/by_entryd/detail/EventQueue.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <mutex>
 #include <span>
+#include <vector>
 
 #include "by_core/Time.h"
 #include "by_entryd/detail/EventBatch.h"
@@ -29,16 +29,14 @@
   /// @param aLimit events at most. Where some are left, the consumer comes again without being
   /// woken.
   EventBatch Take(std::size_t aLimit, Time aNow);
-  /// @returns how many requests were dropped so far.
-  std::uint64_t Dropped() const;
 
 private:
   void Add(EntryEvent aEvent, Time aNow);
 
-  mutable std::mutex mMutex;
+  std::mutex mMutex;
   std::deque<QueuedEvent> mUrgent;
   std::deque<QueuedEvent> mRequests;
-  std::uint64_t mDropped{ 0 };
+  std::vector<EntryEvent> mDropped;
   bool mIsConsumerAwake{ false };
 };
 
--- a/modules/by_links/LinkClient.cpp
+++ b/modules/by_links/LinkClient.cpp
@@ -21,16 +21,23 @@
 } // namespace
 
 std::shared_ptr<LinkClient>
-LinkClient::Create(boost::asio::io_context& aContext, Changed aChanged, Received aReceived)
+LinkClient::Create(boost::asio::io_context& aContext,
+                   Changed aChanged,
+                   Received aReceived,
+                   Counted aCounted)
 {
   return std::shared_ptr<LinkClient>(
-    new LinkClient(aContext, std::move(aChanged), std::move(aReceived)));
+    new LinkClient(aContext, std::move(aChanged), std::move(aReceived), std::move(aCounted)));
 }
 
-LinkClient::LinkClient(boost::asio::io_context& aContext, Changed aChanged, Received aReceived)
+LinkClient::LinkClient(boost::asio::io_context& aContext,
+                       Changed aChanged,
+                       Received aReceived,
+                       Counted aCounted)
   : mContext(aContext)
   , mChanged(std::move(aChanged))
   , mReceived(std::move(aReceived))
+  , mCounted(std::move(aCounted))
   , mTimer(aContext)
 {
 }
@@ -63,7 +70,8 @@
       self->mChanged(self->mPeer, false, aError == boost::asio::error::connection_refused);
       return;
     }
-    self->mConnection = std::make_shared<detail::LinkConnection>(std::move(*socket));
+    self->mConnection =
+      std::make_shared<detail::LinkConnection>(std::move(*socket), self->mCounted);
     self->mConnection->Start(self->mReceived, [weak = self->weak_from_this(), attempt] {
       const auto link = weak.lock();
       if (link && link->mTry == attempt) {
--- a/modules/by_links/LinkClient.h
+++ b/modules/by_links/LinkClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "by_links/LinkDirection.h"
 #include "by_schema/Endpoint.h"
 #include "by_schema/LinkMessage.h"
 
@@ -28,10 +30,14 @@
   /// Told of the messages of one read from the peer, in their order.
   using Received = std::function<void(std::vector<LinkMessage>)>;
 
+  /// Told of messages that were received or are being sent, and their bytes on the wire.
+  using Counted = std::function<void(LinkDirection, std::size_t aMessages, std::size_t aBytes)>;
+
   /// @param aContext runs the link; outlives it.
   static std::shared_ptr<LinkClient> Create(boost::asio::io_context& aContext,
                                             Changed aChanged,
-                                            Received aReceived);
+                                            Received aReceived,
+                                            Counted aCounted);
 
   /// Closes the open link and opens one to another peer.
   /// @param aPeer port 0 only closes.
@@ -42,11 +48,15 @@
   void Close();
 
 private:
-  LinkClient(boost::asio::io_context& aContext, Changed aChanged, Received aReceived);
+  LinkClient(boost::asio::io_context& aContext,
+             Changed aChanged,
+             Received aReceived,
+             Counted aCounted);
 
   boost::asio::io_context& mContext;
   Changed mChanged;
   Received mReceived;
+  Counted mCounted;
   boost::asio::steady_timer mTimer;
   Endpoint mPeer;
   std::uint64_t mTry{ 0 };
--- a/modules/by_links/LinkServer.cpp
+++ b/modules/by_links/LinkServer.cpp
@@ -19,10 +19,11 @@
 LinkServer::Create(boost::asio::io_context& aContext,
                    const Endpoint& aListen,
                    Changed aChanged,
-                   Received aReceived)
+                   Received aReceived,
+                   Counted aCounted)
 {
   std::shared_ptr<LinkServer> server(
-    new LinkServer(aContext, std::move(aChanged), std::move(aReceived)));
+    new LinkServer(aContext, std::move(aChanged), std::move(aReceived), std::move(aCounted)));
   const auto status = server->Listen(aListen);
   if (!status.ok()) {
     return status;
@@ -30,10 +31,14 @@
   return server;
 }
 
-LinkServer::LinkServer(boost::asio::io_context& aContext, Changed aChanged, Received aReceived)
+LinkServer::LinkServer(boost::asio::io_context& aContext,
+                       Changed aChanged,
+                       Received aReceived,
+                       Counted aCounted)
   : mAcceptor(aContext)
   , mChanged(std::move(aChanged))
   , mReceived(std::move(aReceived))
+  , mCounted(std::move(aCounted))
 {
 }
 
@@ -72,7 +77,8 @@
       return;
     }
     if (!aError) {
-      auto connection = std::make_shared<detail::LinkConnection>(std::move(aSocket));
+      auto connection =
+        std::make_shared<detail::LinkConnection>(std::move(aSocket), self->mCounted);
       auto node = std::make_shared<std::string>();
       self->mOpen.insert(connection);
       std::weak_ptr<detail::LinkConnection> held = connection;
--- a/modules/by_links/LinkServer.h
+++ b/modules/by_links/LinkServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,6 +14,7 @@
 
 #include "absl/status/statusor.h"
 
+#include "by_links/LinkDirection.h"
 #include "by_schema/Endpoint.h"
 #include "by_schema/LinkMessage.h"
 
@@ -33,12 +35,16 @@
   /// Told of the messages of one read from a node, in their order; the first of all names the node.
   using Received = std::function<void(const std::string&, std::vector<LinkMessage>)>;
 
+  /// Told of messages that were received or are being sent, and their bytes on the wire.
+  using Counted = std::function<void(LinkDirection, std::size_t aMessages, std::size_t aBytes)>;
+
   /// Listens.
   /// @returns the server, or Unavailable where the port can't be had.
   static absl::StatusOr<std::shared_ptr<LinkServer>> Create(boost::asio::io_context& aContext,
                                                             const Endpoint& aListen,
                                                             Changed aChanged,
-                                                            Received aReceived);
+                                                            Received aReceived,
+                                                            Counted aCounted);
 
   /// Sends a message to a node; it is dropped where the node has no link.
   void Send(const std::string& aNode, const LinkMessage& aMessage);
@@ -48,7 +54,10 @@
   std::uint16_t Port() const { return mPort; }
 
 private:
-  LinkServer(boost::asio::io_context& aContext, Changed aChanged, Received aReceived);
+  LinkServer(boost::asio::io_context& aContext,
+             Changed aChanged,
+             Received aReceived,
+             Counted aCounted);
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
@@ -59,6 +68,7 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   Changed mChanged;
   Received mReceived;
+  Counted mCounted;
   std::uint16_t mPort{ 0 };
   /// Links whose node is known.
   std::map<std::string, std::shared_ptr<detail::LinkConnection>> mLinks;
--- a/modules/by_links/by_links.h
+++ b/modules/by_links/by_links.h
@@ -7,5 +7,6 @@
 /// Dependencies: by_schema, by_wire, Boost.Asio.
 
 #include "by_links/LinkClient.h"
+#include "by_links/LinkDirection.h"
 #include "by_links/LinkServer.h"
 #include "by_links/RecordCodec.h"
--- a/modules/by_links/detail/LinkConnection.cpp
+++ b/modules/by_links/detail/LinkConnection.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-LinkConnection::LinkConnection(boost::asio::ip::tcp::socket aSocket)
+LinkConnection::LinkConnection(boost::asio::ip::tcp::socket aSocket, Counted aCounted)
   : mSocket(std::move(aSocket))
+  , mCounted(std::move(aCounted))
 {
 }
 
@@ -69,7 +70,7 @@
       return;
     }
     self->mInput.mEnd += aSize;
-    self->TakeMessages();
+    self->TakeMessages(aSize);
   };
   mSocket.async_read_some(
     boost::asio::buffer(mInput.mBytes.data() + mInput.mEnd, mInput.mBytes.size() - mInput.mEnd),
@@ -77,10 +78,11 @@
 }
 
 void
-LinkConnection::TakeMessages()
+LinkConnection::TakeMessages(std::size_t aReceived)
 {
   std::vector<LinkMessage> messages;
   const auto status = SplitMessages(mInput, messages);
+  Count(LinkDirection::Received, messages.size(), aReceived);
   // The handler may close the connection, which drops the handler itself.
   const auto received = mReceived;
   if (received && !messages.empty()) {
@@ -102,7 +104,7 @@
   }
   mWritten.clear();
   std::swap(mWritten, mQueue);
-  mQueued = 0;
+  Count(LinkDirection::Sent, std::exchange(mQueued, 0), mWritten.size());
   auto written = [self = shared_from_this()](error_code aError, std::size_t) {
     if (aError) {
       self->mWriting = false;
@@ -114,6 +116,14 @@
   boost::asio::async_write(mSocket, boost::asio::buffer(mWritten), std::move(written));
 }
 
+void
+LinkConnection::Count(LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes) const
+{
+  if (mCounted) {
+    mCounted(aDirection, aMessages, aBytes);
+  }
+}
+
 void
 LinkConnection::Fail()
 {
--- a/modules/by_links/detail/LinkConnection.h
+++ b/modules/by_links/detail/LinkConnection.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "by_links/LinkDirection.h"
 #include "by_links/detail/ReceiveBuffer.h"
 #include "by_schema/LinkMessage.h"
 
@@ -22,7 +23,12 @@
   /// Told once that the connection is over.
   using Closed = std::function<void()>;
 
-  explicit LinkConnection(boost::asio::ip::tcp::socket aSocket);
+  /// Told of messages that were received or are being sent, and their bytes on the wire. Bytes are
+  /// counted as they arrive, which may be before their message is whole.
+  using Counted = std::function<void(LinkDirection, std::size_t aMessages, std::size_t aBytes)>;
+
+  /// @param aCounted may be empty.
+  explicit LinkConnection(boost::asio::ip::tcp::socket aSocket, Counted aCounted = nullptr);
 
   /// Reads messages until the connection ends.
   void Start(Received aReceived, Closed aClosed);
@@ -34,13 +40,15 @@
 
 private:
   void Read();
-  void TakeMessages();
+  void TakeMessages(std::size_t aReceived);
   void Write();
   void Fail();
+  void Count(LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes) const;
 
   boost::asio::ip::tcp::socket mSocket;
   Received mReceived;
   Closed mClosed;
+  Counted mCounted;
   ReceiveBuffer mInput;
   /// Messages that wait for the current write to end, and how many they are.
   std::string mQueue;
--- a/tests/by_entryd/EventQueueTest.cpp
+++ b/tests/by_entryd/EventQueueTest.cpp
@@ -107,8 +107,10 @@
   const std::vector expected{
     Member("a", false), Member("a", true), Request("b", 1), Call(1), Request("a", 3)
   };
-  CHECK(expected == mQueue.Take(kAll, {}).mEvents);
-  CHECK_EQUAL(2U, mQueue.Dropped());
+  const auto batch = mQueue.Take(kAll, {});
+  CHECK(expected == batch.mEvents);
+  CHECK((std::vector{ Request("a", 1), Request("a", 2) }) == batch.mDropped);
+  CHECK(mQueue.Take(kAll, {}).mDropped.empty());
 }
 
 TEST(EventQueue, ConsumerIsWokenOnceUntilTheQueueIsEmpty)
--- a/tests/by_links/LinkConnectionTest.cpp
+++ b/tests/by_links/LinkConnectionTest.cpp
@@ -53,13 +53,19 @@
   std::shared_ptr<detail::LinkConnection> mConnection;
   std::vector<std::vector<LinkMessage>> mReads;
   std::size_t mMessages{ 0 };
+  std::size_t mCountedMessages{ 0 };
+  std::size_t mCountedBytes{ 0 };
   bool mIsClosed{ false };
 
   void setup()
   {
     tcp::acceptor acceptor(mContext, { boost::asio::ip::address_v4::loopback(), 0 });
     mPeer.connect(acceptor.local_endpoint());
-    mConnection = std::make_shared<detail::LinkConnection>(acceptor.accept());
+    mConnection = std::make_shared<detail::LinkConnection>(
+      acceptor.accept(), [this](LinkDirection, std::size_t aMessages, std::size_t aBytes) {
+        mCountedMessages += aMessages;
+        mCountedBytes += aBytes;
+      });
   }
   void teardown()
   {
@@ -153,6 +159,28 @@
   other->Close();
 }
 
+TEST(LinkConnection, CountsMessagesAndTheirBytes)
+{
+  std::size_t messages = 0;
+  std::size_t bytes = 0;
+  auto other = std::make_shared<detail::LinkConnection>(
+    std::move(mPeer), [&](LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes) {
+      CHECK(aDirection == LinkDirection::Sent);
+      messages += aMessages;
+      bytes += aBytes;
+    });
+  other->Start([](const std::vector<LinkMessage>&) {}, [] {});
+  Start();
+  other->Send(Heartbeat(1));
+  other->Send(LargeMessage());
+  RunUntilMessages(2);
+  CHECK_EQUAL(2U, messages);
+  CHECK_EQUAL(Framed(Heartbeat(1)).size() + Framed(LargeMessage()).size(), bytes);
+  CHECK_EQUAL(messages, mCountedMessages);
+  CHECK_EQUAL(bytes, mCountedBytes);
+  other->Close();
+}
+
 TEST(LinkConnection, EndsAfterTheMessagesBeforeOneThatCannotBeDecoded)
 {
   Write(Framed(Heartbeat(1)) + WithLength("no message") + Framed(Heartbeat(2)));
