--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -1,10 +1,13 @@
 #include "by_entryd/detail/EntryDaemonBody.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <unistd.h>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 #include <boost/json/serialize.hpp>
@@ -12,7 +15,9 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_entryd/detail/EventKind.h"
 #include "by_runtime/BootClock.h"
+#include "by_runtime/ThreadClock.h"
 
 namespace by::detail {
 
@@ -20,6 +25,10 @@
 
 /// Log lines that wait for their reader at most. [bytes]
 constexpr std::size_t kLogLimit = std::size_t{ 1024 } * 1024;
+/// Events that are handled in one step at most.
+constexpr std::size_t kBatchLimit = 64;
+/// One of so many batches is handled event by event to sample their processor time.
+constexpr std::uint64_t kBatchesPerSample = 32;
 /// The last answers have this long to leave once the decisions have ended.
 constexpr std::chrono::milliseconds kLastAnswers{ 200 };
 
@@ -56,6 +65,9 @@
 absl::Status
 EntryDaemonBody::Open(const OpenPorts& aOpen)
 {
+  const auto count = [this](LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes) {
+    mMetrics.CountLink(aDirection, aMessages, aBytes);
+  };
   mLink = LinkClient::Create(
     mTraffic,
     [this](const Endpoint& aPeer, bool aUp, bool aRefused) {
@@ -63,10 +75,14 @@
         EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
     },
     [this](std::vector<LinkMessage> aMessages) {
+      std::vector<EntryEvent> events;
+      events.reserve(aMessages.size());
       for (auto& message : aMessages) {
-        Deliver(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
+        events.push_back(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
       }
-    });
+      Deliver(events);
+    },
+    count);
   auto members = LinkServer::Create(
     mTraffic,
     mState.mSettings.Link(),
@@ -75,12 +91,16 @@
     },
     [this](const std::string& aNode, std::vector<LinkMessage> aMessages) {
       const auto now = BootNow();
+      std::vector<EntryEvent> events;
+      events.reserve(aMessages.size());
       for (auto& message : aMessages) {
-        Deliver(EventOf(
+        events.push_back(EventOf(
           FromMember::Create({ .mNode = aNode, .mMessage = std::move(message), .mReceived = now })
             .value()));
       }
-    });
+      Deliver(events);
+    },
+    count);
   if (!members.ok()) {
     return members.status();
   }
@@ -123,14 +143,85 @@
 void
 EntryDaemonBody::Deliver(EntryEvent aEvent)
 {
-  boost::asio::post(mControl, [this, event = std::move(aEvent)] { Take(event); });
+  Deliver(std::span(&aEvent, 1));
+}
+
+void
+EntryDaemonBody::Deliver(std::span<EntryEvent> aEvents)
+{
+  if (mEvents.Push(aEvents, BootNow())) {
+    boost::asio::post(mControl, [this] { HandleEvents(); });
+  }
 }
 
 void
-EntryDaemonBody::Take(const EntryEvent& aEvent)
+EntryDaemonBody::HandleEvents()
 {
-  Perform(StepEntry(mState, aEvent, BootNow()));
+  const auto now = BootNow();
+  auto batch = mEvents.Take(kBatchLimit, now);
+  mQueueDelay = std::max(mQueueDelay, batch.mLongestWait);
+  for (auto& event : batch.mEvents) {
+    if (std::holds_alternative<ClockTick>(event.Body())) {
+      event = NextTickEvent();
+    }
+  }
+  mMetrics.ObserveQueueDelay(batch.mLongestWait);
+  for (const auto& event : batch.mEvents) {
+    mMetrics.CountHandled(EventKind(event));
+  }
+  ReportDropped(batch.mDropped);
+  if (const auto line = ReportDelay(mDelayReport, mState.mSettings.Node(), batch, now)) {
+    Write(*line);
+  }
+  const bool isSampled = mBatches++ % kBatchesPerSample == 0;
+  Perform(isSampled ? StepSampled(batch.mEvents, now) : StepEntry(mState, batch.mEvents, now));
   ArmTimer();
+  if (batch.mLeft > 0) {
+    // Timers and signals get their turn between two batches.
+    boost::asio::post(mControl, [this] { HandleEvents(); });
+  }
+}
+
+Effects
+EntryDaemonBody::StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow)
+{
+  Effects effects;
+  auto before = ThreadProcessorTime();
+  for (const auto& event : aEvents) {
+    auto step = StepEntry(mState, event, aNow);
+    std::move(step.begin(), step.end(), std::back_inserter(effects));
+    const auto after = ThreadProcessorTime();
+    mMetrics.ObserveProcessorTime(EventKind(event), after - before);
+    before = after;
+  }
+  return effects;
+}
+
+void
+EntryDaemonBody::ReportDropped(const std::vector<EntryEvent>& aEvents)
+{
+  for (const auto& event : aEvents) {
+    mMetrics.CountDropped(EventKind(event));
+    const auto* message = std::get_if<FromMember>(&event.Body());
+    const auto* request =
+      message == nullptr ? nullptr : std::get_if<CellRequest>(&message->Message().Body());
+    if (request != nullptr) {
+      Write(
+        LogLine::Create({ .mEvent = "request.dropped",
+                          .mSubject = request->Job(),
+                          .mDetail = absl::StrCat("from=", message->Node(), " reason=link lost") })
+          .value());
+    }
+  }
+}
+
+EntryEvent
+EntryDaemonBody::NextTickEvent()
+{
+  mIsTickQueued = false;
+  return EventOf(
+    ClockTick::Create({ .mNumber = ++mTicks, .mQueueDelay = std::exchange(mQueueDelay, Time()) })
+      .value());
 }
 
 void
@@ -194,7 +285,7 @@
 void
 EntryDaemonBody::ArmTimer()
 {
-  if (mState.mExited) {
+  if (mState.mExited || mIsTickQueued) {
     return;
   }
   const auto now = BootNow();
@@ -216,7 +307,10 @@
 {
   mTimerDue = Time::Never();
   mLog.Flush();
-  Take(EventOf(ClockTick::Create({ .mNumber = ++mTicks }).value()));
+  // Messages that arrived before the tick are handled before it, so that no timer expires on what
+  // they say.
+  mIsTickQueued = true;
+  Deliver(EventOf(ClockTick()));
 }
 
 void
@@ -229,7 +323,7 @@
     if (aSignal == SIGHUP) {
       Reload();
     } else {
-      Take(EventOf(StopRequested::Create({ .mGrace = mGrace }).value()));
+      Deliver(EventOf(StopRequested::Create({ .mGrace = mGrace }).value()));
     }
     WatchSignals();
   });
@@ -247,7 +341,7 @@
   } else {
     fields.mError = std::string(read.status().message());
   }
-  Take(EventOf(SettingsRead::Create(std::move(fields)).value()));
+  Deliver(EventOf(SettingsRead::Create(std::move(fields)).value()));
 }
 
 } // namespace by::detail
