--- a/bench/capacity/OwnerLoad.cpp
+++ b/bench/capacity/OwnerLoad.cpp
@@ -87,7 +87,7 @@
   explicit Simulation(int aWorkers);
 
   void Submit(int aNumber);
-  void Perform(Effects aEffects);
+  void Perform(const Effects& aEffects);
   void Tick();
   /// Runs a step of the owner and counts its cost.
   template<class Handler>
@@ -99,7 +99,7 @@
     AdvanceCell(mCell, Now(), out);
     mSpent += Clock::now() - from;
     ++mEvents;
-    Perform(std::move(out));
+    Perform(out);
   }
   Time Now() const { return kStart + Time::FromMilliseconds(mMs); }
   void AnswerPoll(const std::string& aId, SimulatedWorker& aWorker);
@@ -198,7 +198,7 @@
 }
 
 void
-Simulation::Perform(Effects aEffects)
+Simulation::Perform(const Effects& aEffects)
 {
   for (const auto& effect : aEffects) {
     const auto& body = effect.Body();
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "OwnerLoad.h"
+#include "TakeoverLoad.h"
 #include "by_json/by_json.h"
 #include "by_json/generated/backend_json.h"
 #include "by_json/generated/platform_json.h"
@@ -257,5 +258,14 @@
     std::printf("owner,record_bytes_a_second,%s,%.0f\n", size.c_str(), load.mRecordBytesASecond);
     std::printf("owner,open_jobs,%s,%ld\n", size.c_str(), static_cast<long>(load.mOpenJobs));
   }
+  for (const auto& [ended, open] : { std::pair{ 2000, 300 }, { 10'000, 900 } }) {
+    constexpr int kWorkers = 350;
+    const auto load = by::MeasureTakeover(ended, open, kWorkers);
+    const auto size = std::to_string(ended) + "+" + std::to_string(open);
+    std::printf("takeover,records,%s,%ld\n", size.c_str(), static_cast<long>(load.mRecords));
+    std::printf("takeover,record_bytes,%s,%ld\n", size.c_str(), static_cast<long>(load.mBytes));
+    std::printf("takeover,decode_ms,%s,%.1f\n", size.c_str(), load.mDecodeMilliseconds);
+    std::printf("takeover,restore_ms,%s,%.1f\n", size.c_str(), load.mRestoreMilliseconds);
+  }
   return 0;
 }
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -247,3 +247,26 @@
     EncodeReply(JobReply::Create({ .mOutcome = JobCallOutcome::Counted, .mWaiting = 12 }).value())
       .c_str());
 }
+
+TEST(Platform, PageOfNewestRecordsIsReadInOrder)
+{
+  const auto page = ParseNewestPage(
+    R"({"items":[{"key":"job/a","value":"AAEC","offset":7},{"key":"job/b","value":"","offset":9}],
+        "more_pages":true,"end":12})");
+  CHECK(page.ok());
+  CHECK_EQUAL(12, page->mEnd);
+  CHECK(page->mHasMore);
+  CHECK_EQUAL(2, page->mRecords.size());
+  CHECK(page->mRecords[0] == (TopicRecord{ "job/a", std::string("\0\1\2", 3) }));
+  STRCMP_EQUAL("job/b", page->mRecords[1].mKey.c_str());
+}
+
+TEST(Platform, PageThatCannotBeReadIsAFinding)
+{
+  // A page that is read in part would lose jobs at a takeover.
+  CHECK(!ParseNewestPage("").ok());
+  CHECK(!ParseNewestPage("[]").ok());
+  CHECK(!ParseNewestPage(R"({"more_pages":false,"end":3})").ok());
+  CHECK(!ParseNewestPage(R"({"items":[{"key":"job/a","value":"*"}],"end":3})").ok());
+  CHECK(!ParseNewestPage(R"({"items":[{"key":"job/a","val)").ok());
+}
