Keep inherited workers until the registry has been read

A new owner knows the workers of inherited runs by name alone until it reads the registry, and its first pass over the workers declared all of them lost: 337 lines of worker.lost at one takeover. A worker that was given up so was not polled when the registry listed it. The owner now waits for the first complete list, 2 s at most, and polls a worker at once when the registry gives it an address, unless it answers already. The bound of inherited leases stays, since it counts from the claim. A worker that is given up before it first answers this owner may hold a lease of the earlier one when it answers; that lease is now counted also there.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -49,6 +49,8 @@
 
   /// Workers by name; ordered, so that equal inputs give equal decisions in every process.
   std::map<std::string, WorkerRow> mWorkers;
+  /// Whether a complete list of the registry has been read.
+  bool mRegistryRead{ false };
   /// Maintenance waves by number.
   std::map<std::uint64_t, WaveRow> mWaves;
   /// Machines whose maintenance order has to be stored, by wave; an empty name stands for the
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -19,6 +19,9 @@
 
 /// How long a worker without runs is kept after it left the registry.
 constexpr Time kForgetDelay = Time::FromMilliseconds(2000);
+/// How long a new owner waits for the registry before it gives up the workers of inherited runs.
+/// The leases that it inherits end later, after AuthorityTimeout() at the earliest.
+constexpr Time kRegistryWait = Time::FromMilliseconds(2000);
 /// Delay before a failed poll is repeated.
 constexpr Time kPollRetryDelay = Time::FromMilliseconds(150);
 
@@ -35,7 +38,7 @@
 void
 MarkReachable(CellState& aState, WorkerRow& aWorker, const WorkerReport& aReport, Effects& aOut)
 {
-  if (aWorker.mHealth == WorkerHealth::Unseen) {
+  if (aWorker.mHealth == WorkerHealth::Unseen || aWorker.mWorkerClockReadAt == Time()) {
     // This poll fenced the earlier owner, so the leases that the earlier owner granted end at most
     // one lease time from now.
     aWorker.mLeaseSent = aReport.WorkerClock() + aState.mSettings.Lease();
@@ -106,6 +109,14 @@
   }
 }
 
+/// @returns whether the registry is known to lack a worker of which only inherited runs are known.
+bool
+IsAbsent(const CellState& aState, const WorkerRow& aWorker, Time aNow)
+{
+  return aWorker.mHealth == WorkerHealth::Unseen && !aWorker.mRegistered &&
+         (aState.mRegistryRead || aNow > aState.mOwnerSince + kRegistryWait);
+}
+
 } // namespace
 
 void
@@ -171,7 +182,7 @@
 {
   std::vector<std::string> forgotten;
   for (auto& [id, worker] : aState.mWorkers) {
-    if (worker.mHealth == WorkerHealth::Unseen && !worker.mRegistered && !worker.mRuns.empty()) {
+    if (!worker.mRuns.empty() && IsAbsent(aState, worker, aNow)) {
       detail::StopRenewingLease(aState, worker, aOut);
     }
     if (worker.mHealth == WorkerHealth::LeaseExpiring && worker.mLeaseExpiresAt <= aNow) {
--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -61,7 +61,7 @@
   if (moved && worker.mHealth == WorkerHealth::LeaseExpired) {
     worker.mHealth = WorkerHealth::Unseen;
   }
-  if (moved && worker.mHealth == WorkerHealth::Unseen) {
+  if (moved && worker.mHealth != WorkerHealth::Reachable) {
     detail::SchedulePoll(aState, worker, aNow);
   }
   aState.mPlacementNeeded = true;
@@ -97,6 +97,7 @@
   if (!aEvent.Complete()) {
     return;
   }
+  aState.mRegistryRead = true;
   std::vector<std::string> missing;
   for (const auto& [id, worker] : aState.mWorkers) {
     const auto isPresent = [&name = id](const auto& aEntry) { return aEntry.Id() == name; };
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -263,6 +263,18 @@
 
 CellFixture
 CellFixture::Successor() const
+{
+  auto next = SuccessorWithoutRegistry();
+  std::vector<WorkerRegistration> workers;
+  for (const auto& [id, worker] : mCell.mWorkers) {
+    workers.push_back(worker.mRegistration);
+  }
+  next.ReadRegistry(workers);
+  return next;
+}
+
+CellFixture
+CellFixture::SuccessorWithoutRegistry() const
 {
   CellFixture next(0);
   next.mNow = mNow;
@@ -277,17 +289,17 @@
   empty.mNextSequence = 1;
   empty.mAdviceProxies.push_back({ .mNode = "successor", .mOpenQueries = {} });
   next.mCell = RestoreCell(std::move(empty), Stored(), mNow, next.mOut);
-  WorkersChanged::Fields workers;
-  workers.mComplete = true;
-  for (const auto& [id, worker] : mCell.mWorkers) {
-    workers.mPresent.push_back(worker.mRegistration);
-  }
-  HandleWorkersChanged(
-    next.mCell, WorkersChanged::Create(std::move(workers)).value(), next.mNow, next.mOut);
-  next.Advance();
   return next;
 }
 
+void
+CellFixture::ReadRegistry(const std::vector<WorkerRegistration>& aWorkers)
+{
+  HandleWorkersChanged(
+    mCell, WorkersChanged::Create({ .mComplete = true, .mPresent = aWorkers }).value(), mNow, mOut);
+  Advance();
+}
+
 std::vector<StartRun>
 CellFixture::TakeStarts()
 {
--- a/tests/by_cell/CellFixture.h
+++ b/tests/by_cell/CellFixture.h
@@ -47,6 +47,10 @@
   void Stopped(const std::string& aWorker, const RunId& aRun, OrderOutcome aOutcome);
   /// Builds the cell of the next owner from the stored records.
   CellFixture Successor() const;
+  /// Builds the same cell before it has read the registry.
+  CellFixture SuccessorWithoutRegistry() const;
+  /// Reads a complete registry that lists some workers.
+  void ReadRegistry(const std::vector<WorkerRegistration>& aWorkers);
 
   /// @returns the starts among the effects since the last call.
   std::vector<StartRun> TakeStarts();
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -278,3 +278,45 @@
   cell.StoreAll();
   CHECK_EQUAL(0, cell.mCell.mWorkers.at("w1").mLastEndStored);
 }
+
+TEST(Workers, WorkerIsNotLostBeforeTheRegistryIsRead)
+{
+  // A new owner knows the workers of its predecessor's runs by name alone until it has read the
+  // registry. If it gave them up meanwhile, it would not poll them when the registry lists them.
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(8) });
+  auto next = cell.SuccessorWithoutRegistry();
+  next.AdvanceTime(Time::FromMilliseconds(600));
+  CHECK(next.mCell.mWorkers.at("w1").mHealth == WorkerHealth::Unseen);
+  CHECK(next.mCell.mWorkers.at("w2").mHealth == WorkerHealth::Unseen);
+  next.ReadRegistry({ cell.mCell.mWorkers.at("w1").mRegistration });
+  const auto polls = next.TakePolls();
+  CHECK_EQUAL(1, polls.size());
+  STRCMP_EQUAL("w1", polls.front().Worker().c_str());
+  next.AdvanceTime(Time::FromMilliseconds(100));
+  CHECK(next.mCell.mWorkers.at("w1").mHealth == WorkerHealth::Unseen);
+  CHECK(next.mCell.mWorkers.at("w2").mHealth == WorkerHealth::LeaseExpiring);
+}
+
+TEST(Workers, InheritedLeasesEndInTimeAlthoughTheRegistryIsNotRead)
+{
+  // The registry may stay out of reach; the wait for it must not prolong inherited leases.
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(8) });
+  auto read = cell.Successor();
+  auto unread = cell.SuccessorWithoutRegistry();
+  for (auto* next : { &read, &unread }) {
+    next->LoseWorker("w1");
+    next->AdvanceTime(Time::FromSeconds(3));
+  }
+  const auto& worker = unread.mCell.mWorkers.at("w2");
+  CHECK(worker.mHealth == WorkerHealth::LeaseExpiring);
+  CHECK(worker.mLeaseExpiresAt == read.mCell.mWorkers.at("w1").mLeaseExpiresAt);
+  unread.ReadRegistry({ cell.mCell.mWorkers.at("w2").mRegistration });
+  const auto polls = unread.TakePolls();
+  CHECK_EQUAL(1, polls.size());
+  STRCMP_EQUAL("w2", polls.front().Worker().c_str());
+  // The worker may hold the lease of the earlier owner until it has answered this one.
+  unread.Poll("w2", {}, {});
+  CHECK(worker.mLeaseSent == worker.mWorkerClock + unread.mCell.mSettings.Lease());
+}
