--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "LargeCell.h"
 #include "OwnerLoad.h"
 #include "TakeoverLoad.h"
 #include "by_json/by_json.h"
@@ -267,5 +268,13 @@
     std::printf("takeover,decode_ms,%s,%.1f\n", size.c_str(), load.mDecodeMilliseconds);
     std::printf("takeover,restore_ms,%s,%.1f\n", size.c_str(), load.mRestoreMilliseconds);
   }
+  for (const auto& [workers, jobs] : { std::pair{ 350, 300 }, { 4300, 1975 } }) {
+    const auto load = by::MeasureLargeCell(workers, jobs);
+    const auto size = std::to_string(workers) + "+" + std::to_string(jobs);
+    std::printf("large_cell,registry_ms,%s,%.2f\n", size.c_str(), load.mRegistryMilliseconds);
+    std::printf(
+      "large_cell,configuration_ms,%s,%.2f\n", size.c_str(), load.mConfigurationMilliseconds);
+    std::printf("large_cell,urgency_ms,%s,%.2f\n", size.c_str(), load.mUrgencyMilliseconds);
+  }
   return 0;
 }
--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -1,7 +1,8 @@
 #include "by_cell/HandleRegistry.h"
 
-#include <algorithm>
+#include <string_view>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleWaves.h"
@@ -98,11 +99,14 @@
     return;
   }
   aState.mRegistryRead = true;
+  absl::flat_hash_set<std::string_view> present;
+  present.reserve(aEvent.Present().size());
+  for (const auto& entry : aEvent.Present()) {
+    present.insert(entry.Id());
+  }
   std::vector<std::string> missing;
   for (const auto& [id, worker] : aState.mWorkers) {
-    const auto isPresent = [&name = id](const auto& aEntry) { return aEntry.Id() == name; };
-    if (worker.mRegistered &&
-        std::none_of(aEvent.Present().begin(), aEvent.Present().end(), isPresent)) {
+    if (worker.mRegistered && !present.contains(id)) {
       missing.push_back(id);
     }
   }
