--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -9,7 +9,9 @@
 #include <utility>
 #include <vector>
 
+#include "LargeCell.h"
 #include "OwnerLoad.h"
+#include "TakeoverLoad.h"
 #include "by_json/by_json.h"
 #include "by_json/generated/backend_json.h"
 #include "by_json/generated/platform_json.h"
@@ -257,5 +259,22 @@
     std::printf("owner,record_bytes_a_second,%s,%.0f\n", size.c_str(), load.mRecordBytesASecond);
     std::printf("owner,open_jobs,%s,%ld\n", size.c_str(), static_cast<long>(load.mOpenJobs));
   }
+  for (const auto& [ended, open] : { std::pair{ 2000, 300 }, { 10'000, 900 } }) {
+    constexpr int kWorkers = 350;
+    const auto load = by::MeasureTakeover(ended, open, kWorkers);
+    const auto size = std::to_string(ended) + "+" + std::to_string(open);
+    std::printf("takeover,records,%s,%ld\n", size.c_str(), static_cast<long>(load.mRecords));
+    std::printf("takeover,record_bytes,%s,%ld\n", size.c_str(), static_cast<long>(load.mBytes));
+    std::printf("takeover,decode_ms,%s,%.1f\n", size.c_str(), load.mDecodeMilliseconds);
+    std::printf("takeover,restore_ms,%s,%.1f\n", size.c_str(), load.mRestoreMilliseconds);
+  }
+  for (const auto& [workers, jobs] : { std::pair{ 350, 300 }, { 4300, 1975 } }) {
+    const auto load = by::MeasureLargeCell(workers, jobs);
+    const auto size = std::to_string(workers) + "+" + std::to_string(jobs);
+    std::printf("large_cell,registry_ms,%s,%.2f\n", size.c_str(), load.mRegistryMilliseconds);
+    std::printf(
+      "large_cell,configuration_ms,%s,%.2f\n", size.c_str(), load.mConfigurationMilliseconds);
+    std::printf("large_cell,urgency_ms,%s,%.2f\n", size.c_str(), load.mUrgencyMilliseconds);
+  }
   return 0;
 }
