--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The commands of README. Everything is built under build/.
 BUILD ?= build
-.PHONY: build test demo demo-up demo-down bench soak
+.PHONY: build test demo demo-up demo-down bench soak soak-entry
 
 build:
 	scripts/install-packages
@@ -26,3 +26,7 @@
 
 soak: build
 	BUILD=$(BUILD) scripts/soak
+
+SOAK_SEEDS ?= 1..50
+soak-entry: build
+	BUILD=$(BUILD) scripts/soak-entry --seeds $(SOAK_SEEDS)
