Open a link that is reset at once again only after a delay

A link to the owner that was accepted and then reset was opened again immediately, each time; only connections that failed waited for the retry delay.

The unit test fails without the change.

--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/// Delay before a failed connection to the owner is retried.
+/// Minimum interval between attempts to connect to the owner.
 constexpr Time kLinkRetryDelay = Time::FromMilliseconds(200);
 
 template<class Body>
@@ -165,7 +165,10 @@
     }
     if (wasUp) {
       aState.mLinkDownAt = aNow;
-      Reconnect(aState, aNow, aOut);
+      // A link that is reset as soon as it is open is opened again by MaintainLink() after the delay.
+      if (aNow >= aState.mConnectedAt + kLinkRetryDelay) {
+        Reconnect(aState, aNow, aOut);
+      }
     }
     return;
   }
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -270,6 +270,30 @@
   CHECK(node.mState.mSettings == before.WithCell(cell));
 }
 
+// A link that was accepted and then reset was opened again at once, each time, so that members
+// whose links were all reset opened thousands of them a second and logged each.
+TEST(Entry, LinkThatIsResetAtOnceIsReopenedAfterADelay)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  node.SetRemoteOwner(3);
+  const auto owner = node.mState.mOwner->Link();
+  const auto flap = [&] {
+    node.Deliver(LinkChanged::Create({ .mPeer = owner, .mUp = true }).value());
+    node.Deliver(LinkChanged::Create({ .mPeer = owner, .mUp = false }).value());
+  };
+  node.Advance(Time::FromSeconds(1));
+  node.Take<ConnectToOwner>();
+  node.Deliver(LinkChanged::Create({ .mPeer = owner, .mUp = false }).value());
+  CHECK(node.Take<ConnectToOwner>().size() == 1);
+  flap();
+  flap();
+  CHECK(node.Take<ConnectToOwner>().empty());
+  node.Advance(Time::FromMilliseconds(250));
+  CHECK(node.Take<ConnectToOwner>().size() == 1);
+}
+
 TEST(Entry, LinkToASilentOwnerIsReopened)
 {
   EntryFixture node;
