--- a/scripts/soak_entry/clients.py
+++ b/scripts/soak_entry/clients.py
@@ -53,6 +53,9 @@
     async def call(self, method, path, body=None, avoid=None):
         if avoid is not None and self.node is avoid:
             self.close()
+        await asyncio.sleep(0)
+        if self.writer is not None and self.reader.at_eof():
+            self.close()
         if self.writer is None:
             await self._connect(avoid)
         node, what = self.node, f"{method} {path} at {self.node.name}"
@@ -68,7 +71,7 @@
             raise Unanswered(True) from None
         except (OSError, asyncio.IncompleteReadError) as error:
             self.close()
-            waited = time.monotonic() - sent
+            waited = time.monotonic() - sent - self.site.stalled_since(sent)
             slack = RESET_SLACK_S if isinstance(error, OSError) else LOSS_SLACK_S
             self.site.judge.counts["broken"] += 1
             if waited > slack and node.killed_at < sent:
--- a/scripts/soak_entry/net.py
+++ b/scripts/soak_entry/net.py
@@ -7,8 +7,7 @@
 import asyncio
 import json
 import socket
-import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 FIRST = 100  # Nodes and workers are numbered from this value in the last two parts of an address.
@@ -122,7 +121,6 @@
     body: bytes
     node: int
     target: int
-    received: float = field(default_factory=time.monotonic)
 
     def json(self):
         return json.loads(self.body or b"{}")
--- a/scripts/soak_entry/nodes.py
+++ b/scripts/soak_entry/nodes.py
@@ -8,6 +8,7 @@
 import time
 
 from . import net
+from .store import PARTS
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BUILD = ROOT / os.environ.get("BUILD", "build")
@@ -47,7 +48,7 @@
                        "status_s": self.retention_s, "remote_factor": 2, "lease_ms": 3000,
                        "drain_timeout_ms": 2000, "upkeep_s": 2},
             "orders": "rpc",
-            "platform": {"address": f"{net.store_address(self.index)}:{site.store.port}", "form": "log", "parts": 8},
+            "platform": {"address": f"{net.store_address(self.index)}:{site.store.port}", "form": "log", "parts": PARTS},
         }))
         path.replace(self.settings_path)
 
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -18,6 +18,7 @@
 # (12 s), a lease and the work left, several times over.
 SETTLE_S = 60.0
 SERVICES = ("svc-a", "svc-b")
+LAG_STEP_S = 0.02
 
 
 class Site:
@@ -36,6 +37,19 @@
         self.nodes = [Node(self, index) for index in range(options.nodes)]
         self.version = 0
         self.extra = []
+        self.stalls = []  # (time, seconds) by which this process itself was late
+
+    async def _watch_lag(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LAG_STEP_S)
+            now = time.monotonic()
+            if now - before > 2 * LAG_STEP_S:
+                self.stalls.append((now, now - before))
+
+    def stalled_since(self, begin):
+        """How long the soak itself did not look at its connections since a time."""
+        return sum(seconds for at, seconds in self.stalls if at > begin)
 
     def publish(self):
         self.version += self.random.randrange(1, 4)
@@ -51,6 +65,7 @@
 
     async def run(self, schedule):
         """Plays the run; violations are in the judge."""
+        self.network.spawn(self._watch_lag())
         self.publish()
         await self.store.start(self.options.nodes)
         await self.cluster.start()
@@ -93,6 +108,7 @@
             await asyncio.sleep(0.2)
         for client in clients:
             client.caller.close()
+        self.judge.counts["stalled_ms"] = int(1000 * self.stalled_since(0))
         self.judge.counts["settle_ms"] = int(1000 * (time.monotonic() - begin))
 
     async def close(self):
--- a/scripts/soak_entry/store.py
+++ b/scripts/soak_entry/store.py
@@ -9,6 +9,7 @@
 
 from . import net
 
+PARTS = 8
 PAGE = 500
 APPEND_S = 0.004
 REPEATS_KEPT = 5
@@ -60,7 +61,7 @@
 
     def deal(self, shuffled=None):
         self.generation += 1
-        names = sorted(self.members, key=lambda m: m)
+        names = sorted(self.members)
         if shuffled is not None:
             shuffled.shuffle(names)
         load = {m: 0 for m in names}
@@ -84,7 +85,7 @@
         self.expire()
         known = member in self.members
         self.members[member] = [time.monotonic(), ttl, generation]
-        fresh = [(t, p) for t in topics for p in range(8) if (t, p) not in self.target]
+        fresh = [(t, p) for t in topics for p in range(PARTS) if (t, p) not in self.target]
         for part in fresh:
             self.target[part] = None
         if fresh or not known:
@@ -98,12 +99,10 @@
 class Store:
     def __init__(self, network, port, seed):
         self.port = port
-        self.network = network
         self.server = net.HttpServer(network, "store", self.handle)
         self.parts = defaultdict(Partition)
         self.groups = defaultdict(Group)
         self.random = random.Random(seed)
-        self.calls = defaultdict(int)
 
     async def start(self, nodes):
         await self.server.start([net.store_address(n) for n in range(nodes)], self.port)
@@ -121,7 +120,6 @@
 
     async def handle(self, request):
         name = request.path.rpartition("/")[2]
-        self.calls[name] += 1
         handler = {"log-append": self._append, "log-read": self._read, "log-newest": self._newest,
                    "log-join": self._join, "log-leave": self._leave, "log-owners": self._owners,
                    "log-commit": self._commit, "log-trim": self._trim}.get(name)
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -319,9 +319,6 @@
         if not worker.up:
             await worker.start()
 
-    def running(self):
-        return sum(len(worker.running) for worker in self.workers)
-
     def stop(self):
         for worker in self.workers:
             worker.up = False
