--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -9,6 +9,7 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Ownership.h"
 #include "by_entry/detail/Relays.h"
 #include "by_entry/detail/Settings.h"
@@ -31,8 +32,9 @@
   Time mNow;
   Effects& mOut;
 
-  void operator()(const ClockTick&) const
+  void operator()(const ClockTick& aEvent) const
   {
+    detail::UpdateLoad(mState, aEvent.QueueDelay(), mNow, mOut);
     detail::RetryClaim(mState, mNow, mOut);
     detail::MaintainLink(mState, mNow, mOut);
     detail::ExpireCalls(mState, mNow, mOut);
@@ -41,6 +43,7 @@
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
     }
+    detail::ConfirmOwnership(mState, mNow, mOut);
     detail::ContinueHandover(mState, mNow, mOut);
     detail::ExpireHandover(mState, mNow, mOut);
   }
@@ -193,7 +196,7 @@
   }
   detail::RelayWorkerOrders(aState, aNow, out);
   detail::ReturnRelayedAnswers(aState, aNow, out);
-  detail::BroadcastStoreState(aState, aNow, out);
+  detail::BroadcastOwnerState(aState, aNow, out);
   detail::ContinueStop(aState, aNow, out);
   detail::PublishReadiness(aState, aNow, out);
   RemoveAnsweredCalls(aState, out);
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -45,6 +45,6 @@
 
 /// Answers all open requests without the owner's answer, because the process exits.
 void
-GiveUpCalls(EntryState& aState, Effects& aOut);
+GiveUpCalls(EntryState& aState, Time aNow, Effects& aOut);
 
 } // namespace by::detail
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -31,8 +31,13 @@
 constexpr std::uint32_t kMediumShare = 500;
 constexpr Time kSmallShareDelay = Time::FromMilliseconds(150);
 constexpr Time kMediumShareDelay = Time::FromMilliseconds(75);
+/// An owner that the store has not confirmed for this long reads the claim, at most this often.
+constexpr Time kConfirmInterval = Time::FromMilliseconds(1000);
 /// A linked owner that has just claimed the cell is given this long to load it.
 constexpr Time kOwnerLoadTimeout = Time::FromMilliseconds(1500);
+/// After an outage of the store, an owner that lost it is given this long to regain it before
+/// another node claims the cell.
+constexpr Time kStoreRegainTime = Time::FromMilliseconds(500);
 /// Minimum time between claims of a node that was not elected. It keeps nodes that cannot reach
 /// each other from claiming the cell from each other endlessly.
 constexpr Time kPreemptiveClaimInterval = Time::FromMilliseconds(3000);
@@ -62,6 +67,15 @@
   return share < kSmallShare ? kSmallShareDelay : kMediumShareDelay;
 }
 
+/// @returns whether an owner that reports the store as lost may just as well be hit by an outage
+/// that hit this node too, and may regain the store by itself.
+bool
+MayOwnerRegainStore(const EntryState& aState, Time aNow)
+{
+  return aState.mOwnerLostStore && !aState.mOwnerLeaving && aState.mLinkUp &&
+         aNow < aState.mStoreFailedAt + kStoreRegainTime;
+}
+
 /// @returns whether another node has claimed the cell since this node began to claim it.
 bool
 IsForestalled(const EntryState& aState, const CellClaim& aClaim)
@@ -86,6 +100,22 @@
   ReadNewestClaim(aState, aOut);
 }
 
+/// Takes the answer to a read of ConfirmOwnership; claims that the store reports by itself have no
+/// end.
+void
+HandleConfirmation(EntryState& aState, const ClaimRead& aEvent)
+{
+  const bool isDone = aEvent.Outcome() == StoreOutcome::Done;
+  if (!aState.mConfirmInFlight || (isDone && aEvent.End() == 0)) {
+    return;
+  }
+  aState.mConfirmInFlight = false;
+  if (isDone && aState.mPhase == OwnerPhase::Owner && aEvent.Claim() &&
+      aEvent.Claim()->Epoch() == aState.mEpoch && IsClaimOfThisProcess(aState, *aEvent.Claim())) {
+    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aState.mConfirmSentAt);
+  }
+}
+
 void
 BeginLoad(EntryState& aState, std::uint64_t aEpoch, Effects& aOut)
 {
@@ -131,6 +161,7 @@
 {
   aState.mJoinInFlight = false;
   if (aEvent.Outcome() != StoreOutcome::Done) {
+    aState.mStoreFailedAt = aNow;
     aState.mNextJoin = aNow;
     if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
       Log(aOut,
@@ -170,6 +201,9 @@
   const bool isInactive = aState.mLinkUp && !aState.mOwnerActive &&
                           aNow > aState.mOwnerHeardAt + kOwnerLossTimeout &&
                           aNow > aState.mOwnerKnownAt + kOwnerLoadTimeout;
+  if (MayOwnerRegainStore(aState, aNow)) {
+    return;
+  }
   const bool isReleased = (aState.mOwnerLeaving || aState.mOwnerLostStore) &&
                           aNow >= aState.mOwnerReleasedAt + ShareDelay(aState);
   if (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || isReleased)) {
@@ -212,11 +246,28 @@
   }
 }
 
+void
+ConfirmOwnership(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Owner || aState.mConfirmInFlight ||
+      aNow < aState.mConfirmSentAt + kConfirmInterval ||
+      aNow < aState.mCell->mConfirmedAt + kConfirmInterval) {
+    return;
+  }
+  aState.mConfirmInFlight = true;
+  aState.mConfirmSentAt = aNow;
+  Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mClaimReadNumber }).value());
+}
+
 void
 HandleClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut)
 {
+  HandleConfirmation(aState, aEvent);
   if (aEvent.Outcome() != StoreOutcome::Done) {
-    if (aState.mPhase == OwnerPhase::ReadingClaim) {
+    aState.mStoreFailedAt = aNow;
+    if (aState.mPhase == OwnerPhase::ReadingClaim && MayOwnerRegainStore(aState, aNow)) {
+      aState.mPhase = OwnerPhase::Member;
+    } else if (aState.mPhase == OwnerPhase::ReadingClaim) {
       aState.mRetryAt = aNow + kClaimRetryDelay;
     }
     return;
@@ -316,6 +367,7 @@
   aState.mPhase = OwnerPhase::Member;
   aState.mRetryAt = Time::Never();
   aState.mCell.reset();
+  aState.mConfirmInFlight = false;
   aState.mHandover.mSuccessor.clear();
   aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
