Place nothing while the store is lost, and drop starts whose tickets expired

Nothing is placed from the moment on at which the store counts as lost until it is regained, and a start whose ticket has expired while its assignment was being stored goes back to its queue.

Tests: NothingIsPlacedWhileTheStoreIsLost and StartWhoseTicketExpiredBefore- ItWasStoredIsDropped; both fail without the change.

--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleWaves.h"
+#include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
@@ -179,6 +180,22 @@
   }
 }
 
+/// @returns why a run must not be started although its assignment is stored; nullptr if it may.
+const char*
+ReasonToDropStart(CellState& aState, const WorkerRow& aWorker, const RunId& aRun, Time aNow)
+{
+  if (aWorker.mRegistration.Draining() || aWorker.mHealth != WorkerHealth::Reachable) {
+    return "worker no longer accepts runs";
+  }
+  const auto* job = detail::FindJob(aState, aRun.mTask.Job());
+  if (job == nullptr || !detail::PolicyOf(aState, *job).Advice()) {
+    return nullptr;
+  }
+  const auto& step = job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()];
+  return detail::HasTicket(step.mAdvice, aWorker.mRegistration.Id(), aNow) ? nullptr
+                                                                           : "ticket expired";
+}
+
 /// Starts the runs whose assignments are stored. A worker that has begun to drain or stopped
 /// answering meanwhile gets no new run.
 void
@@ -193,10 +210,9 @@
     if (row == worker->second.mRuns.end() || row->second.mPhase != RunPhase::Planned) {
       continue;
     }
-    if (worker->second.mRegistration.Draining() ||
-        worker->second.mHealth != WorkerHealth::Reachable) {
-      detail::Log(
-        aOut, "start.dropped", detail::FormatRunId(run), "reason=worker no longer accepts runs");
+    const char* reason = ReasonToDropStart(aState, worker->second, run, aNow);
+    if (reason != nullptr) {
+      detail::Log(aOut, "start.dropped", detail::FormatRunId(run), absl::StrCat("reason=", reason));
       detail::Requeue(aState, run.mTask, aNow, aOut);
       continue;
     }
@@ -329,6 +345,7 @@
                     "store.regained",
                     "append",
                     absl::StrCat("lost_for_ms=", (aNow - aState.mStoreLostAt).Milliseconds()));
+        aState.mPlacementNeeded = true;
       }
       aState.mStoreLostAt = Time::Never();
       aState.mStoreRejects = false;
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -68,7 +68,8 @@
   if (aState.mFenced) {
     return;
   }
-  if (aState.mPlacementNeeded && aNow >= aState.mNextPlacement) {
+  const bool hasStore = aState.mStoreLostAt == Time::Never();
+  if (hasStore && aState.mPlacementNeeded && aNow >= aState.mNextPlacement) {
     detail::PlaceTasks(aState, aNow, aOut);
   }
   SendDuePolls(aState, aNow, aOut);
@@ -93,7 +94,8 @@
   detail::EvacuateDraining(aState, aNow, aOut);
   AdvanceWaves(aState, aNow, aOut);
   detail::UpdateUrgency(aState, aNow);
-  const bool wasDue = aState.mPlacementNeeded || HasDueAdviceQuery(aState, aNow);
+  const bool wasDue = aState.mPlacementNeeded || aState.mStoreLostAt != Time::Never() ||
+                      HasDueAdviceQuery(aState, aNow);
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
   if (!wasDue && placed > 0) {
     ++aState.mMissedWakeups;
@@ -129,7 +131,7 @@
   if (!aState.mInFlight && HasUnstored(aState)) {
     next = std::min(next, aState.mNextAppend);
   }
-  if (aState.mPlacementNeeded) {
+  if (aState.mPlacementNeeded && aState.mStoreLostAt == Time::Never()) {
     next = std::min(next, aState.mNextPlacement);
   }
   return next;
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -399,6 +399,10 @@
 std::size_t
 PlaceTasks(CellState& aState, Time aNow, Effects& aOut)
 {
+  if (aState.mStoreLostAt != Time::Never()) {
+    // Nothing can be started before it is stored, and what is placed now would be out of date then.
+    return 0;
+  }
   aState.mPlacementNeeded = false;
   aState.mNextPlacement = aNow + kPassInterval;
   Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {}, .mPlaced = 0 };
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -1,5 +1,6 @@
 #include "by_cell/CellFixture.h"
 #include "by_cell/ReportedState.h"
+#include "by_cell/TakeAll.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -349,3 +350,49 @@
     CHECK(start.Worker() != serving);
   }
 }
+
+// Tasks that were placed during an outage of the store were started after it, 1,600 of them with
+// tickets that had expired meanwhile.
+TEST(Cell, NothingIsPlacedWhileTheStoreIsLost)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto start = cell.TakeStarts().front();
+  cell.Submit("waiting", { CellFixture::Step(4) });
+  cell.SubmitUnstored("unstored", { CellFixture::Step(1) });
+  cell.AdvanceTime(Time::FromMilliseconds(50));
+  cell.Store(StoreOutcome::Unanswered);
+  CHECK(cell.mCell.mStoreLostAt != Time::Never());
+  cell.mOut.clear();
+  cell.Poll(
+    start.Worker(), {}, { CellFixture::Ended(1, { start.Task(), start.Run() }, RunEnd::Done) });
+  cell.AdvanceTime(Time::FromMilliseconds(300));
+  for (const auto& line : TakeAll<LogLine>(cell.mOut)) {
+    CHECK(line.Event() != "task.placed");
+  }
+}
+
+TEST(Cell, StartWhoseTicketExpiredBeforeItWasStoredIsDropped)
+{
+  CellFixture cell(1);
+  cell.mQueue = cell.mQueue.WithAdvice(
+    AdvicePolicy::Create({ .mDecisionUs = 1000, .mValidity = Time::FromMilliseconds(1000) })
+      .value());
+  cell.mCell.mConfig = ClusterConfig::Create({ .mVersion = 2, .mQueues = { cell.mQueue } }).value();
+  cell.SubmitUnstored("j", { CellFixture::Step(1) });
+  cell.Advance();
+  HandleAdvice(cell.mCell,
+               AdviceAnswered::Create(
+                 { .mJob = "j",
+                   .mAnswered = true,
+                   .mWorkers = { "w1" },
+                   .mTickets = { Ticket::Create({ .mWorker = "w1", .mText = "t" }).value() } })
+                 .value(),
+               cell.mNow,
+               cell.mOut);
+  cell.AdvanceTime(Time::FromMilliseconds(50));
+  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1").mRuns.size());
+  cell.AdvanceTime(Time::FromMilliseconds(1000));
+  cell.StoreAll();
+  CHECK(cell.TakeStarts().empty());
+}
