Answer every open call when an owner is lost or a node stops

What callers saw: requests without an answer, 504 although another owner was there in time, and in rare cases 503 ("not run") for a job that ran or 2xx for one that was not stored.

Causes, each with its change: - A stop whose time ran out ended the process with open calls; they are answered first. - A request that lost its owner later than owner_wait after its arrival was given up at once; it waits for the next owner for all of answer_wait. - A node that did not own the cell refused a forwarded request as not run, although an earlier owner may have run it. It now says first that it is not the owner; the entry node keeps the request for the next owner. - Members learned up to 0.5 s late that their owner had stepped down; they are told at once. - Requests sent over a connection that a newer one had replaced waited until they were given up; they are forwarded again. - Callers of a lost node whose job, cancellation or outcome was in an append stayed in the owner's tables; the next process of that node numbers its calls from 1 and got their replies. They are forgotten.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -176,10 +176,23 @@
 ForgetCallers(CellState& aState, const std::string& aNode)
 {
   const auto isHeldThere = [&](const PendingCaller& aCaller) { return aCaller.mNode == aNode; };
-  for (const auto& id : aState.mNewJobs) {
-    if (auto* job = detail::FindJob(aState, id)) {
-      std::erase_if(job->mSubmitters, isHeldThere);
+  const auto forget = [&](const std::vector<std::string>& aJobs,
+                          const std::vector<std::string>& aOutcomes) {
+    for (const auto& id : aJobs) {
+      if (auto* job = detail::FindJob(aState, id)) {
+        std::erase_if(job->mSubmitters, isHeldThere);
+      }
     }
+    for (const auto& id : aOutcomes) {
+      if (const auto it = aState.mOutcomes.find(id); it != aState.mOutcomes.end()) {
+        std::erase_if(it->second.mCancellers, isHeldThere);
+        std::erase_if(it->second.mSubmitters, isHeldThere);
+      }
+    }
+  };
+  forget(aState.mNewJobs, aState.mNewOutcomes);
+  if (aState.mInFlight) {
+    forget(aState.mInFlight->mJobs, aState.mInFlight->mOutcomes);
   }
 }
 
--- a/modules/by_cell/HandleRequests.h
+++ b/modules/by_cell/HandleRequests.h
@@ -16,8 +16,8 @@
               Time aNow,
               Effects& aOut);
 
-/// Removes a lost node's submitters from the jobs that are not yet in an append; that node answers
-/// them itself.
+/// Removes the callers of a lost node that wait until something is stored; that node answers them
+/// itself. A later process of the node gives its calls the same numbers.
 void
 ForgetCallers(CellState& aState, const std::string& aNode);
 
--- a/modules/by_entry/OpenCall.h
+++ b/modules/by_entry/OpenCall.h
@@ -19,8 +19,8 @@
   Time mDeadline{};
   /// The epoch of the owner that the request was forwarded to; empty while it waits for an owner.
   std::optional<std::uint64_t> mForwardedTo;
-  /// Whether the request was ever forwarded to an owner, so that it may have been carried out.
-  bool mWasForwarded{ false };
+  /// How many times the request was forwarded to a node that may have carried it out.
+  std::uint32_t mPossibleRuns{ 0 };
 
   friend bool operator==(const OpenCall&, const OpenCall&) = default;
   friend auto operator<=>(const OpenCall&, const OpenCall&) = default;
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -8,6 +8,7 @@
 
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
 
@@ -62,8 +63,9 @@
            Time aNow,
            Effects& aOut)
 {
-  const bool mayHaveRun = aCall.mWasForwarded && (aCall.mRequest.Kind() == JobCallKind::Submit ||
-                                                  aCall.mRequest.Kind() == JobCallKind::Cancel);
+  const bool mayHaveRun =
+    aCall.mPossibleRuns > 0 &&
+    (aCall.mRequest.Kind() == JobCallKind::Submit || aCall.mRequest.Kind() == JobCallKind::Cancel);
   Log(aOut,
       "call.given_up",
       aCall.mRequest.Job(),
@@ -107,7 +109,7 @@
     Refuse(aState, aNumber, aNow, aOut);
     return;
   }
-  aCall.mWasForwarded = true;
+  ++aCall.mPossibleRuns;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mForwardedTo = aState.mEpoch;
     HandleRequest(*aState.mCell, { aState.mSettings.Node(), aNumber }, aCall.mRequest, aNow, aOut);
@@ -175,9 +177,20 @@
 void
 HandleReply(EntryState& aState, const JobReply& aReply, Effects& aOut)
 {
-  if (aState.mCalls.erase(aReply.Call()) > 0) {
-    Emit(aOut, ReplyToCaller::Create({ .mReply = aReply }).value());
+  const auto it = aState.mCalls.find(aReply.Call());
+  if (it == aState.mCalls.end()) {
+    return;
   }
+  if (aReply.Outcome() == JobCallOutcome::Refused && !aState.mOwnerActive) {
+    // The node has said before that it is not the owner, so it has not carried out the request. An
+    // earlier owner may have.
+    auto& call = it->second;
+    call.mForwardedTo.reset();
+    call.mPossibleRuns -= std::min(call.mPossibleRuns, std::uint32_t{ 1 });
+    return;
+  }
+  aState.mCalls.erase(it);
+  Emit(aOut, ReplyToCaller::Create({ .mReply = aReply }).value());
 }
 
 void
@@ -207,6 +220,7 @@
   }
   if (aState.mPhase != OwnerPhase::Owner) {
     Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
+    SendMemberHeartbeat(aState, aNode, aNow, aOut);
     RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
     return;
   }
@@ -241,13 +255,21 @@
   }
 }
 
+void
+EndCalls(EntryState& aState, Time aNow, Effects& aOut)
+{
+  for (const auto& [number, call] : std::exchange(aState.mCalls, {})) {
+    ExpireCall(aState, number, call, "the node stops", aNow, aOut);
+  }
+}
+
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut)
 {
   std::erase_if(aState.mCalls, [&](const auto& aEntry) {
     const auto& call = aEntry.second;
-    const auto wait =
-      call.mForwardedTo ? aState.mSettings.AnswerWait() : aState.mSettings.OwnerWait();
+    const bool wasForwarded = call.mForwardedTo || call.mPossibleRuns > 0;
+    const auto wait = wasForwarded ? aState.mSettings.AnswerWait() : aState.mSettings.OwnerWait();
     if (aNow < call.mArrived + wait && aNow < call.mDeadline) {
       return false;
     }
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -12,7 +12,8 @@
 void
 HandleCall(EntryState& aState, const JobCall& aCall, Time aNow, Effects& aOut);
 
-/// Passes the owner's answer on to the caller; does nothing if the call is no longer open.
+/// Passes the owner's answer on to the caller; does nothing if the call is no longer open. A
+/// request that a node refused because it is not the owner waits for the next one.
 void
 HandleReply(EntryState& aState, const JobReply& aReply, Effects& aOut);
 
@@ -39,6 +40,10 @@
 void
 ReportDroppedRequests(EntryState& aState, Time aNow, Effects& aOut);
 
+/// Answers all open requests, because the process ends.
+void
+EndCalls(EntryState& aState, Time aNow, Effects& aOut);
+
 /// Answers the requests that have reached their deadline or their maximum wait.
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut);
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -50,22 +50,6 @@
          aNow;
 }
 
-/// Sends a member the heartbeat that says whether this node is the owner, has the store and takes
-/// new jobs.
-void
-SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
-{
-  const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
-                                           .mOwner = isOwner,
-                                           .mStoreLost = HasLostStore(aState, aNow),
-                                           .mOverloaded = IsOverloadedOwner(aState) })
-                     .value();
-  Emit(
-    aOut,
-    SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
-}
-
 void
 HandleHeartbeat(EntryState& aState, const LinkHeartbeat& aHeartbeat, Time aNow, Effects& aOut)
 {
@@ -159,6 +143,11 @@
   if (!aState.mOwnerLeaving) {
     aState.mOwnerReleasedAt = Time::Never();
   }
+  if (wasUp) {
+    // A newer connection has replaced the one that requests were sent over.
+    aState.mOwnerActive = false;
+    RequeueForwardedCalls(aState);
+  }
   aState.mOwnerHeardAt = aNow;
   aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
   Emit(aOut,
@@ -259,6 +248,20 @@
   SendMemberHeartbeats(aState, aNow, aOut);
 }
 
+void
+SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
+{
+  const bool isOwner = aState.mPhase == OwnerPhase::Owner;
+  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
+                                           .mOwner = isOwner,
+                                           .mStoreLost = HasLostStore(aState, aNow),
+                                           .mOverloaded = IsOverloadedOwner(aState) })
+                     .value();
+  Emit(
+    aOut,
+    SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
+}
+
 void
 SendMemberHeartbeats(const EntryState& aState, Time aNow, Effects& aOut)
 {
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -38,7 +38,12 @@
 void
 BroadcastOwnerState(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Sends all members the heartbeat that says whether this node is the owner and has the store.
+/// Sends a member the heartbeat that says whether this node is the owner, has the store and takes
+/// new jobs.
+void
+SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut);
+
+/// Sends that heartbeat to all members.
 void
 SendMemberHeartbeats(const EntryState& aState, Time aNow, Effects& aOut);
 
--- a/modules/by_entry/detail/Load.cpp
+++ b/modules/by_entry/detail/Load.cpp
@@ -89,7 +89,7 @@
 const char*
 RefusalReason(const EntryState& aState, const OpenCall& aCall, Time aNow)
 {
-  if (aCall.mRequest.Kind() != JobCallKind::Submit || aCall.mWasForwarded) {
+  if (aCall.mRequest.Kind() != JobCallKind::Submit || aCall.mPossibleRuns > 0) {
     return nullptr;
   }
   const bool isOwner = aState.mPhase == OwnerPhase::Owner;
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -352,6 +352,7 @@
   aState.mHandover.mSuccessor.clear();
   aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
+  SendMemberHeartbeats(aState, aNow, aOut);
   RequeueForwardedCalls(aState);
   if (aState.mOwner && !IsClaimOfThisProcess(aState, *aState.mOwner)) {
     Reconnect(aState, aNow, aOut);
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -6,6 +6,7 @@
 
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Ownership.h"
 
@@ -64,6 +65,7 @@
         aState.mSettings.Node(),
         absl::StrCat("open_calls=", aState.mCalls.size()));
     Emit(aOut, ExitEntry::Create({ .mClean = aState.mCalls.empty() }).value());
+    EndCalls(aState, aNow, aOut);
   }
 }
 
--- a/tests/by_entry/CallsTest.cpp
+++ b/tests/by_entry/CallsTest.cpp
@@ -291,3 +291,132 @@
   CHECK(early.front() < late.front());
   CHECK(late.back() <= Time::FromSeconds(3));
 }
+
+/// Callers were left without an answer, or were told that a submission does not run although it
+/// may.
+TEST_GROUP(LostOwner){};
+
+TEST(LostOwner, OpenCallsAreAnsweredWhenTheTimeForAStopHasRunOut)
+{
+  Member member;
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.Deliver(StopRequested::Create({ .mGrace = Time::FromMilliseconds(1500) }).value());
+  member.Advance(Time::FromMilliseconds(700));
+  member.SendCall(2, JobCallKind::Submit, kJobPath);
+  member.SendCall(3, JobCallKind::Show, kJobPath);
+  member.Advance(Time::FromMilliseconds(150));
+  CHECK_EQUAL(1, member.Take<ExitEntry>().size());
+  CHECK(
+    member.TakeOutcomes() ==
+    (std::vector{ JobCallOutcome::Uncertain, JobCallOutcome::Uncertain, JobCallOutcome::Refused }));
+}
+
+/// A request whose owner was lost later than owner_wait was given up at once.
+TEST(LostOwner, ForwardedRequestWaitsForTheNextOwnerForTheWholeAnswerWait)
+{
+  Member member;
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.TakeRequests();
+  member.Advance(member.mState.mSettings.OwnerWait() + Time::FromMilliseconds(100));
+  member.Deliver(
+    LinkChanged::Create({ .mPeer = member.mState.mOwner->Link(), .mUp = false }).value());
+  member.Advance(Time::FromMilliseconds(100));
+  CHECK(member.TakeOutcomes().empty());
+  member.SetRemoteOwner(4, "n3");
+  CHECK_EQUAL(1, member.TakeRequests().size());
+}
+
+/// The first owner stored the job; the refusal of a node that does not own the cell says nothing of
+/// that.
+TEST(LostOwner, RefusalOfANodeThatIsNotTheOwnerIsNotPassedOn)
+{
+  Member member;
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.SetRemoteOwner(4, "n3");
+  CHECK_EQUAL(2, member.TakeRequests().size());
+  const auto send = [&](auto aBody) {
+    member.Deliver(
+      FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = std::move(aBody) }).value() })
+        .value());
+  };
+  send(LinkHeartbeat::Create({ .mEpoch = 4, .mOwner = false }).value());
+  send(JobReply::Create({ .mCall = 1, .mOutcome = JobCallOutcome::Refused }).value());
+  CHECK(member.TakeOutcomes().empty());
+  member.SetRemoteOwner(5, "n4");
+  CHECK_EQUAL(1, member.TakeRequests().size());
+  send(JobReply::Create({ .mCall = 1, .mOutcome = JobCallOutcome::Accepted }).value());
+  CHECK(member.TakeOutcomes() == std::vector{ JobCallOutcome::Accepted });
+}
+
+TEST(LostOwner, SubmissionThatOnlyNodesWithoutTheCellGotIsRefused)
+{
+  Member member;
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.Deliver(
+    FromOwner::Create(
+      { .mMessage = LinkMessage::Create(
+                      { .mBody = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = false }).value() })
+                      .value() })
+      .value());
+  member.Deliver(
+    FromOwner::Create(
+      { .mMessage =
+          LinkMessage::Create(
+            { .mBody =
+                JobReply::Create({ .mCall = 1, .mOutcome = JobCallOutcome::Refused }).value() })
+            .value() })
+      .value());
+  CHECK(member.TakeOutcomes().empty());
+  member.Advance(member.mState.mSettings.OwnerWait() + Time::FromMilliseconds(50));
+  CHECK(member.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
+}
+
+TEST(LostOwner, NodeThatIsNotTheOwnerSaysSoBeforeItRefusesARequest)
+{
+  Owner node;
+  node.SetRemoteOwner(4, "n3");
+  node.Take<SendToMember>();
+  node.Forward(RequestOf(node, JobCallKind::Submit), node.mNow);
+  const auto sent = node.Take<SendToMember>();
+  CHECK_EQUAL(2, sent.size());
+  const auto* heartbeat = std::get_if<LinkHeartbeat>(&sent.front().Message().Body());
+  CHECK(heartbeat != nullptr && !heartbeat->Owner());
+  CHECK(std::holds_alternative<JobReply>(sent.back().Message().Body()));
+}
+
+TEST(LostOwner, OwnerThatStepsDownTellsItsMembersAtOnce)
+{
+  Owner owner;
+  owner.Take<SendToMember>();
+  owner.SetRemoteOwner(4, "n3");
+  const auto sent = owner.Take<SendToMember>();
+  CHECK_EQUAL(1, sent.size());
+  const auto* heartbeat = std::get_if<LinkHeartbeat>(&sent.front().Message().Body());
+  CHECK(heartbeat != nullptr && !heartbeat->Owner());
+}
+
+/// Requests were sent over a connection that had been replaced, and waited until they were given
+/// up.
+TEST(LostOwner, RequestIsForwardedAgainOverAReplacedConnection)
+{
+  Member member;
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.TakeRequests();
+  member.Deliver(
+    LinkChanged::Create({ .mPeer = member.mState.mOwner->Link(), .mUp = true }).value());
+  CHECK(member.TakeRequests().empty());
+  member.Beat(false);
+  CHECK_EQUAL(1, member.TakeRequests().size());
+}
+
+TEST(LostOwner, SubmissionOfAnOwnerThatStepsDownIsForwardedToTheNext)
+{
+  Owner owner;
+  owner.SendCall(1, JobCallKind::Submit, kJobPath);
+  owner.SetRemoteOwner(4, "n3");
+  const auto sent = owner.Take<SendToOwner>();
+  CHECK_EQUAL(1, std::count_if(sent.begin(), sent.end(), [](const SendToOwner& aEffect) {
+                return std::holds_alternative<CellRequest>(aEffect.Message().Body());
+              }));
+  CHECK(owner.TakeOutcomes().empty());
+}
