Keep owners from calling an accepted job unknown

What callers saw: 410 for an accepted job, from an owner that was cut off from the store and had been replaced, and for an ended job from an owner whose time of day was ahead of that of the one before.

Cause: an owner trusted its tables for as long as it did not see a newer claim, and kept outcomes for exactly the promised time of another VM's clock.

Change: an owner that the store has not confirmed for 2 s refuses in place of saying that a job is unknown; outcomes are kept 10 s longer.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -23,6 +23,30 @@
   detail::ReplyRefused(aState, aCaller, aOut);
 }
 
+/// An owner that the store has not confirmed for this long may have been replaced by one that
+/// accepted more jobs, so it does not say that a job is unknown. Shorter than the time after which
+/// every node must know an accepted job.
+constexpr Time kUnknownJobValidity = Time::FromMilliseconds(2000);
+
+void
+ReplyUnknown(const CellState& aState,
+             const PendingCaller& aCaller,
+             const CellRequest& aRequest,
+             Time aNow,
+             Effects& aOut)
+{
+  const auto age = aNow - aState.mConfirmedAt;
+  detail::Log(aOut,
+              "job.unknown",
+              aRequest.Job(),
+              absl::StrCat("epoch=", aState.mEpoch, " confirmed_ms_ago=", age.Milliseconds()));
+  if (age > kUnknownJobValidity) {
+    detail::ReplyRefused(aState, aCaller, aOut);
+  } else {
+    detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
+  }
+}
+
 /// Answers a repeated submission: at once where the record is stored, else when it is.
 /// @tparam Row a JobRow or an OutcomeRow.
 template<class Row>
@@ -96,6 +120,7 @@
 Show(const CellState& aState,
      const PendingCaller& aCaller,
      const CellRequest& aRequest,
+     Time aNow,
      Effects& aOut)
 {
   if (const auto ended = aState.mOutcomes.find(aRequest.Job()); ended != aState.mOutcomes.end()) {
@@ -105,8 +130,7 @@
   }
   const auto open = aState.mJobs.find(aRequest.Job());
   if (open == aState.mJobs.end()) {
-    detail::Log(aOut, "job.unknown", aRequest.Job(), absl::StrCat("epoch=", aState.mEpoch));
-    detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
+    ReplyUnknown(aState, aCaller, aRequest, aNow, aOut);
     return;
   }
   const auto state = open->second.mStarted ? JobState::Running : JobState::Queued;
@@ -125,7 +149,7 @@
   }
   const auto ended = aState.mOutcomes.find(aRequest.Job());
   if (ended == aState.mOutcomes.end()) {
-    detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
+    ReplyUnknown(aState, aCaller, aRequest, aNow, aOut);
     return;
   }
   if (ended->second.mStored) {
@@ -161,7 +185,7 @@
       Submit(aState, aCaller, aRequest, aNow, aOut);
       return;
     case JobCallKind::Show:
-      Show(aState, aCaller, aRequest, aOut);
+      Show(aState, aCaller, aRequest, aNow, aOut);
       return;
     case JobCallKind::Cancel:
       CancelJob(aState, aCaller, aRequest, aNow, aOut);
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -24,6 +24,10 @@
 /// Interval between the passes over all workers that resend orders and end expired leases.
 constexpr Time kWorkerUpdateInterval = Time::FromMilliseconds(40);
 
+/// An owner whose time of day differs by up to this much from that of the owner that stored an
+/// outcome keeps it long enough.
+constexpr Time kClockDifference = Time::FromMilliseconds(10000);
+
 void
 OpenDueJobs(CellState& aState, Time aNow)
 {
@@ -39,8 +43,9 @@
 void
 ExpireOutcomes(CellState& aState, Time aNow)
 {
+  const auto retention = aState.mSettings.OutcomeRetention() + kClockDifference;
   while (!aState.mOutcomesByEnd.empty() &&
-         aState.mOutcomesByEnd.begin()->first + aState.mSettings.OutcomeRetention() < aNow) {
+         aState.mOutcomesByEnd.begin()->first + retention < aNow) {
     const auto id = aState.mOutcomesByEnd.begin()->second;
     aState.mOutcomesByEnd.erase(aState.mOutcomesByEnd.begin());
     aState.mOutcomes.erase(id);
--- a/tests/by_cell/RequestsTest.cpp
+++ b/tests/by_cell/RequestsTest.cpp
@@ -63,3 +63,37 @@
   cell.StoreAll();
   CHECK(TakeMemberOutcomes(cell).empty());
 }
+
+/// An owner that was cut off from the store answered 410 for jobs that its successor had accepted.
+TEST(Requests, OwnerThatMayHaveBeenReplacedDoesNotSayThatAJobIsUnknown)
+{
+  CellFixture cell;
+  const auto replyTo = [&](JobCallKind aKind) {
+    cell.Call(aKind, kJob);
+    const auto replies = cell.TakeReplies();
+    return replies.size() == 1 ? replies.front().Outcome() : JobCallOutcome::Malformed;
+  };
+  cell.mNow = cell.mCell.mConfirmedAt + Time::FromMilliseconds(2000);
+  CHECK(replyTo(JobCallKind::Show) == JobCallOutcome::UnknownJob);
+  cell.mNow = cell.mNow + Time::FromMilliseconds(1);
+  CHECK(replyTo(JobCallKind::Show) == JobCallOutcome::Refused);
+  CHECK(replyTo(JobCallKind::Cancel) == JobCallOutcome::Refused);
+  cell.mCell.mConfirmedAt = cell.mNow;
+  CHECK(replyTo(JobCallKind::Cancel) == JobCallOutcome::UnknownJob);
+}
+
+/// The time of day of a new owner was ahead of that of the owner before, so that it forgot ended
+/// jobs too early.
+TEST(Requests, EndedJobIsKeptLongEnoughByAnOwnerWhoseClockIsAhead)
+{
+  CellFixture before;
+  before.Submit(kJob, { CellFixture::Step(1) });
+  before.Call(JobCallKind::Cancel, kJob);
+  before.StoreAll();
+  auto owner = before.Successor();
+  owner.mNow = owner.mNow + before.mCell.mSettings.OutcomeRetention() + Time::FromSeconds(5);
+  owner.AdvanceTime(Time::FromMilliseconds(500));
+  CHECK_EQUAL(1, owner.mCell.mOutcomes.size());
+  owner.AdvanceTime(Time::FromSeconds(6));
+  CHECK(owner.mCell.mOutcomes.empty());
+}
