Tell late members of a stopping owner that it leaves

What callers saw: at a planned stop, requests of a node whose link to the owner came up after the stop had begun waited until that link broke.

Cause: the announcement went to the members of that moment only, and a node that was about to claim the cell when its stop was requested went on and announced nothing.

Change: members that link later, and those of a node that loads the cell while it stops, are told; a claim that is not written yet is dropped.

Evidence: by_entry_tests 67 green; the 3 new tests fail without the change.

--- a/modules/by_entry/detail/Handover.cpp
+++ b/modules/by_entry/detail/Handover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -25,6 +26,14 @@
 /// No handover begins while an append has been unanswered for this long.
 constexpr Time kSteadyStoreDelay = Time::FromMilliseconds(250);
 
+LinkMessage
+LeavingMessage(const EntryState& aState, const std::string& aSuccessor)
+{
+  auto leaving =
+    OwnerLeaving::Create({ .mEpoch = aState.mEpoch, .mSuccessor = aSuccessor }).value();
+  return LinkMessage::Create({ .mBody = std::move(leaving) }).value();
+}
+
 bool
 IsStoreSteady(const CellState& aCell, Time aNow)
 {
@@ -176,14 +185,17 @@
   ReleaseOwner(aState, aNow);
 }
 
+void
+SendLeaving(const EntryState& aState, const std::string& aNode, Effects& aOut)
+{
+  Emit(aOut,
+       SendToMember::Create({ .mNode = aNode, .mMessage = LeavingMessage(aState, {}) }).value());
+}
+
 void
 AnnounceLeaving(const EntryState& aState, const std::string& aSuccessor, Effects& aOut)
 {
-  const auto message =
-    LinkMessage::Create(
-      { .mBody =
-          OwnerLeaving::Create({ .mEpoch = aState.mEpoch, .mSuccessor = aSuccessor }).value() })
-      .value();
+  const auto message = LeavingMessage(aState, aSuccessor);
   for (const auto& [node, member] : aState.mMembers) {
     Emit(aOut, SendToMember::Create({ .mNode = node, .mMessage = message }).value());
   }
--- a/modules/by_entry/detail/Handover.h
+++ b/modules/by_entry/detail/Handover.h
@@ -21,6 +21,10 @@
 void
 ExpireHandover(EntryState& aState, Time aNow, Effects& aOut);
 
+/// Tells a member that this owner leaves and that any node may claim the cell.
+void
+SendLeaving(const EntryState& aState, const std::string& aNode, Effects& aOut);
+
 /// Tells all members that this owner leaves.
 /// @param aSuccessor the node to hand the cell to, this node to withdraw a handover, or empty if
 /// any node may claim the cell.
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -219,6 +219,9 @@
     member.mHeardAt = aNow;
     aState.mMembers.insert_or_assign(aEvent.Node(), std::move(member));
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
+    if (aState.mStopping && aState.mPhase == OwnerPhase::Owner) {
+      SendLeaving(aState, aEvent.Node(), aOut);
+    }
   } else {
     aState.mMembers.erase(aEvent.Node());
   }
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/RestoreCell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
 
 namespace by::detail {
@@ -335,6 +336,9 @@
   Emit(aOut, ConnectToOwner());
   aState.mLinkUp = false;
   SendMemberHeartbeats(aState, aNow, aOut);
+  if (aState.mStopping) {
+    AnnounceLeaving(aState, {}, aOut);
+  }
   ForwardCalls(aState, aNow, aOut);
 }
 
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -44,6 +44,11 @@
       "node.stopping",
       aState.mSettings.Node(),
       absl::StrCat("grace_ms=", aEvent.Grace().Milliseconds(), " calls=", aState.mCalls.size()));
+  if (aState.mPhase == OwnerPhase::ReadingClaim) {
+    // Nothing has been written yet, so another node can claim the cell at once.
+    aState.mPhase = OwnerPhase::Member;
+    aState.mRetryAt = Time::Never();
+  }
   LeaveCellAndGroup(aState, aOut);
 }
 
--- a/tests/by_entry/HandoverTest.cpp
+++ b/tests/by_entry/HandoverTest.cpp
@@ -314,3 +314,36 @@
   }
   CHECK(owner.Take<ReadClaim>().empty());
 }
+
+/// A member that linked after the stop had begun kept the leaving owner until its link broke.
+TEST(Handover, StoppingOwnerTellsMembersThatLinkLater)
+{
+  SmallOwner owner;
+  owner.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  owner.Link("m2", kLarge);
+  CHECK(owner.TakeSuccessors() == std::vector<std::string>{ "" });
+}
+
+TEST(Handover, NodeThatStopsWhileItLoadsTheCellAnnouncesThatItLeaves)
+{
+  SmallOwner node;
+  node.Link("m2", kLarge);
+  node.mState.mPhase = OwnerPhase::Loading;
+  node.mState.mCell.reset();
+  node.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  node.TakeSuccessors();
+  node.Deliver(CellLoaded::Create({ .mOutcome = StoreOutcome::Done, .mEpoch = 3 }).value());
+  CHECK(node.mState.mPhase == OwnerPhase::Owner);
+  CHECK(node.TakeSuccessors() == std::vector<std::string>{ "" });
+}
+
+TEST(Handover, NodeThatStopsBeforeItWritesItsClaimWritesNone)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(true);
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+  node.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  node.Deliver(ClaimRead::Create({ .mOutcome = StoreOutcome::Done, .mEnd = 0 }).value());
+  CHECK(node.Take<WriteClaim>().empty());
+}
