--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/RestoreCell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
 
 namespace by::detail {
@@ -354,6 +355,9 @@
   Emit(aOut, ConnectToOwner());
   aState.mLinkUp = false;
   SendMemberHeartbeats(aState, aNow, aOut);
+  if (aState.mStopping) {
+    AnnounceLeaving(aState, {}, aOut);
+  }
   ForwardCalls(aState, aNow, aOut);
 }
 
@@ -371,6 +375,7 @@
   aState.mHandover.mSuccessor.clear();
   aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
+  SendMemberHeartbeats(aState, aNow, aOut);
   RequeueForwardedCalls(aState);
   if (aState.mOwner && !IsClaimOfThisProcess(aState, *aState.mOwner)) {
     Reconnect(aState, aNow, aOut);
