Write and count log lines at less cost

Cause: each of a line's four texts was quoted through boost::json, and each line was compared with the list of timed events, whose names and histograms were then looked up by text.

Change: text without escapes is quoted by itself; boost::json quotes the rest. What is counted of an event's lines, with the key of its timed stage, is found once. Lines of events without a timed stage were not split before either, so only the lookups are saved there.

--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -10,12 +10,11 @@
 #include <vector>
 
 #include <boost/asio/post.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/string.hpp>
 
 #include "absl/strings/str_cat.h"
 
 #include "by_entryd/detail/EventKind.h"
+#include "by_entryd/detail/LineText.h"
 #include "by_runtime/BootClock.h"
 #include "by_runtime/ThreadClock.h"
 
@@ -32,12 +31,6 @@
 /// The last answers have this long to leave once the decisions have ended.
 constexpr std::chrono::milliseconds kLastAnswers{ 200 };
 
-std::string
-Quoted(const std::string& aText)
-{
-  return boost::json::serialize(boost::json::string(aText));
-}
-
 } // namespace
 
 EntryDaemonBody::EntryDaemonBody(const EntrySettings& aSettings, Time aGrace, ReadSettings aRead)
@@ -269,17 +262,9 @@
 EntryDaemonBody::Write(const LogLine& aLine)
 {
   mMetrics.Count(aLine);
-  mLog.Write(absl::StrCat(R"({"at":)",
-                          BootNow().Milliseconds(),
-                          R"(,"node":)",
-                          Quoted(mState.mSettings.Node()),
-                          R"(,"event":)",
-                          Quoted(aLine.Event()),
-                          R"(,"subject":)",
-                          Quoted(aLine.Subject()),
-                          R"(,"detail":)",
-                          Quoted(aLine.Detail()),
-                          "}"));
+  mLine.clear();
+  AppendLine(mLine, BootNow(), mState.mSettings.Node(), aLine);
+  mLog.Write(mLine);
 }
 
 void
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -71,6 +71,8 @@
   std::uint64_t mBatches{ 0 };
   bool mClean{ false };
   LineSink mLog;
+  /// The text of the last log line; kept for its storage.
+  std::string mLine;
   EntryMetrics mMetrics;
   std::shared_ptr<LinkClient> mLink;
   std::shared_ptr<LinkServer> mMembers;
--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -1,5 +1,11 @@
 #include "by_entryd/detail/EntryMetrics.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <optional>
+#include <utility>
+
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -32,6 +38,21 @@
   { "job.ended", "age_ms", "received_to_ended" },
 };
 
+/// @returns the number of a key in "key=value" pairs, or nothing where there is none.
+std::optional<std::int64_t>
+FindNumber(absl::string_view aDetail, absl::string_view aKey)
+{
+  for (const absl::string_view part : absl::StrSplit(aDetail, ' ')) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+      absl::StrSplit(part, absl::MaxSplits('=', 1));
+    std::int64_t number = 0;
+    if (pair.first == aKey && absl::SimpleAtoi(pair.second, &number)) {
+      return number;
+    }
+  }
+  return std::nullopt;
+}
+
 using CounterFamily = prometheus::Family<prometheus::Counter>;
 
 CounterFamily&
@@ -100,26 +121,21 @@
 void
 EntryMetrics::Count(const LogLine& aLine)
 {
-  auto& counter = mCounters[aLine.Event()];
-  if (counter == nullptr) {
-    counter = &mEvents->Add({ { "event", aLine.Event() } });
-  }
-  counter->Increment();
-  for (const auto& timed : kTimed) {
-    if (aLine.Event() != timed.mEvent) {
-      continue;
+  auto& counters = mLines[aLine.Event()];
+  if (counters.mLines == nullptr) {
+    counters.mLines = &mEvents->Add({ { "event", aLine.Event() } });
+    const auto* timed = std::find_if(std::begin(kTimed), std::end(kTimed), [&](const auto& aTimed) {
+      return aLine.Event() == aTimed.mEvent;
+    });
+    if (timed != std::end(kTimed)) {
+      counters.mTimeKey = timed->mKey;
+      counters.mTime = &mTimes->Add({ { "stage", timed->mStage } }, kBounds);
     }
-    for (const absl::string_view part : absl::StrSplit(aLine.Detail(), ' ')) {
-      const std::pair<absl::string_view, absl::string_view> pair =
-        absl::StrSplit(part, absl::MaxSplits('=', 1));
-      std::int64_t ms = 0;
-      if (pair.first == timed.mKey && absl::SimpleAtoi(pair.second, &ms)) {
-        auto& histogram = mHistograms[timed.mStage];
-        if (histogram == nullptr) {
-          histogram = &mTimes->Add({ { "stage", timed.mStage } }, kBounds);
-        }
-        histogram->Observe(static_cast<double>(ms) / kMillisInSecond);
-      }
+  }
+  counters.mLines->Increment();
+  if (counters.mTime != nullptr) {
+    if (const auto ms = FindNumber(aLine.Detail(), counters.mTimeKey)) {
+      counters.mTime->Observe(static_cast<double>(*ms) / kMillisInSecond);
     }
   }
 }
--- a/modules/by_entryd/detail/EntryMetrics.h
+++ b/modules/by_entryd/detail/EntryMetrics.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "by_core/Time.h"
 #include "by_links/LinkDirection.h"
@@ -47,6 +48,15 @@
   std::string Text() const;
 
 private:
+  /// What is counted of the log lines of one event.
+  struct LineCounters
+  {
+    prometheus::Counter* mLines{ nullptr };
+    /// The key in the detail that holds a stage's time, and its histogram; empty for most events.
+    const char* mTimeKey{ nullptr };
+    prometheus::Histogram* mTime{ nullptr };
+  };
+
   struct LinkCounters
   {
     prometheus::Counter* mMessages;
@@ -63,13 +73,12 @@
   prometheus::Histogram* mQueueDelay;
   LinkCounters mReceived;
   LinkCounters mSent;
-  std::map<std::string, prometheus::Counter*> mCounters;
+  std::unordered_map<std::string, LineCounters> mLines;
   /// The counters of each kind of event.
   std::map<std::string_view, prometheus::Counter*> mHandledByKind;
   std::map<std::string_view, prometheus::Counter*> mDroppedByKind;
   std::map<std::string_view, prometheus::Counter*> mTimeByKind;
   std::map<std::string_view, prometheus::Counter*> mSamplesByKind;
-  std::map<std::string, prometheus::Histogram*> mHistograms;
 };
 
 } // namespace by::detail
