--- a/modules/by_entry/RelayState.h
+++ b/modules/by_entry/RelayState.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "by_cell/Effects.h"
 #include "by_core/Time.h"
 #include "by_entry/OpenOrder.h"
+#include "by_schema/WorkerOrder.h"
 
 namespace by {
 
@@ -18,6 +20,8 @@
   std::uint64_t mLastNumber{ 0 };
   /// Relayed orders without an answer, by number.
   std::map<std::uint64_t, OpenOrder> mOpen;
+  /// When the open orders and the relays are next checked.
+  Time mNextCheck{};
   /// The relay of each worker; empty for this node itself.
   std::map<std::string, std::string> mRelayOfWorker;
   /// Relays that left an order unanswered, and until when they get no orders.
@@ -26,6 +30,9 @@
   std::map<std::string, std::string> mFailedRelay;
   /// Orders of a new owner that wait for members to link.
   Effects mHeld;
+  /// Orders that wait for others to the same relay, and when they are sent.
+  std::map<std::string, std::vector<WorkerOrder>> mOutbox;
+  Time mSendAt{ Time::Never() };
 };
 
 } // namespace by
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -8,7 +8,9 @@
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Ownership.h"
 #include "by_entry/detail/Relays.h"
 #include "by_entry/detail/Settings.h"
@@ -31,15 +33,20 @@
   Time mNow;
   Effects& mOut;
 
-  void operator()(const ClockTick&) const
+  void operator()(const ClockTick& aEvent) const
   {
+    detail::UpdateLoad(mState, aEvent.QueueDelay(), mNow, mOut);
     detail::RetryClaim(mState, mNow, mOut);
     detail::MaintainLink(mState, mNow, mOut);
     detail::ExpireCalls(mState, mNow, mOut);
+    detail::ReportDroppedRequests(mState, mNow, mOut);
     detail::ExpireRelayedOrders(mState, mNow, mOut);
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
     }
+    detail::ConfirmOwnership(mState, mNow, mOut);
+    detail::ContinueHandover(mState, mNow, mOut);
+    detail::ExpireHandover(mState, mNow, mOut);
   }
   void operator()(const JobCall& aEvent) const { detail::HandleCall(mState, aEvent, mNow, mOut); }
   void operator()(const ClusterConfig& aEvent) const
@@ -133,7 +140,7 @@
     if (aEvent.Number() == 0) {
       ForwardToCell(aHandler, aEvent);
     } else {
-      detail::ReturnRelayedAnswer(mState, WorkerAnswer::Create({ .mBody = aEvent }).value(), mOut);
+      detail::KeepRelayedAnswer(mState, WorkerAnswer::Create({ .mBody = aEvent }).value(), mNow);
     }
   }
   template<class Event>
@@ -184,7 +191,8 @@
     }
   }
   detail::RelayWorkerOrders(aState, aNow, aOut);
-  detail::BroadcastStoreState(aState, aNow, aOut);
+  detail::ReturnRelayedAnswers(aState, aNow, aOut);
+  detail::BroadcastOwnerState(aState, aNow, aOut);
   detail::ContinueStop(aState, aNow, aOut);
   detail::PublishReadiness(aState, aNow, aOut);
   RemoveAnsweredCalls(aState, aOut);
@@ -232,12 +240,13 @@
 Time
 NextTick(const EntryState& aState, Time aNow)
 {
-  auto next = aNow + kMemberTickInterval;
+  auto next = std::min(aNow + kMemberTickInterval, aState.mReturnAnswersAt);
   if (!aState.mJoinInFlight && aState.mConfig && !aState.mStopping) {
     next = std::min(next, aState.mNextJoin);
   }
   if (aState.mCell) {
-    next = std::min({ next, aNow + kOwnerTickInterval, NextWorkTime(*aState.mCell) });
+    next = std::min(
+      { next, aNow + kOwnerTickInterval, NextWorkTime(*aState.mCell), aState.mRelays.mSendAt });
   }
   return std::max(next, aNow + kMinTickInterval);
 }
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -1,18 +1,23 @@
 #include "by_entry/detail/Calls.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
 
 namespace by::detail {
 
 namespace {
 
+/// Minimum time between two reports of dropped requests.
+constexpr Time kDropReportInterval = Time::FromMilliseconds(1000);
+
 void
 Answer(std::uint64_t aCall, JobReply::Fields aReply, Effects& aOut)
 {
@@ -22,13 +27,31 @@
 }
 
 void
-Refuse(const EntryState& aState, std::uint64_t aCall, Effects& aOut)
+Refuse(const EntryState& aState, std::uint64_t aCall, Time aNow, Effects& aOut)
 {
   Answer(aCall,
-         { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = aState.mSettings.RetryAfter() },
+         { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = RetryDelay(aState, aCall, aNow) },
          aOut);
 }
 
+/// Refuses a request of a member.
+void
+RefuseMember(const EntryState& aState,
+             const std::string& aNode,
+             std::uint64_t aCall,
+             Time aNow,
+             Effects& aOut)
+{
+  auto reply = JobReply::Create({ .mCall = aCall,
+                                  .mOutcome = JobCallOutcome::Refused,
+                                  .mRetryAfter = RetryDelay(aState, aCall, aNow) })
+                 .value();
+  Emit(aOut,
+       SendToMember::Create(
+         { .mNode = aNode, .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value() })
+         .value());
+}
+
 /// Ends a call without the owner's answer. A forwarded submission or cancellation may have been
 /// carried out, so its outcome is uncertain. A query has no effect and can be refused.
 void
@@ -36,6 +59,7 @@
            std::uint64_t aNumber,
            const OpenCall& aCall,
            const char* aReason,
+           Time aNow,
            Effects& aOut)
 {
   const bool mayHaveRun = aCall.mWasForwarded && (aCall.mRequest.Kind() == JobCallKind::Submit ||
@@ -54,7 +78,7 @@
   if (mayHaveRun) {
     Answer(aNumber, { .mOutcome = JobCallOutcome::Uncertain }, aOut);
   } else {
-    Refuse(aState, aNumber, aOut);
+    Refuse(aState, aNumber, aNow, aOut);
   }
 }
 
@@ -64,9 +88,25 @@
   return aState.mPhase == OwnerPhase::Owner || (aState.mLinkUp && aState.mOwnerActive);
 }
 
+/// @returns when the node stops waiting for the owner's answer to a call.
+Time
+AnswerDeadline(const EntryState& aState, const OpenCall& aCall)
+{
+  return std::min(aCall.mArrived + aState.mSettings.AnswerWait(), aCall.mDeadline);
+}
+
 void
 ForwardCall(EntryState& aState, std::uint64_t aNumber, OpenCall& aCall, Time aNow, Effects& aOut)
 {
+  const auto deadline = AnswerDeadline(aState, aCall);
+  if (aNow >= deadline) {
+    return;
+  }
+  if (const char* reason = RefusalReason(aState, aCall, aNow)) {
+    Log(aOut, "call.refused", aCall.mRequest.Job(), absl::StrCat("reason=", reason));
+    Refuse(aState, aNumber, aNow, aOut);
+    return;
+  }
   aCall.mWasForwarded = true;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mForwardedTo = aState.mEpoch;
@@ -74,8 +114,10 @@
     return;
   }
   aCall.mForwardedTo = aState.mOwner->Epoch();
+  auto request = aCall.mRequest.WithTimeout(deadline - aNow);
   Emit(aOut,
-       SendToOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = aCall.mRequest }).value() })
+       SendToOwner::Create(
+         { .mMessage = LinkMessage::Create({ .mBody = std::move(request) }).value() })
          .value());
 }
 
@@ -89,7 +131,7 @@
         "call.refused",
         aCall.Path(),
         absl::StrCat("reason=", aState.mExited ? "stopped" : "no configuration"));
-    Refuse(aState, aCall.Call(), aOut);
+    Refuse(aState, aCall.Call(), aNow, aOut);
     return;
   }
   const auto* queue = FindQueue(*aState.mConfig, aCall.Host(), aCall.Path());
@@ -151,6 +193,46 @@
   }
 }
 
+void
+HandleMemberRequest(EntryState& aState,
+                    const std::string& aNode,
+                    const CellRequest& aRequest,
+                    Time aReceived,
+                    Time aNow,
+                    Effects& aOut)
+{
+  if (aRequest.Timeout() > Time() && aReceived > Time() && aNow >= aReceived + aRequest.Timeout()) {
+    ++aState.mLoad.mDroppedRequests;
+    return;
+  }
+  if (aState.mPhase != OwnerPhase::Owner) {
+    Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
+    RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
+    return;
+  }
+  if (IsRefusedAsOverloaded(aState, aRequest)) {
+    Log(aOut, "job.refused", aRequest.Job(), "reason=owner overloaded");
+    RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
+    return;
+  }
+  HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
+}
+
+void
+ReportDroppedRequests(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mLoad.mDroppedRequests == 0 || aNow < aState.mLoad.mNextDropReport) {
+    return;
+  }
+  aState.mLoad.mNextDropReport = aNow + kDropReportInterval;
+  Log(
+    aOut,
+    "call.dropped",
+    aState.mSettings.Node(),
+    absl::StrCat(
+      "count=", std::exchange(aState.mLoad.mDroppedRequests, 0), " reason=callers no longer wait"));
+}
+
 void
 RequeueForwardedCalls(EntryState& aState)
 {
@@ -173,9 +255,19 @@
                aEntry.first,
                call,
                call.mForwardedTo ? "no answer from the owner" : "no owner",
+               aNow,
                aOut);
     return true;
   });
 }
 
+void
+GiveUpCalls(EntryState& aState, Time aNow, Effects& aOut)
+{
+  for (const auto& [number, call] : aState.mCalls) {
+    ExpireCall(aState, number, call, "planned stop", aNow, aOut);
+  }
+  aState.mCalls.clear();
+}
+
 } // namespace by::detail
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -25,8 +25,26 @@
 void
 RequeueForwardedCalls(EntryState& aState);
 
+/// Handles a request that a member forwarded. A request whose caller no longer waits is dropped
+/// without any effect; its node has already answered.
+void
+HandleMemberRequest(EntryState& aState,
+                    const std::string& aNode,
+                    const CellRequest& aRequest,
+                    Time aReceived,
+                    Time aNow,
+                    Effects& aOut);
+
+/// Logs how many requests were dropped since the last report.
+void
+ReportDroppedRequests(EntryState& aState, Time aNow, Effects& aOut);
+
 /// Answers the requests that have reached their deadline or their maximum wait.
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut);
 
+/// Answers all open requests without the owner's answer, because the process exits.
+void
+GiveUpCalls(EntryState& aState, Time aNow, Effects& aOut);
+
 } // namespace by::detail
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -199,11 +199,10 @@
     const auto* request =
       message == nullptr ? nullptr : std::get_if<CellRequest>(&message->Message().Body());
     if (request != nullptr) {
-      Write(
-        LogLine::Create({ .mEvent = "call.dropped",
-                          .mSubject = request->Job(),
-                          .mDetail = absl::StrCat("from=", message->Node(), " reason=link lost") })
-          .value());
+      Write(LogLine::Create({ .mEvent = "call.link_lost",
+                              .mSubject = request->Job(),
+                              .mDetail = absl::StrCat("from=", message->Node()) })
+              .value());
     }
   }
 }
