Look up less for each task and ticket of a placement pass

A pass looked each ticket of a step up again by the name of its worker while it went over the tickets, and found each task of a step by the name of its job, placed or not. It now reads the validity at hand and goes through the tasks of the occurrence.

by_cell_tests: 62 passed; properties_tests: 9; by_entry_tests: 29; platform_tests: 19.

--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -130,11 +130,17 @@
 
 } // namespace
 
+bool
+IsTicketUsable(Time aValidUntil, Time aNow)
+{
+  return aNow + kTicketMargin < aValidUntil;
+}
+
 bool
 HasTicket(const StepAdvice& aAdvice, const std::string& aWorker, Time aNow)
 {
   const auto it = aAdvice.mValidUntil.find(aWorker);
-  return it != aAdvice.mValidUntil.end() && aNow + kTicketMargin < it->second;
+  return it != aAdvice.mValidUntil.end() && IsTicketUsable(it->second, aNow);
 }
 
 bool
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -35,6 +35,10 @@
 void
 CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice);
 
+/// @returns whether a ticket stays valid long enough to be used.
+bool
+IsTicketUsable(Time aValidUntil, Time aNow);
+
 /// @returns whether a worker holds a ticket for a step that stays valid long enough to be used.
 bool
 HasTicket(const StepAdvice& aAdvice, const std::string& aWorker, Time aNow);
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -88,7 +88,7 @@
 {
   Candidates holders;
   for (const auto& [id, until] : aAdvice.mValidUntil) {
-    if (!HasTicket(aAdvice, id, aNow)) {
+    if (!IsTicketUsable(until, aNow)) {
       continue;
     }
     const auto it = aState.mWorkers.find(id);
@@ -205,17 +205,19 @@
                       const Candidates& aCandidates)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
+  const auto& occurrence = aJob.mOccurrences.at(aKey.mOccurrence);
+  const auto first = occurrence.mSteps[aKey.mStep].mFirst;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = TaskOf(aKey, i);
-    const auto* row = FindTask(aPass.mState, task);
-    if (row->mProgress.Phase() != JobTaskPhase::Waiting || row->mLiveRuns > 0) {
+    const auto& row = occurrence.mTasks[first + i];
+    if (row.mProgress.Phase() != JobTaskPhase::Waiting || row.mLiveRuns > 0) {
       continue;
     }
+    const auto task = TaskOf(aKey, i);
     auto* worker = FindBestWorker(aPass, aCandidates, step, task, nullptr);
     if (worker == nullptr) {
       return;
     }
-    Assign(aPass, aJob, task, *worker, row->mProgress.Run() + 1);
+    Assign(aPass, aJob, task, *worker, row.mProgress.Run() + 1);
   }
 }
 
