--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -4,8 +4,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "by_cell/CellState.h"
+#include "by_entry/HandoverState.h"
+#include "by_entry/LoadState.h"
 #include "by_entry/MemberRow.h"
 #include "by_entry/OpenCall.h"
 #include "by_entry/OwnerPhase.h"
@@ -14,6 +17,7 @@
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/EntrySettings.h"
 #include "by_schema/MaintenanceWave.h"
+#include "by_schema/WorkerAnswer.h"
 
 namespace by {
 
@@ -34,6 +38,8 @@
   Time mNextJoin{};
   /// When the last successful join request was sent; zero before the first.
   Time mJoinedAt{};
+  /// When a call of this node to the store last failed; zero before the first.
+  Time mStoreFailedAt{};
   /// Whether the group elected this node to own the cell.
   bool mElected{ false };
 
@@ -41,18 +47,33 @@
   OwnerPhase mPhase{ OwnerPhase::Member };
   /// The epoch that this node last claimed.
   std::uint64_t mEpoch{ 0 };
+  /// The newest epoch known when this node began to claim; empty if no claim was known.
+  std::optional<std::uint64_t> mClaimedAfter;
   /// The number of the last request to read the claim.
   std::uint64_t mClaimReadNumber{ 0 };
+  /// At the owner, when the last read of the claim that confirms its ownership was sent, and
+  /// whether it is unanswered.
+  Time mConfirmSentAt{};
+  bool mConfirmInFlight{ false };
   /// When a failed step of acquiring the cell is retried; Never() if none failed.
   Time mRetryAt{ Time::Never() };
   /// The cell, while this node owns it; empty otherwise.
   std::optional<CellState> mCell;
 
+  /// How far this node is behind.
+  LoadState mLoad;
+  /// The handover of the cell to a larger node.
+  HandoverState mHandover;
   /// How the owner's orders reach the workers.
   RelayState mRelays;
+  /// Answers to relayed orders that wait to be returned to the owner, and when they are sent.
+  std::vector<WorkerAnswer> mRelayedAnswers;
+  Time mReturnAnswersAt{ Time::Never() };
 
   /// The newest claim that was read; empty until one is read.
   std::optional<CellClaim> mOwner;
+  /// When the newest claim was read.
+  Time mOwnerKnownAt{};
   /// Whether the link to the owner is up.
   bool mLinkUp{ false };
   /// When the link to the owner went down.
@@ -62,6 +83,8 @@
   bool mOwnerActive{ false };
   bool mOwnerLeaving{ false };
   bool mOwnerLostStore{ false };
+  /// Since when the owner takes no new jobs because it is overloaded; Never() while it takes them.
+  Time mOwnerOverloadedAt{ Time::Never() };
   /// When the owner became known to be gone, leaving or without the store, so that any node may
   /// claim the cell; Never() otherwise.
   Time mOwnerReleasedAt{ Time::Never() };
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -9,13 +9,15 @@
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/Handover.h"
+#include "by_entry/detail/Load.h"
 #include "by_entry/detail/Relays.h"
 
 namespace by::detail {
 
 namespace {
 
-/// Delay before a failed connection to the owner is retried.
+/// Minimum interval between attempts to connect to the owner.
 constexpr Time kLinkRetryDelay = Time::FromMilliseconds(200);
 
 template<class Body>
@@ -48,15 +50,17 @@
          aNow;
 }
 
-/// Sends a member the heartbeat that says whether this node is the owner and has the store.
+/// Sends a member the heartbeat that says whether this node is the owner, has the store and takes
+/// new jobs.
 void
 SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
 {
   const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  auto heartbeat =
-    LinkHeartbeat::Create(
-      { .mEpoch = aState.mEpoch, .mOwner = isOwner, .mStoreLost = HasLostStore(aState, aNow) })
-      .value();
+  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
+                                           .mOwner = isOwner,
+                                           .mStoreLost = HasLostStore(aState, aNow),
+                                           .mOverloaded = IsOverloadedOwner(aState) })
+                     .value();
   Emit(
     aOut,
     SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
@@ -72,6 +76,8 @@
         absl::StrCat("epoch=", aHeartbeat.Epoch()));
   }
   aState.mOwnerLostStore = aHeartbeat.StoreLost();
+  aState.mOwnerOverloadedAt =
+    aHeartbeat.Overloaded() ? std::min(aState.mOwnerOverloadedAt, aNow) : Time::Never();
   if (aHeartbeat.StoreLost()) {
     aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
   } else if (!aState.mOwnerLeaving) {
@@ -82,26 +88,6 @@
   }
 }
 
-void
-HandleMemberRequest(EntryState& aState,
-                    const std::string& aNode,
-                    const CellRequest& aRequest,
-                    Time aNow,
-                    Effects& aOut)
-{
-  if (aState.mPhase == OwnerPhase::Owner) {
-    HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
-    return;
-  }
-  Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
-  auto reply = JobReply::Create({ .mCall = aRequest.Call(),
-                                  .mOutcome = JobCallOutcome::Refused,
-                                  .mRetryAfter = aState.mSettings.RetryAfter() })
-                 .value();
-  Emit(aOut,
-       SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(reply)) }).value());
-}
-
 } // namespace
 
 void
@@ -112,12 +98,16 @@
       absl::StrCat("epoch ", aClaim.Epoch()),
       absl::StrCat("node=", aClaim.Node(), " link=", aClaim.Link().Address()));
   aState.mOwner = aClaim;
+  aState.mOwnerKnownAt = aNow;
   aState.mLinkUp = false;
   aState.mLinkDownAt = aNow;
   aState.mOwnerActive = false;
   aState.mOwnerLeaving = false;
   aState.mOwnerLostStore = false;
+  aState.mOwnerOverloadedAt = Time::Never();
   aState.mOwnerReleasedAt = Time::Never();
+  aState.mHandover.mAwaitedUntil = Time::Never();
+  aState.mHandover.mIsSuccessor = false;
   if (aState.mPhase != OwnerPhase::Owner) {
     RequeueForwardedCalls(aState);
   }
@@ -155,13 +145,17 @@
   const bool wasUp = std::exchange(aState.mLinkUp, aEvent.Up());
   if (!aEvent.Up()) {
     aState.mOwnerActive = false;
+    aState.mOwnerOverloadedAt = Time::Never();
     RequeueForwardedCalls(aState);
     if (aEvent.Refused() && aState.mOwnerReleasedAt == Time::Never()) {
       aState.mOwnerReleasedAt = aNow;
     }
     if (wasUp) {
       aState.mLinkDownAt = aNow;
-      Reconnect(aState, aNow, aOut);
+      // A link that is reset as soon as it is open is opened again by MaintainLink() after the delay.
+      if (aNow >= aState.mConnectedAt + kLinkRetryDelay) {
+        Reconnect(aState, aNow, aOut);
+      }
     }
     return;
   }
@@ -193,11 +187,7 @@
     // A query has no side effects, so the epoch of the owner that sent it is not checked.
     Emit(aOut, *query);
   } else if (const auto* leaving = std::get_if<OwnerLeaving>(&body)) {
-    Log(
-      aOut, "owner.leaving", absl::StrCat("epoch ", leaving->Epoch()), "next=rejoin the group now");
-    aState.mNextJoin = aNow;
-    aState.mOwnerLeaving = true;
-    aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
+    HandleOwnerLeaving(aState, *leaving, aNow, aOut);
   } else if (const auto* orders = std::get_if<RelayOrders>(&body)) {
     PerformRelayOrders(*orders, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
@@ -218,7 +208,7 @@
     }
   }
   if (const auto* request = std::get_if<CellRequest>(&body)) {
-    HandleMemberRequest(aState, aEvent.Node(), *request, aNow, aOut);
+    HandleMemberRequest(aState, aEvent.Node(), *request, aEvent.Received(), aNow, aOut);
   } else if (const auto* advice = std::get_if<AdviceAnswered>(&body)) {
     if (aState.mCell) {
       HandleAdvice(*aState.mCell, *advice, aNow, aOut);
@@ -260,12 +250,21 @@
 }
 
 void
-BroadcastStoreState(EntryState& aState, Time aNow, Effects& aOut)
+BroadcastOwnerState(EntryState& aState, Time aNow, Effects& aOut)
 {
   const bool isLost = HasLostStore(aState, aNow);
-  if (std::exchange(aState.mStoreLossPublished, isLost) == isLost) {
+  const bool isOverloaded = IsOverloadedOwner(aState);
+  if (std::exchange(aState.mStoreLossPublished, isLost) == isLost &&
+      aState.mLoad.mOverloadPublished == isOverloaded) {
     return;
   }
+  aState.mLoad.mOverloadPublished = isOverloaded;
+  SendMemberHeartbeats(aState, aNow, aOut);
+}
+
+void
+SendMemberHeartbeats(const EntryState& aState, Time aNow, Effects& aOut)
+{
   for (const auto& [node, member] : aState.mMembers) {
     SendMemberHeartbeat(aState, node, aNow, aOut);
   }
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -25,6 +25,19 @@
 /// number of steps derived from their incarnation, so that they seldom claim at the same time.
 constexpr std::int64_t kPreemptiveClaimStepMs = 15;
 constexpr std::uint64_t kPreemptiveClaimSteps = 8;
+/// Nodes with less processor time than a share claim a released cell later, so that a larger node
+/// becomes the owner where there is one. [millicores]
+constexpr std::uint32_t kSmallShare = 250;
+constexpr std::uint32_t kMediumShare = 500;
+constexpr Time kSmallShareDelay = Time::FromMilliseconds(150);
+constexpr Time kMediumShareDelay = Time::FromMilliseconds(75);
+/// An owner that the store has not confirmed for this long reads the claim, at most this often.
+constexpr Time kConfirmInterval = Time::FromMilliseconds(1000);
+/// A linked owner that has just claimed the cell is given this long to load it.
+constexpr Time kOwnerLoadTimeout = Time::FromMilliseconds(1500);
+/// After an outage of the store, an owner that lost it is given this long to regain it before
+/// another node claims the cell.
+constexpr Time kStoreRegainTime = Time::FromMilliseconds(500);
 /// Minimum time between claims of a node that was not elected. It keeps nodes that cannot reach
 /// each other from claiming the cell from each other endlessly.
 constexpr Time kPreemptiveClaimInterval = Time::FromMilliseconds(3000);
@@ -42,14 +55,67 @@
          aClaim.Incarnation() == aState.mSettings.Incarnation();
 }
 
+/// @returns how long this node leaves the claim of a released cell to larger nodes. An elected node
+/// does not wait if the owner has left, since a cell without an owner costs more than a small one.
+Time
+ShareDelay(const EntryState& aState)
+{
+  const auto share = aState.mSettings.ProcessorShare();
+  if (share >= kMediumShare || (aState.mElected && !aState.mLinkUp)) {
+    return {};
+  }
+  return share < kSmallShare ? kSmallShareDelay : kMediumShareDelay;
+}
+
+/// @returns whether an owner that reports the store as lost may just as well be hit by an outage
+/// that hit this node too, and may regain the store by itself.
+bool
+MayOwnerRegainStore(const EntryState& aState, Time aNow)
+{
+  return aState.mOwnerLostStore && !aState.mOwnerLeaving && aState.mLinkUp &&
+         aNow < aState.mStoreFailedAt + kStoreRegainTime;
+}
+
+/// @returns whether another node has claimed the cell since this node began to claim it.
+bool
+IsForestalled(const EntryState& aState, const CellClaim& aClaim)
+{
+  return aState.mClaimedAfter && aClaim.Epoch() > *aState.mClaimedAfter &&
+         !IsClaimOfThisProcess(aState, aClaim);
+}
+
 void
-BeginClaim(EntryState& aState, Effects& aOut)
+ReadNewestClaim(EntryState& aState, Effects& aOut)
 {
   aState.mPhase = OwnerPhase::ReadingClaim;
   aState.mRetryAt = Time::Never();
   Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mClaimReadNumber }).value());
 }
 
+void
+BeginClaim(EntryState& aState, Effects& aOut)
+{
+  aState.mHandover.mIsSuccessor = false;
+  aState.mClaimedAfter = aState.mOwner ? std::optional(aState.mOwner->Epoch()) : std::nullopt;
+  ReadNewestClaim(aState, aOut);
+}
+
+/// Takes the answer to a read of ConfirmOwnership; claims that the store reports by itself have no
+/// end.
+void
+HandleConfirmation(EntryState& aState, const ClaimRead& aEvent)
+{
+  const bool isDone = aEvent.Outcome() == StoreOutcome::Done;
+  if (!aState.mConfirmInFlight || (isDone && aEvent.End() == 0)) {
+    return;
+  }
+  aState.mConfirmInFlight = false;
+  if (isDone && aState.mPhase == OwnerPhase::Owner && aEvent.Claim() &&
+      aEvent.Claim()->Epoch() == aState.mEpoch && IsClaimOfThisProcess(aState, *aEvent.Claim())) {
+    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aState.mConfirmSentAt);
+  }
+}
+
 void
 BeginLoad(EntryState& aState, std::uint64_t aEpoch, Effects& aOut)
 {
@@ -95,6 +161,7 @@
 {
   aState.mJoinInFlight = false;
   if (aEvent.Outcome() != StoreOutcome::Done) {
+    aState.mStoreFailedAt = aNow;
     aState.mNextJoin = aNow;
     if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
       Log(aOut,
@@ -131,10 +198,15 @@
   }
   const bool hasNoOtherOwner = !aState.mOwner || aState.mOwner->Node() == aState.mSettings.Node();
   const bool isUnreachable = !aState.mLinkUp && aNow > aState.mLinkDownAt + kOwnerLossTimeout;
-  const bool isInactive =
-    aState.mLinkUp && !aState.mOwnerActive && aNow > aState.mOwnerHeardAt + kOwnerLossTimeout;
-  if (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || aState.mOwnerLeaving ||
-                          aState.mOwnerLostStore)) {
+  const bool isInactive = aState.mLinkUp && !aState.mOwnerActive &&
+                          aNow > aState.mOwnerHeardAt + kOwnerLossTimeout &&
+                          aNow > aState.mOwnerKnownAt + kOwnerLoadTimeout;
+  if (MayOwnerRegainStore(aState, aNow)) {
+    return;
+  }
+  const bool isReleased = (aState.mOwnerLeaving || aState.mOwnerLostStore) &&
+                          aNow >= aState.mOwnerReleasedAt + ShareDelay(aState);
+  if (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || isReleased)) {
     Log(aOut,
         "owner.claiming",
         aState.mSettings.Node(),
@@ -153,10 +225,11 @@
   }
   const auto step =
     static_cast<std::int64_t>(aState.mSettings.Incarnation() % kPreemptiveClaimSteps);
-  const auto preemptAt =
-    aState.mOwnerReleasedAt + Time::FromMilliseconds(step * kPreemptiveClaimStepMs);
-  if (!hasNoOtherOwner && preemptAt <= aNow &&
-      aNow > aState.mPreemptiveClaimAt + kPreemptiveClaimInterval) {
+  const auto preemptAt = aState.mOwnerReleasedAt + ShareDelay(aState) +
+                         Time::FromMilliseconds(step * kPreemptiveClaimStepMs);
+  const bool mayPreempt =
+    preemptAt <= aNow && aNow > aState.mPreemptiveClaimAt + kPreemptiveClaimInterval;
+  if (!hasNoOtherOwner && (aState.mHandover.mIsSuccessor || mayPreempt)) {
     aState.mPreemptiveClaimAt = aNow;
     Log(aOut,
         "owner.claiming",
@@ -166,16 +239,35 @@
                      " store_lost=",
                      aState.mOwnerLostStore,
                      " link_up=",
-                     aState.mLinkUp));
+                     aState.mLinkUp,
+                     " successor=",
+                     aState.mHandover.mIsSuccessor));
     BeginClaim(aState, aOut);
   }
 }
 
+void
+ConfirmOwnership(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mPhase != OwnerPhase::Owner || aState.mConfirmInFlight ||
+      aNow < aState.mConfirmSentAt + kConfirmInterval ||
+      aNow < aState.mCell->mConfirmedAt + kConfirmInterval) {
+    return;
+  }
+  aState.mConfirmInFlight = true;
+  aState.mConfirmSentAt = aNow;
+  Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mClaimReadNumber }).value());
+}
+
 void
 HandleClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut)
 {
+  HandleConfirmation(aState, aEvent);
   if (aEvent.Outcome() != StoreOutcome::Done) {
-    if (aState.mPhase == OwnerPhase::ReadingClaim) {
+    aState.mStoreFailedAt = aNow;
+    if (aState.mPhase == OwnerPhase::ReadingClaim && MayOwnerRegainStore(aState, aNow)) {
+      aState.mPhase = OwnerPhase::Member;
+    } else if (aState.mPhase == OwnerPhase::ReadingClaim) {
       aState.mRetryAt = aNow + kClaimRetryDelay;
     }
     return;
@@ -192,8 +284,9 @@
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
   }
-  if (claim && !aState.mElected && !IsClaimOfThisProcess(aState, *claim) &&
-      aState.mOwnerReleasedAt == Time::Never()) {
+  if (claim && (IsForestalled(aState, *claim) ||
+                (!aState.mElected && !IsClaimOfThisProcess(aState, *claim) &&
+                 aState.mOwnerReleasedAt == Time::Never()))) {
     // Another node claimed first; its claim has just been recorded as the owner's.
     aState.mPhase = OwnerPhase::Member;
     return;
@@ -260,6 +353,7 @@
       .value());
   Emit(aOut, ConnectToOwner());
   aState.mLinkUp = false;
+  SendMemberHeartbeats(aState, aNow, aOut);
   ForwardCalls(aState, aNow, aOut);
 }
 
@@ -273,6 +367,8 @@
   aState.mPhase = OwnerPhase::Member;
   aState.mRetryAt = Time::Never();
   aState.mCell.reset();
+  aState.mConfirmInFlight = false;
+  aState.mHandover.mSuccessor.clear();
   aState.mRelays = {};
   Emit(aOut, WatchWorkers::Create({ .mFollow = false }).value());
   RequeueForwardedCalls(aState);
@@ -289,7 +385,7 @@
   }
   aState.mRetryAt = Time::Never();
   if (aState.mPhase == OwnerPhase::ReadingClaim) {
-    BeginClaim(aState, aOut);
+    ReadNewestClaim(aState, aOut);
   } else if (aState.mPhase == OwnerPhase::Loading) {
     Emit(aOut, LoadCell::Create({ .mEpoch = aState.mEpoch }).value());
   }
--- a/modules/by_links/LinkClient.h
+++ b/modules/by_links/LinkClient.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "by_links/LinkDirection.h"
 #include "by_schema/Endpoint.h"
 #include "by_schema/LinkMessage.h"
 
@@ -24,13 +27,17 @@
 public:
   /// Told that the link to a peer is up or down, and whether the peer's machine refused it.
   using Changed = std::function<void(const Endpoint&, bool aUp, bool aRefused)>;
-  /// Told of each message of the peer.
-  using Received = std::function<void(const LinkMessage&)>;
+  /// Told of the messages of one read from the peer, in their order.
+  using Received = std::function<void(std::vector<LinkMessage>)>;
+
+  /// Told of messages that were received or are being sent, and their bytes on the wire.
+  using Counted = std::function<void(LinkDirection, std::size_t aMessages, std::size_t aBytes)>;
 
   /// @param aContext runs the link; outlives it.
   static std::shared_ptr<LinkClient> Create(boost::asio::io_context& aContext,
                                             Changed aChanged,
-                                            Received aReceived);
+                                            Received aReceived,
+                                            Counted aCounted);
 
   /// Closes the open link and opens one to another peer.
   /// @param aPeer port 0 only closes.
@@ -41,11 +48,15 @@
   void Close();
 
 private:
-  LinkClient(boost::asio::io_context& aContext, Changed aChanged, Received aReceived);
+  LinkClient(boost::asio::io_context& aContext,
+             Changed aChanged,
+             Received aReceived,
+             Counted aCounted);
 
   boost::asio::io_context& mContext;
   Changed mChanged;
   Received mReceived;
+  Counted mCounted;
   boost::asio::steady_timer mTimer;
   Endpoint mPeer;
   std::uint64_t mTry{ 0 };
--- a/modules/by_links/LinkServer.cpp
+++ b/modules/by_links/LinkServer.cpp
@@ -19,10 +19,11 @@
 LinkServer::Create(boost::asio::io_context& aContext,
                    const Endpoint& aListen,
                    Changed aChanged,
-                   Received aReceived)
+                   Received aReceived,
+                   Counted aCounted)
 {
   std::shared_ptr<LinkServer> server(
-    new LinkServer(aContext, std::move(aChanged), std::move(aReceived)));
+    new LinkServer(aContext, std::move(aChanged), std::move(aReceived), std::move(aCounted)));
   const auto status = server->Listen(aListen);
   if (!status.ok()) {
     return status;
@@ -30,10 +31,14 @@
   return server;
 }
 
-LinkServer::LinkServer(boost::asio::io_context& aContext, Changed aChanged, Received aReceived)
+LinkServer::LinkServer(boost::asio::io_context& aContext,
+                       Changed aChanged,
+                       Received aReceived,
+                       Counted aCounted)
   : mAcceptor(aContext)
   , mChanged(std::move(aChanged))
   , mReceived(std::move(aReceived))
+  , mCounted(std::move(aCounted))
 {
 }
 
@@ -72,16 +77,17 @@
       return;
     }
     if (!aError) {
-      auto connection = std::make_shared<detail::LinkConnection>(std::move(aSocket));
+      auto connection =
+        std::make_shared<detail::LinkConnection>(std::move(aSocket), self->mCounted);
       auto node = std::make_shared<std::string>();
       self->mOpen.insert(connection);
       std::weak_ptr<detail::LinkConnection> held = connection;
       connection->Start(
-        [weak, held, node](const LinkMessage& aMessage) {
+        [weak, held, node](std::vector<LinkMessage> aMessages) {
           const auto server = weak.lock();
           const auto link = held.lock();
           if (server && link) {
-            server->TakeFirst(link, node, aMessage);
+            server->Take(link, node, std::move(aMessages));
           }
         },
         [weak, held, node] {
@@ -103,15 +109,15 @@
 }
 
 void
-LinkServer::TakeFirst(const std::shared_ptr<detail::LinkConnection>& aConnection,
-                      const std::shared_ptr<std::string>& aNode,
-                      const LinkMessage& aMessage)
+LinkServer::Take(const std::shared_ptr<detail::LinkConnection>& aConnection,
+                 const std::shared_ptr<std::string>& aNode,
+                 std::vector<LinkMessage> aMessages)
 {
   if (!aNode->empty()) {
-    mReceived(*aNode, aMessage);
+    mReceived(*aNode, std::move(aMessages));
     return;
   }
-  const auto* hello = std::get_if<LinkHello>(&aMessage.Body());
+  const auto* hello = std::get_if<LinkHello>(&aMessages.front().Body());
   if (hello == nullptr || hello->Node().empty()) {
     mOpen.erase(aConnection);
     aConnection->Close();
@@ -126,7 +132,7 @@
   }
   link = aConnection;
   mChanged(*aNode, true);
-  mReceived(*aNode, aMessage);
+  mReceived(*aNode, std::move(aMessages));
 }
 
 void
--- a/modules/by_links/LinkServer.h
+++ b/modules/by_links/LinkServer.h
@@ -1,17 +1,20 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "absl/status/statusor.h"
 
+#include "by_links/LinkDirection.h"
 #include "by_schema/Endpoint.h"
 #include "by_schema/LinkMessage.h"
 
@@ -29,15 +32,19 @@
 public:
   /// Told that a node has named itself on a link, or that its link is over.
   using Changed = std::function<void(const std::string&, bool)>;
-  /// Told of each message of a node, beginning with the one that names it.
-  using Received = std::function<void(const std::string&, const LinkMessage&)>;
+  /// Told of the messages of one read from a node, in their order; the first of all names the node.
+  using Received = std::function<void(const std::string&, std::vector<LinkMessage>)>;
+
+  /// Told of messages that were received or are being sent, and their bytes on the wire.
+  using Counted = std::function<void(LinkDirection, std::size_t aMessages, std::size_t aBytes)>;
 
   /// Listens.
   /// @returns the server, or Unavailable where the port can't be had.
   static absl::StatusOr<std::shared_ptr<LinkServer>> Create(boost::asio::io_context& aContext,
                                                             const Endpoint& aListen,
                                                             Changed aChanged,
-                                                            Received aReceived);
+                                                            Received aReceived,
+                                                            Counted aCounted);
 
   /// Sends a message to a node; it is dropped where the node has no link.
   void Send(const std::string& aNode, const LinkMessage& aMessage);
@@ -47,17 +54,21 @@
   std::uint16_t Port() const { return mPort; }
 
 private:
-  LinkServer(boost::asio::io_context& aContext, Changed aChanged, Received aReceived);
+  LinkServer(boost::asio::io_context& aContext,
+             Changed aChanged,
+             Received aReceived,
+             Counted aCounted);
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
-  void TakeFirst(const std::shared_ptr<detail::LinkConnection>& aConnection,
-                 const std::shared_ptr<std::string>& aNode,
-                 const LinkMessage& aMessage);
+  void Take(const std::shared_ptr<detail::LinkConnection>& aConnection,
+            const std::shared_ptr<std::string>& aNode,
+            std::vector<LinkMessage> aMessages);
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   Changed mChanged;
   Received mReceived;
+  Counted mCounted;
   std::uint16_t mPort{ 0 };
   /// Links whose node is known.
   std::map<std::string, std::shared_ptr<detail::LinkConnection>> mLinks;
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -235,6 +235,25 @@
   CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
 }
 
+// Callers keep using their open connections until the process is gone, so that at the end of the
+// grace time some requests have just been read. Without an owner they were still waiting for one,
+// and the process exited without an answer to them.
+TEST(Entry, CallsOpenAtTheEndOfTheGraceTimeAreAnswered)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  constexpr std::uint64_t kCalls = 13;
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    node.SendCall(call, JobCallKind::Submit, kJobPath);
+    node.Advance(Time::FromMilliseconds(400));
+  }
+  CHECK(node.Take<ExitEntry>().empty());
+  node.Advance(Time::FromMilliseconds(150));
+  CHECK_EQUAL(1, node.Take<ExitEntry>().size());
+  CHECK(node.TakeOutcomes() == std::vector(kCalls, JobCallOutcome::Refused));
+}
+
 TEST(Entry, ReloadedSettingsApplyExceptTheProcessIdentity)
 {
   EntryFixture node;
@@ -251,6 +270,30 @@
   CHECK(node.mState.mSettings == before.WithCell(cell));
 }
 
+// A link that was accepted and then reset was opened again at once, each time, so that members
+// whose links were all reset opened thousands of them a second and logged each.
+TEST(Entry, LinkThatIsResetAtOnceIsReopenedAfterADelay)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  node.SetRemoteOwner(3);
+  const auto owner = node.mState.mOwner->Link();
+  const auto flap = [&] {
+    node.Deliver(LinkChanged::Create({ .mPeer = owner, .mUp = true }).value());
+    node.Deliver(LinkChanged::Create({ .mPeer = owner, .mUp = false }).value());
+  };
+  node.Advance(Time::FromSeconds(1));
+  node.Take<ConnectToOwner>();
+  node.Deliver(LinkChanged::Create({ .mPeer = owner, .mUp = false }).value());
+  CHECK(node.Take<ConnectToOwner>().size() == 1);
+  flap();
+  flap();
+  CHECK(node.Take<ConnectToOwner>().empty());
+  node.Advance(Time::FromMilliseconds(250));
+  CHECK(node.Take<ConnectToOwner>().size() == 1);
+}
+
 TEST(Entry, LinkToASilentOwnerIsReopened)
 {
   EntryFixture node;
@@ -280,3 +323,34 @@
     return heartbeat != nullptr && heartbeat->StoreLost();
   }));
 }
+
+// After an outage of the store for all nodes the elected node claimed the cell at once, although
+// its owner regained the store within a tenth of a second. The takeover cost two seconds.
+TEST(Entry, OwnerMayRegainTheStoreBeforeAnotherNodeClaims)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered }).value());
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  node.Deliver(
+    FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+  node.Join(true);
+  node.Advance(Time::FromMilliseconds(400));
+  CHECK(node.Take<ReadClaim>().empty());
+  node.Advance(Time::FromMilliseconds(200));
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
+
+TEST(Entry, NodeThatReachesTheStoreClaimsAtOnceFromAnOwnerThatDoesNot)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  node.Deliver(
+    FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
