Restore occurrences that are due only by an earlier owner's clock

A new owner whose clock was behind that of its predecessor opened fewer occurrences of a scheduled job than had records, and left those records aside: when the occurrence became due, its tasks were placed again with run numbers from 1, and since an ended job drops only what was written or restored, the records would never have been dropped. Occurrences up to the recorded one are now opened first.

--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -76,11 +76,23 @@
     aJob.mStarted || aProgress.Phase() == JobTaskPhase::Done || !aProgress.FailedRuns().empty();
 }
 
+/// @returns the occurrence that a record belongs to, opened, or nullptr where its job has ended.
+OccurrenceRow*
+RecordedOccurrence(CellState& aState, const std::string& aJob, std::uint32_t aIndex)
+{
+  auto* job = detail::FindJob(aState, aJob);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  detail::OpenOccurrencesThrough(aState, *job, aIndex);
+  return detail::FindOccurrence(aState, aJob, aIndex);
+}
+
 /// Restores the tasks of an occurrence from the record that earlier versions wrote.
 void
 RestoreOccurrence(CellState& aState, const OccurrenceProgress& aRecord)
 {
-  auto* occurrence = detail::FindOccurrence(aState, aRecord.Job(), aRecord.Index());
+  auto* occurrence = RecordedOccurrence(aState, aRecord.Job(), aRecord.Index());
   if (occurrence == nullptr || occurrence->mTasks.size() != aRecord.Tasks().size()) {
     return;
   }
@@ -94,7 +106,7 @@
 void
 RestoreRecordedTask(CellState& aState, const TaskRecord& aRecord)
 {
-  auto* occurrence = detail::FindOccurrence(aState, aRecord.Job(), aRecord.Occurrence());
+  auto* occurrence = RecordedOccurrence(aState, aRecord.Job(), aRecord.Occurrence());
   if (occurrence == nullptr || aRecord.Index() >= occurrence->mTasks.size()) {
     return;
   }
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -61,6 +61,23 @@
   }
 }
 
+Time
+DueTime(const Job& aJob, std::uint32_t aOccurrence)
+{
+  const auto& definition = aJob.Definition();
+  return definition.Occurrences() == 0
+           ? aJob.Accepted()
+           : definition.FirstDue() + definition.Interval() * aOccurrence;
+}
+
+void
+OpenNextOccurrence(CellState& aState, JobRow& aJob)
+{
+  const auto index = aJob.mNextOccurrence++;
+  OpenOccurrence(aState, aJob, index, DueTime(aJob.mJob, index));
+  RefreshOccurrence(aState, aJob, index);
+}
+
 void
 RemoveReadySteps(CellState& aState, JobRow& aJob)
 {
@@ -133,17 +150,21 @@
   const auto& definition = aJob.mJob.Definition();
   const auto count = CountOccurrences(definition);
   while (aJob.mNextOccurrence < count) {
-    const auto index = aJob.mNextOccurrence;
-    const auto due = definition.Occurrences() == 0
-                       ? aJob.mJob.Accepted()
-                       : definition.FirstDue() + definition.Interval() * index;
+    const auto due = DueTime(aJob.mJob, aJob.mNextOccurrence);
     if (definition.Occurrences() > 0 && due > aNow) {
       aState.mSchedule.emplace(due, aJob.mJob.Id());
       return;
     }
-    ++aJob.mNextOccurrence;
-    OpenOccurrence(aState, aJob, index, due);
-    RefreshOccurrence(aState, aJob, index);
+    OpenNextOccurrence(aState, aJob);
+  }
+}
+
+void
+OpenOccurrencesThrough(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence)
+{
+  const auto count = CountOccurrences(aJob.mJob.Definition());
+  while (aJob.mNextOccurrence <= aOccurrence && aOccurrence < count) {
+    OpenNextOccurrence(aState, aJob);
   }
 }
 
--- a/modules/by_cell/detail/Jobs.h
+++ b/modules/by_cell/detail/Jobs.h
@@ -15,6 +15,11 @@
 void
 OpenDueOccurrences(CellState& aState, JobRow& aJob, Time aNow);
 
+/// Opens the occurrences of a job up to one that an earlier owner has opened; its clock may have
+/// been ahead.
+void
+OpenOccurrencesThrough(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence);
+
 /// Updates the key of a step among the ready steps, or removes the step, according to the state of
 /// its tasks.
 void
--- a/tests/by_cell/RecordsTest.cpp
+++ b/tests/by_cell/RecordsTest.cpp
@@ -163,3 +163,30 @@
   CHECK_EQUAL(1, cell.Stored().size());
   CHECK(AreAllOutcomes(cell.Stored()));
 }
+
+TEST(Records, OccurrenceIsRestoredThoughTheSuccessorsClockIsBehind)
+{
+  // By the successor's clock the occurrence is not due yet. If its records were left aside, its
+  // tasks would run again, and the records would never be dropped.
+  CellFixture cell;
+  auto request = cell.Submission("j", { CellFixture::Step(1) });
+  auto fields = request.Definition()->ToFields();
+  fields.mOccurrences = 3;
+  fields.mFirstDue = cell.mNow + Time::FromSeconds(1);
+  fields.mInterval = Time::FromSeconds(60);
+  HandleRequest(cell.mCell,
+                { "owner", 1 },
+                request.WithDefinition(JobDefinition::Create(std::move(fields)).value()),
+                cell.mNow,
+                cell.mOut);
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(1500));
+  CHECK(ProgressOf(cell, "j", 0).Phase() == JobTaskPhase::Assigned);
+  cell.mNow = cell.mNow - Time::FromSeconds(1);
+  auto next = cell.Successor();
+  CHECK_EQUAL(1, next.mCell.mJobs.at("j").mOccurrences.size());
+  CHECK(ProgressOf(next, "j", 0) == ProgressOf(cell, "j", 0));
+  next.Call(JobCallKind::Cancel, "j");
+  next.StoreAll();
+  CHECK_EQUAL(1, next.Stored().size());
+  CHECK(AreAllOutcomes(next.Stored()));
+}
