--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -20,6 +20,7 @@
 #include "by_cell/WorkerRow.h"
 #include "by_schema/CellSettings.h"
 #include "by_schema/ClusterConfig.h"
+#include "by_schema/JobTaskKey.h"
 
 namespace by {
 
@@ -48,6 +49,8 @@
 
   /// Workers by name; ordered, so that equal inputs give equal decisions in every process.
   std::map<std::string, WorkerRow> mWorkers;
+  /// Whether a complete list of the registry has been read.
+  bool mRegistryRead{ false };
   /// Maintenance waves by number.
   std::map<std::uint64_t, WaveRow> mWaves;
   /// Machines whose maintenance order has to be stored, by wave; an empty name stands for the
@@ -56,9 +59,9 @@
   /// Nodes that can query the advice service.
   std::vector<AdviceProxyRow> mAdviceProxies;
 
-  /// Changes since the last append: accepted jobs, progress of occurrences, outcomes, deleted keys.
+  /// Changes since the last append: accepted jobs, tasks with new progress, outcomes, deleted keys.
   std::vector<std::string> mNewJobs;
-  absl::btree_set<std::pair<std::string, std::uint32_t>> mNewProgress;
+  absl::btree_set<JobTaskKey> mNewProgress;
   std::vector<std::string> mNewOutcomes;
   std::vector<std::string> mDeletedKeys;
   /// The batch that collects starts and ends for the next append.
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "by_cell/CellState.h"
 #include "by_entry/HandoverState.h"
@@ -16,6 +17,7 @@
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/EntrySettings.h"
 #include "by_schema/MaintenanceWave.h"
+#include "by_schema/WorkerAnswer.h"
 
 namespace by {
 
@@ -36,6 +38,8 @@
   Time mNextJoin{};
   /// When the last successful join request was sent; zero before the first.
   Time mJoinedAt{};
+  /// When a call of this node to the store last failed; zero before the first.
+  Time mStoreFailedAt{};
   /// Whether the group elected this node to own the cell.
   bool mElected{ false };
 
@@ -62,6 +66,9 @@
   HandoverState mHandover;
   /// How the owner's orders reach the workers.
   RelayState mRelays;
+  /// Answers to relayed orders that wait to be returned to the owner, and when they are sent.
+  std::vector<WorkerAnswer> mRelayedAnswers;
+  Time mReturnAnswersAt{ Time::Never() };
 
   /// The newest claim that was read; empty until one is read.
   std::optional<CellClaim> mOwner;
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <memory>
+#include <span>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -14,7 +16,9 @@
 #include "by_entry/by_entry.h"
 #include "by_entryd/EntryPorts.h"
 #include "by_entryd/ReloadedSettings.h"
+#include "by_entryd/detail/DelayReport.h"
 #include "by_entryd/detail/EntryMetrics.h"
+#include "by_entryd/detail/EventQueue.h"
 #include "by_links/by_links.h"
 #include "by_telemetry/LineSink.h"
 
@@ -31,11 +35,15 @@
   absl::Status Open(const OpenPorts& aOpen);
   /// Runs the control thread until the planned stop is complete.
   bool Run();
-  /// Posts an event to the control thread.
+  /// Queues an event for the control thread.
   void Deliver(EntryEvent aEvent);
 
 private:
-  void Take(const EntryEvent& aEvent);
+  void Deliver(std::span<EntryEvent> aEvents);
+  void HandleEvents();
+  Effects StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow);
+  void ReportDropped(const std::vector<EntryEvent>& aEvents);
+  EntryEvent NextTickEvent();
   void Perform(Effects aEffects);
   void PerformOnTraffic(const EntryEffect& aEffect);
   void Write(const LogLine& aLine);
@@ -55,6 +63,12 @@
   boost::asio::signal_set mSignals;
   Time mTimerDue{ Time::Never() };
   std::uint64_t mTicks{ 0 };
+  bool mIsTickQueued{ false };
+  EventQueue mEvents;
+  /// The longest wait of an event since the previous tick.
+  Time mQueueDelay{};
+  DelayReport mDelayReport;
+  std::uint64_t mBatches{ 0 };
   bool mClean{ false };
   LineSink mLog;
   EntryMetrics mMetrics;
