--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -255,14 +255,6 @@
   }
 }
 
-void
-EndCalls(EntryState& aState, Time aNow, Effects& aOut)
-{
-  for (const auto& [number, call] : std::exchange(aState.mCalls, {})) {
-    ExpireCall(aState, number, call, "the node stops", aNow, aOut);
-  }
-}
-
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut)
 {
@@ -283,4 +275,13 @@
   });
 }
 
+void
+GiveUpCalls(EntryState& aState, Time aNow, Effects& aOut)
+{
+  for (const auto& [number, call] : aState.mCalls) {
+    ExpireCall(aState, number, call, "planned stop", aNow, aOut);
+  }
+  aState.mCalls.clear();
+}
+
 } // namespace by::detail
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -40,12 +40,12 @@
 void
 ReportDroppedRequests(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Answers all open requests, because the process ends.
-void
-EndCalls(EntryState& aState, Time aNow, Effects& aOut);
-
 /// Answers the requests that have reached their deadline or their maximum wait.
 void
 ExpireCalls(EntryState& aState, Time aNow, Effects& aOut);
 
+/// Answers all open requests without the owner's answer, because the process exits.
+void
+GiveUpCalls(EntryState& aState, Time aNow, Effects& aOut);
+
 } // namespace by::detail
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -69,8 +69,9 @@
         "node.stopped",
         aState.mSettings.Node(),
         absl::StrCat("open_calls=", aState.mCalls.size()));
-    Emit(aOut, ExitEntry::Create({ .mClean = aState.mCalls.empty() }).value());
-    EndCalls(aState, aNow, aOut);
+    const bool isClean = aState.mCalls.empty();
+    GiveUpCalls(aState, aNow, aOut);
+    Emit(aOut, ExitEntry::Create({ .mClean = isClean }).value());
   }
 }
 
