--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -152,7 +152,7 @@
     }
     if (wasUp) {
       aState.mLinkDownAt = aNow;
-      // A link that is reset as soon as it is open is opened again by MaintainLink() after the delay.
+      // MaintainLink() opens a link again after the delay if it is reset as soon as it is open.
       if (aNow >= aState.mConnectedAt + kLinkRetryDelay) {
         Reconnect(aState, aNow, aOut);
       }
