--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -1,5 +1,11 @@
 #include "by_entryd/detail/EntryMetrics.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <optional>
+#include <utility>
+
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -32,6 +38,42 @@
   { "job.ended", "age_ms", "received_to_ended" },
 };
 
+/// @returns the number of a key in "key=value" pairs, or nothing where there is none.
+std::optional<std::int64_t>
+FindNumber(absl::string_view aDetail, absl::string_view aKey)
+{
+  for (const absl::string_view part : absl::StrSplit(aDetail, ' ')) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+      absl::StrSplit(part, absl::MaxSplits('=', 1));
+    std::int64_t number = 0;
+    if (pair.first == aKey && absl::SimpleAtoi(pair.second, &number)) {
+      return number;
+    }
+  }
+  return std::nullopt;
+}
+
+using CounterFamily = prometheus::Family<prometheus::Counter>;
+
+CounterFamily&
+AddFamily(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+/// @returns the counter of a kind of event, which is made at its first use.
+prometheus::Counter&
+OfKind(CounterFamily& aFamily,
+       std::map<std::string_view, prometheus::Counter*>& aCounters,
+       const char* aKind)
+{
+  auto& counter = aCounters[aKind];
+  if (counter == nullptr) {
+    counter = &aFamily.Add({ { "kind", aKind } });
+  }
+  return *counter;
+}
+
 } // namespace
 
 EntryMetrics::EntryMetrics()
@@ -44,7 +86,34 @@
               .Name("bergamotyard_stage_seconds")
               .Help("Time that jobs and runs took, by stage")
               .Register(*mRegistry))
+  , mHandled(&AddFamily(*mRegistry,
+                        "bergamotyard_handled_events_total",
+                        "Events that the control thread handled, by kind"))
+  , mDropped(&AddFamily(*mRegistry,
+                        "bergamotyard_dropped_events_total",
+                        "Events that were dropped before the control thread handled them, by kind"))
+  , mProcessorTime(&AddFamily(*mRegistry,
+                              "bergamotyard_control_processor_seconds_total",
+                              "Processor time of the control thread for sampled events, by kind"))
+  , mProcessorSamples(&AddFamily(*mRegistry,
+                                 "bergamotyard_control_processor_samples_total",
+                                 "Events whose processor time was sampled, by kind"))
+  , mQueueDelay(&prometheus::BuildHistogram()
+                   .Name("bergamotyard_queue_delay_seconds")
+                   .Help("Longest wait of an event for the control thread, at each batch")
+                   .Register(*mRegistry)
+                   .Add({}, kBounds))
 {
+  auto& messages =
+    AddFamily(*mRegistry, "bergamotyard_link_messages_total", "Messages over links, by direction");
+  auto& bytes =
+    AddFamily(*mRegistry, "bergamotyard_link_bytes_total", "Bytes over links, by direction");
+  const auto countersOf = [&](const char* aDirection) {
+    return LinkCounters{ .mMessages = &messages.Add({ { "direction", aDirection } }),
+                         .mBytes = &bytes.Add({ { "direction", aDirection } }) };
+  };
+  mReceived = countersOf("received");
+  mSent = countersOf("sent");
 }
 
 EntryMetrics::~EntryMetrics() = default;
@@ -52,30 +121,59 @@
 void
 EntryMetrics::Count(const LogLine& aLine)
 {
-  auto& counter = mCounters[aLine.Event()];
-  if (counter == nullptr) {
-    counter = &mEvents->Add({ { "event", aLine.Event() } });
-  }
-  counter->Increment();
-  for (const auto& timed : kTimed) {
-    if (aLine.Event() != timed.mEvent) {
-      continue;
+  auto& counters = mLines[aLine.Event()];
+  if (counters.mLines == nullptr) {
+    counters.mLines = &mEvents->Add({ { "event", aLine.Event() } });
+    const auto* timed = std::find_if(std::begin(kTimed), std::end(kTimed), [&](const auto& aTimed) {
+      return aLine.Event() == aTimed.mEvent;
+    });
+    if (timed != std::end(kTimed)) {
+      counters.mTimeKey = timed->mKey;
+      counters.mTime = &mTimes->Add({ { "stage", timed->mStage } }, kBounds);
     }
-    for (const absl::string_view part : absl::StrSplit(aLine.Detail(), ' ')) {
-      const std::pair<absl::string_view, absl::string_view> pair =
-        absl::StrSplit(part, absl::MaxSplits('=', 1));
-      std::int64_t ms = 0;
-      if (pair.first == timed.mKey && absl::SimpleAtoi(pair.second, &ms)) {
-        auto& histogram = mHistograms[timed.mStage];
-        if (histogram == nullptr) {
-          histogram = &mTimes->Add({ { "stage", timed.mStage } }, kBounds);
-        }
-        histogram->Observe(static_cast<double>(ms) / kMillisInSecond);
-      }
+  }
+  counters.mLines->Increment();
+  if (counters.mTime != nullptr) {
+    if (const auto ms = FindNumber(aLine.Detail(), counters.mTimeKey)) {
+      counters.mTime->Observe(static_cast<double>(*ms) / kMillisInSecond);
     }
   }
 }
 
+void
+EntryMetrics::CountHandled(const char* aKind)
+{
+  OfKind(*mHandled, mHandledByKind, aKind).Increment();
+}
+
+void
+EntryMetrics::CountDropped(const char* aKind)
+{
+  OfKind(*mDropped, mDroppedByKind, aKind).Increment();
+}
+
+void
+EntryMetrics::ObserveQueueDelay(Time aDelay)
+{
+  mQueueDelay->Observe(static_cast<double>(aDelay.Milliseconds()) / kMillisInSecond);
+}
+
+void
+EntryMetrics::ObserveProcessorTime(const char* aKind, std::chrono::nanoseconds aTime)
+{
+  OfKind(*mProcessorTime, mTimeByKind, aKind)
+    .Increment(std::chrono::duration<double>(aTime).count());
+  OfKind(*mProcessorSamples, mSamplesByKind, aKind).Increment();
+}
+
+void
+EntryMetrics::CountLink(LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes)
+{
+  const auto& counters = aDirection == LinkDirection::Received ? mReceived : mSent;
+  counters.mMessages->Increment(static_cast<double>(aMessages));
+  counters.mBytes->Increment(static_cast<double>(aBytes));
+}
+
 std::string
 EntryMetrics::Text() const
 {
