--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -136,7 +136,8 @@
     }
     if (wasUp) {
       aState.mLinkDownAt = aNow;
-      // A link that is reset as soon as it is open is opened again by MaintainLink() after the delay.
+      // A link that is reset as soon as it is open is opened again by MaintainLink() after the
+      // delay.
       if (aNow >= aState.mConnectedAt + kLinkRetryDelay) {
         Reconnect(aState, aNow, aOut);
       }
