Leave the time of loading the cell out of the overload

What callers saw: nothing yet; a new owner would refuse submissions for at least 1 s after each takeover.

Change: at the owner, only the part of a wait after its first tick as the owner counts.

Evidence: by_entry_tests 80 green; the new test fails without the change. The fixture of the overload tests now serves for 1 s first, with the same checks.

--- a/modules/by_entry/LoadState.h
+++ b/modules/by_entry/LoadState.h
@@ -9,8 +9,11 @@
 /// What a node knows of how far it is behind.
 struct LoadState
 {
-  /// The longest time that an event has waited for the control thread before the last tick.
+  /// The longest time that an event has waited for the control thread before the last tick; at the
+  /// owner without the time before it served requests.
   Time mQueueDelay{};
+  /// When this owner's first tick after it loaded the cell was; Never() at other nodes.
+  Time mServingSince{ Time::Never() };
   /// Since when events wait too long; Never() while they do not.
   Time mOverloadedAt{ Time::Never() };
   /// Since when events have waited only shortly; Never() while they do not.
--- a/modules/by_entry/detail/Load.cpp
+++ b/modules/by_entry/detail/Load.cpp
@@ -46,19 +46,26 @@
 {
   auto& load = aState.mLoad;
   const auto limit = aState.mSettings.OverloadDelay();
-  load.mQueueDelay = aQueueDelay;
-  if (aQueueDelay * 2 >= limit) {
+  if (aState.mPhase != OwnerPhase::Owner) {
+    load.mServingSince = Time::Never();
+    load.mQueueDelay = aQueueDelay;
+  } else {
+    // What waited while the cell was loaded is served soon and says nothing of the load.
+    load.mServingSince = std::min(load.mServingSince, aNow);
+    load.mQueueDelay = std::min(aQueueDelay, aNow - load.mServingSince);
+  }
+  if (load.mQueueDelay * 2 >= limit) {
     load.mCalmSince = Time::Never();
   } else {
     load.mCalmSince = std::min(load.mCalmSince, aNow);
   }
-  if (aQueueDelay > limit && load.mOverloadedAt == Time::Never()) {
+  if (load.mQueueDelay > limit && load.mOverloadedAt == Time::Never()) {
     load.mOverloadedAt = aNow;
     Log(aOut,
         "node.overloaded",
         aState.mSettings.Node(),
         absl::StrCat("queue_delay_ms=",
-                     aQueueDelay.Milliseconds(),
+                     load.mQueueDelay.Milliseconds(),
                      " owner=",
                      aState.mPhase == OwnerPhase::Owner,
                      " calls=",
--- a/tests/by_entry/CallsTest.cpp
+++ b/tests/by_entry/CallsTest.cpp
@@ -35,6 +35,7 @@
   {
     Configure();
     BecomeOwner(3);
+    Advance(Time::FromMilliseconds(1000));
     Deliver(MemberChanged::Create({ .mNode = "n2", .mUp = true }).value());
   }
 
@@ -199,6 +200,26 @@
   CHECK(owner.TakeOverload() == std::vector{ false });
 }
 
+/// Requests that had waited while a new owner loaded the cell made it refuse jobs for a second.
+TEST(Overload, DelayThatLoadingTheCellCausedDoesNotCount)
+{
+  EntryFixture owner;
+  owner.Configure();
+  owner.BecomeOwner(3);
+  const auto tick = [&](Time aQueueDelay) {
+    owner.Deliver(ClockTick::Create({ .mNumber = 1, .mQueueDelay = aQueueDelay }).value());
+  };
+  const auto limit = owner.mState.mSettings.OverloadDelay();
+  owner.mNow = owner.mNow + limit * 2;
+  tick(limit * 2);
+  owner.mNow = owner.mNow + limit;
+  tick(limit * 3);
+  CHECK(owner.mState.mLoad.mOverloadedAt == Time::Never());
+  owner.mNow = owner.mNow + Time::FromMilliseconds(1);
+  tick(limit * 3);
+  CHECK(owner.mState.mLoad.mOverloadedAt == owner.mNow);
+}
+
 TEST(Overload, OverloadedOwnerRefusesNewJobsOnly)
 {
   Owner owner;
