Query advice on a wide step through several nodes at once

A step now has as many open queries, up to three, as cover its width, on different workers and through different nodes; long queries leave a quarter of the nodes idle for short ones.

--- /dev/null
+++ b/modules/by_cell/AdviceQuery.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <vector>
+
+#include "by_core/Time.h"
+
+namespace by {
+
+/// A query to the advice service that has not been answered.
+struct AdviceQuery
+{
+  /// The node through which it was sent.
+  std::string mNode;
+  /// When it counts as lost.
+  Time mDeadline{};
+  /// The workers that it lists.
+  std::vector<std::string> mWorkers;
+
+  friend bool operator==(const AdviceQuery&, const AdviceQuery&) = default;
+  friend auto operator<=>(const AdviceQuery&, const AdviceQuery&) = default;
+};
+
+} // namespace by
--- a/modules/by_cell/HandleAdvice.cpp
+++ b/modules/by_cell/HandleAdvice.cpp
@@ -20,7 +20,7 @@
   }
   auto& advice = occurrence->mSteps[aEvent.Step()].mAdvice;
   const auto& policy = detail::PolicyOf(aState, *job).Advice();
-  detail::CloseAdviceQuery(aState, advice);
+  detail::CloseAdviceQuery(aState, advice, aEvent.Workers());
   aState.mPlacementNeeded = true;
   detail::Log(aOut,
               "advice.answered",
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Emit.h"
@@ -26,6 +27,10 @@
 constexpr std::size_t kMinQueriedWorkers = 6;
 /// Maximum number of workers in a query; the queues' objectives allow for a call with this many.
 constexpr std::size_t kMaxQueriedWorkers = 30;
+/// Open queries per step; a step wider than one query covers has several, through different nodes.
+constexpr std::size_t kMaxQueriesPerStep = 3;
+/// Queries with a longer decision time leave one in this many nodes idle for short ones.
+constexpr std::size_t kIdleNodeDivisor = 4;
 /// Open queries per node: the service answers one of them, and the second waits there meanwhile.
 constexpr std::size_t kMaxOpenQueries = 2;
 /// Queries with a longer decision time are kept off the last idle nodes, so that short ones need
@@ -54,8 +59,9 @@
       best = &proxy;
     }
   }
-  const bool reservesIdleNode =
-    aDecisionTime > kLongQuery && idle < 2 && aState.mAdviceProxies.size() > 2;
+  const auto nodes = aState.mAdviceProxies.size();
+  const bool reservesIdleNode = aDecisionTime > kLongQuery && nodes > 2 &&
+                                idle < std::max<std::size_t>(2, nodes / kIdleNodeDivisor);
   return reservesIdleNode ? nullptr : best;
 }
 
@@ -66,6 +72,24 @@
   return std::clamp(2 * tasks + 4, kMinQueriedWorkers, kMaxQueriedWorkers);
 }
 
+/// @returns how many open queries a step may have, which together cover its width.
+std::size_t
+MaxOpenQueries(const JobStep& aStep)
+{
+  const std::size_t tasks = aStep.Count();
+  const auto needed = (2 * tasks + 4 + kMaxQueriedWorkers - 1) / kMaxQueriedWorkers;
+  return std::clamp<std::size_t>(needed, 1, kMaxQueriesPerStep);
+}
+
+std::size_t
+CountOpenQueries(const StepAdvice& aAdvice, Time aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aAdvice.mOpenQueries.begin(), aAdvice.mOpenQueries.end(), [&](const AdviceQuery& aQuery) {
+      return aQuery.mDeadline > aNow;
+    }));
+}
+
 Time
 DecisionTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
 {
@@ -91,12 +115,16 @@
     std::int64_t mFreeCpu;
     const std::string* mName;
   };
+  absl::flat_hash_set<std::string_view> asked;
+  for (const auto& query : aAdvice.mOpenQueries) {
+    asked.insert(query.mWorkers.begin(), query.mWorkers.end());
+  }
   std::vector<Candidate> found;
   std::size_t withCapacity = 0;
   for (const auto* worker : aCandidates) {
     const auto& id = worker->mRegistration.Id();
     if (aAdvice.mDeniedWorkers.contains(id) || HasTicket(aAdvice, id, aNow + kAnswerMargin) ||
-        !HasLabel(*worker, aStep.RequiredLabel())) {
+        !HasLabel(*worker, aStep.RequiredLabel()) || asked.contains(id)) {
       continue;
     }
     const bool isFull = !CanHost(*worker, aStep);
@@ -144,9 +172,9 @@
 }
 
 bool
-MayQueryAdvice(const StepAdvice& aAdvice, Time aNow)
+MayQueryAdvice(const JobStep& aStep, const StepAdvice& aAdvice, Time aNow)
 {
-  return aAdvice.mNextQuery <= aNow && (!aAdvice.mQueryOpen || aNow >= aAdvice.mQueryDeadline);
+  return aAdvice.mNextQuery <= aNow && CountOpenQueries(aAdvice, aNow) < MaxOpenQueries(aStep);
 }
 
 bool
@@ -162,21 +190,25 @@
 }
 
 void
-CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice)
+CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers)
 {
-  if (!aAdvice.mQueryOpen) {
+  auto& open = aAdvice.mOpenQueries;
+  const auto query = std::find_if(open.begin(), open.end(), [&](const AdviceQuery& aQuery) {
+    return aQuery.mWorkers == aWorkers;
+  });
+  if (query == open.end()) {
     return;
   }
-  aAdvice.mQueryOpen = false;
   for (auto& proxy : aState.mAdviceProxies) {
-    if (proxy.mNode == aAdvice.mQueryNode) {
+    if (proxy.mNode == query->mNode) {
       const auto it =
-        std::find(proxy.mOpenQueries.begin(), proxy.mOpenQueries.end(), aAdvice.mQueryDeadline);
+        std::find(proxy.mOpenQueries.begin(), proxy.mOpenQueries.end(), query->mDeadline);
       if (it != proxy.mOpenQueries.end()) {
         proxy.mOpenQueries.erase(it);
       }
     }
   }
+  open.erase(query);
 }
 
 void
@@ -207,28 +239,30 @@
 {
   const auto& policy = PolicyOf(aState, aJob).Advice();
   auto& advice = aJob.mOccurrences.at(aOccurrence).mSteps[aStep].mAdvice;
-  if (!policy || !MayQueryAdvice(advice, aNow) || !CanQueryAdvice(aState, aNow)) {
+  const auto& step = StepOf(aJob, aStep);
+  if (!policy || !MayQueryAdvice(step, advice, aNow) || !CanQueryAdvice(aState, aNow)) {
     return;
   }
   advice.mNextQuery = aNow + kQueryInterval;
-  const auto limit = CountWorkersToQuery(StepOf(aJob, aStep));
+  std::erase_if(advice.mOpenQueries,
+                [&](const AdviceQuery& aQuery) { return aQuery.mDeadline <= aNow; });
+  const auto limit = CountWorkersToQuery(step);
   auto* proxy = FindFreeProxy(aState, DecisionTime(*policy, limit), aNow);
   if (proxy == nullptr) {
     return;
   }
   const auto spare = SpareFactor(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow);
-  auto workers = SelectWorkers(aState, StepOf(aJob, aStep), spare, advice, aCandidates, aNow);
+  auto workers = SelectWorkers(aState, step, spare, advice, aCandidates, aNow);
   if (workers.empty()) {
     return;
   }
   const auto decisionTime = DecisionTime(*policy, workers.size());
   const auto timeout =
     decisionTime * static_cast<std::int64_t>(proxy->mOpenQueries.size() + 1) + kAnswerMargin;
-  advice.mQueryOpen = true;
-  advice.mQueryNode = proxy->mNode;
-  advice.mQueryDeadline = aNow + timeout;
-  advice.mNextQuery = aNow + kQueryRetryDelay;
-  proxy->mOpenQueries.push_back(advice.mQueryDeadline);
+  advice.mOpenQueries.push_back({ proxy->mNode, aNow + timeout, workers });
+  const bool mayHaveMore = advice.mOpenQueries.size() < MaxOpenQueries(step);
+  advice.mNextQuery = mayHaveMore ? aNow : aNow + kQueryRetryDelay;
+  proxy->mOpenQueries.push_back(aNow + timeout);
   Log(aOut,
       "advice.asked",
       absl::StrCat(aJob.mJob.Id(), ".", aOccurrence, ".", aStep),
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -23,17 +23,17 @@
             Time aNow,
             Effects& aOut);
 
-/// @returns whether a step has no open query and its last one is old enough for another.
+/// @returns whether a step may have another open query and its last one is old enough.
 bool
-MayQueryAdvice(const StepAdvice& aAdvice, Time aNow);
+MayQueryAdvice(const JobStep& aStep, const StepAdvice& aAdvice, Time aNow);
 
 /// @returns whether a node is free to send a query.
 bool
 CanQueryAdvice(const CellState& aState, Time aNow);
 
-/// Closes the query on a step, so that its node is free for another.
+/// Closes the query on a step that listed certain workers, so that its node is free for another.
 void
-CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice);
+CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers);
 
 /// @returns whether a ticket stays valid long enough to be used.
 bool
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -320,7 +320,7 @@
     RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
   }
   if (needsAdvice && row.mReady && aPass.mQueries < kMaxQueriesPerPass &&
-      MayQueryAdvice(row.mAdvice, aPass.mNow)) {
+      MayQueryAdvice(step, row.mAdvice, aPass.mNow)) {
     ++aPass.mQueries;
     QueryAdvice(aPass.mState,
                 *job,
