--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -24,6 +24,10 @@
 /// Interval between the passes over all workers that resend orders and end expired leases.
 constexpr Time kWorkerUpdateInterval = Time::FromMilliseconds(40);
 
+/// An owner whose time of day differs by up to this much from that of the owner that stored an
+/// outcome keeps it long enough.
+constexpr Time kClockDifference = Time::FromMilliseconds(10000);
+
 void
 OpenDueJobs(CellState& aState, Time aNow)
 {
@@ -39,8 +43,9 @@
 void
 ExpireOutcomes(CellState& aState, Time aNow)
 {
+  const auto retention = aState.mSettings.OutcomeRetention() + kClockDifference;
   while (!aState.mOutcomesByEnd.empty() &&
-         aState.mOutcomesByEnd.begin()->first + aState.mSettings.OutcomeRetention() < aNow) {
+         aState.mOutcomesByEnd.begin()->first + retention < aNow) {
     const auto id = aState.mOutcomesByEnd.begin()->second;
     aState.mOutcomesByEnd.erase(aState.mOutcomesByEnd.begin());
     aState.mOutcomes.erase(id);
@@ -68,7 +73,8 @@
   if (aState.mFenced) {
     return;
   }
-  if (aState.mPlacementNeeded && aNow >= aState.mNextPlacement) {
+  const bool hasStore = aState.mStoreLostAt == Time::Never();
+  if (hasStore && aState.mPlacementNeeded && aNow >= aState.mNextPlacement) {
     detail::PlaceTasks(aState, aNow, aOut);
   }
   SendDuePolls(aState, aNow, aOut);
@@ -93,7 +99,8 @@
   detail::EvacuateDraining(aState, aNow, aOut);
   AdvanceWaves(aState, aNow, aOut);
   detail::UpdateUrgency(aState, aNow);
-  const bool wasDue = aState.mPlacementNeeded || HasDueAdviceQuery(aState, aNow);
+  const bool wasDue = aState.mPlacementNeeded || aState.mStoreLostAt != Time::Never() ||
+                      HasDueAdviceQuery(aState, aNow);
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
   if (!wasDue && placed > 0) {
     ++aState.mMissedWakeups;
@@ -129,7 +136,7 @@
   if (!aState.mInFlight && HasUnstored(aState)) {
     next = std::min(next, aState.mNextAppend);
   }
-  if (aState.mPlacementNeeded) {
+  if (aState.mPlacementNeeded && aState.mStoreLostAt == Time::Never()) {
     next = std::min(next, aState.mNextPlacement);
   }
   return next;
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -12,7 +12,8 @@
 void
 HandleCall(EntryState& aState, const JobCall& aCall, Time aNow, Effects& aOut);
 
-/// Passes the owner's answer on to the caller; does nothing if the call is no longer open.
+/// Passes the owner's answer on to the caller; does nothing if the call is no longer open. A
+/// request that a node refused because it is not the owner waits for the next one.
 void
 HandleReply(EntryState& aState, const JobReply& aReply, Effects& aOut);
 
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// Delay before a failed connection to the owner is retried.
+/// Minimum interval between attempts to connect to the owner.
 constexpr Time kLinkRetryDelay = Time::FromMilliseconds(200);
 
 template<class Body>
@@ -50,22 +50,6 @@
          aNow;
 }
 
-/// Sends a member the heartbeat that says whether this node is the owner, has the store and takes
-/// new jobs.
-void
-SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
-{
-  const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
-                                           .mOwner = isOwner,
-                                           .mStoreLost = HasLostStore(aState, aNow),
-                                           .mOverloaded = IsOverloadedOwner(aState) })
-                     .value();
-  Emit(
-    aOut,
-    SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
-}
-
 void
 HandleHeartbeat(EntryState& aState, const LinkHeartbeat& aHeartbeat, Time aNow, Effects& aOut)
 {
@@ -152,13 +136,21 @@
     }
     if (wasUp) {
       aState.mLinkDownAt = aNow;
-      Reconnect(aState, aNow, aOut);
+      // MaintainLink() opens a link again after the delay if it is reset as soon as it is open.
+      if (aNow >= aState.mConnectedAt + kLinkRetryDelay) {
+        Reconnect(aState, aNow, aOut);
+      }
     }
     return;
   }
   if (!aState.mOwnerLeaving) {
     aState.mOwnerReleasedAt = Time::Never();
   }
+  if (wasUp) {
+    // A newer connection has replaced the one that requests were sent over.
+    aState.mOwnerActive = false;
+    RequeueForwardedCalls(aState);
+  }
   aState.mOwnerHeardAt = aNow;
   aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
   Emit(aOut,
@@ -230,6 +222,9 @@
     member.mHeardAt = aNow;
     aState.mMembers.insert_or_assign(aEvent.Node(), std::move(member));
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
+    if (aState.mStopping && aState.mPhase == OwnerPhase::Owner) {
+      SendLeaving(aState, aEvent.Node(), aOut);
+    }
   } else {
     aState.mMembers.erase(aEvent.Node());
   }
@@ -259,6 +254,20 @@
   SendMemberHeartbeats(aState, aNow, aOut);
 }
 
+void
+SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
+{
+  const bool isOwner = aState.mPhase == OwnerPhase::Owner;
+  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
+                                           .mOwner = isOwner,
+                                           .mStoreLost = HasLostStore(aState, aNow),
+                                           .mOverloaded = IsOverloadedOwner(aState) })
+                     .value();
+  Emit(
+    aOut,
+    SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
+}
+
 void
 SendMemberHeartbeats(const EntryState& aState, Time aNow, Effects& aOut)
 {
