--- a/scripts/soak_entry/net.py
+++ b/scripts/soak_entry/net.py
@@ -94,9 +94,11 @@
     async def close(self):
         for connection in list(self.connections):
             connection.abort()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        # wait_for() loses a cancellation that meets the end of what it waits for, so that one may not be enough.
+        while self.tasks:
+            for task in list(self.tasks):
+                task.cancel()
+            await asyncio.wait(list(self.tasks), timeout=0.2)
 
 
 @dataclass(eq=False)
