Request a placement pass for the further advice queries of a wide step

The second and third query of a step that is new went out with the next placement pass, which in a quiet cell is the check every 250 ms.

--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -262,6 +262,7 @@
   advice.mOpenQueries.push_back({ proxy->mNode, aNow + timeout, workers });
   const bool mayHaveMore = advice.mOpenQueries.size() < MaxOpenQueries(step);
   advice.mNextQuery = mayHaveMore ? aNow : aNow + kQueryRetryDelay;
+  aState.mPlacementNeeded = aState.mPlacementNeeded || mayHaveMore;
   proxy->mOpenQueries.push_back(aNow + timeout);
   Log(aOut,
       "advice.asked",
