--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -354,3 +354,46 @@
     FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
 }
+
+// After all processes had been killed the cell had no owner until the memberships of the earlier
+// processes had expired, although the node that had owned it was back.
+TEST(Entry, NodeWhoseEarlierProcessOwnedTheCellClaimsItAtOnce)
+{
+  EntryFixture node("n1");
+  node.Configure();
+  node.Join(false);
+  node.Take<ReadClaim>();
+  auto claim = CellClaim::Create({ .mEpoch = 3, .mNode = "n1", .mIncarnation = 9 }).value();
+  node.Deliver(
+    ClaimRead::Create({ .mOutcome = StoreOutcome::Done, .mClaim = claim, .mEnd = 3 }).value());
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
+
+TEST(Entry, NewlyElectedNodeClaimsFromAnOwnerWhoseHeartbeatsAreMissing)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(false);
+  node.Advance(Time::FromMilliseconds(1150));
+  CHECK(node.Take<ReadClaim>().empty());
+  node.Join(true);
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
+
+TEST(Entry, NodeThatHasLongBeenElectedDoesNotClaimForASilentLink)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  for (int i = 0; i < 8; ++i) {
+    node.Advance(Time::FromMilliseconds(250));
+    auto heartbeat = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true }).value();
+    node.Deliver(
+      FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = heartbeat }).value() })
+        .value());
+  }
+  node.Advance(Time::FromMilliseconds(1300));
+  CHECK(node.Take<ReadClaim>().empty());
+}
