Judge relays by what they sent after an order's deadline

A renewing poll through a slow relay counted as unanswered only after 4.5 s, longer than the lease, and an owner that had stalled took all relays for lost in its first step. An order is now unanswered 0.7 s after the time that its relay gives the worker, once a message that the relay sent after that has been read, or 2.5 s later.

Also found in Relays: only the last relay that failed was remembered, so that two relays which could not reach a worker took turns until it counted as lost; orders queued as the cell became small stayed in the outbox; a fenced owner went on with the rest of a message of answers.

Tests: RelayThatLeavesAnOrderUnansweredIsReplacedBeforeTheLeaseExpires, WorkerThatTwoRelaysCannotReachIsPolledThroughAThird, OrdersLeaveAlsoWhenThe- CellHasBecomeSmall fail without the change; OwnerThatStalledReadsAnswers- BeforeItSuspendsRelays guards the shorter deadline.

--- a/modules/by_entry/RelayState.h
+++ b/modules/by_entry/RelayState.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,8 @@
   std::map<std::string, std::string> mRelayOfWorker;
   /// Relays that left an order unanswered, and until when they get no orders.
   std::map<std::string, Time> mSuspended;
-  /// The last relay that could not reach a worker, by worker.
-  std::map<std::string, std::string> mFailedRelay;
+  /// The relays that could not reach a worker since it last answered, by worker.
+  std::map<std::string, std::set<std::string>> mFailedRelays;
   /// Orders of a new owner that wait for members to link.
   Effects mHeld;
   /// Orders that wait for others to the same relay, and when they are sent.
--- a/modules/by_entry/detail/Relays.cpp
+++ b/modules/by_entry/detail/Relays.cpp
@@ -18,9 +18,11 @@
 
 namespace {
 
-/// A relay answers each order in time, so a missing answer has other causes than a slow worker. The
-/// margin allows for an owner that is behind with reading answers.
-constexpr Time kRelayMargin = Time::FromMilliseconds(3000);
+/// Time for the hops to a relay and back, beyond the time that the relay gives the worker.
+constexpr Time kRelayMargin = Time::FromMilliseconds(700);
+/// An order counts as unanswered this long after its deadline even if nothing was heard from its
+/// relay since.
+constexpr Time kSilentRelayMargin = Time::FromMilliseconds(2500);
 /// Members that relay orders; with fewer of them, more orders and answers share a message.
 constexpr std::size_t kMaxRelays = 8;
 /// Interval between checks for relays that are silent or late.
@@ -56,6 +58,19 @@
   return aMember.mHeardAt + kRelaySilence > aHeard && !aState.mRelays.mSuspended.contains(aNode);
 }
 
+/// An answer may lie in the queue of an owner that is behind. It does not if a message that the
+/// relay sent after the deadline has been read.
+bool
+IsUnanswered(const EntryState& aState, const OpenOrder& aOrder, Time aNow)
+{
+  if (aNow < aOrder.mDeadline) {
+    return false;
+  }
+  const auto relay = aState.mMembers.find(aOrder.mRelay);
+  return relay == aState.mMembers.end() || relay->second.mHeardAt > aOrder.mDeadline ||
+         aNow >= aOrder.mDeadline + kSilentRelayMargin;
+}
+
 ZoneId
 ZoneOf(const EntryState& aState, const std::string& aWorker)
 {
@@ -88,18 +103,18 @@
   return relays;
 }
 
-/// Selects a worker's relay: members in the worker's availability zone first, without the one that
+/// Selects a worker's relay: members in the worker's availability zone first, without those that
 /// could not reach the worker.
 /// @returns the node; empty where no member is usable.
 std::string
 SelectRelay(const EntryState& aState, const std::string& aWorker)
 {
   const auto zone = ZoneOf(aState, aWorker);
-  const auto failed = aState.mRelays.mFailedRelay.find(aWorker);
+  const auto failed = aState.mRelays.mFailedRelays.find(aWorker);
   std::vector<NodeId> nearby;
   std::vector<NodeId> all;
   for (const auto& node : SelectRelays(aState)) {
-    if (failed != aState.mRelays.mFailedRelay.end() && failed->second == node) {
+    if (failed != aState.mRelays.mFailedRelays.end() && failed->second.contains(node)) {
       continue;
     }
     all.emplace_back(node);
@@ -116,6 +131,10 @@
   auto [it, isNew] = aState.mRelays.mRelayOfWorker.try_emplace(aWorker);
   if (isNew) {
     it->second = SelectRelay(aState, aWorker);
+    if (it->second.empty()) {
+      // This node tries the worker itself, and the relays after it.
+      aState.mRelays.mFailedRelays.erase(aWorker);
+    }
   }
   return it->second;
 }
@@ -240,7 +259,7 @@
   SettleOrdersOf(aState, aRelay, aNow, aOut);
 }
 
-/// Remembers the relay that could not reach a worker, so that the next order takes another way.
+/// Remembers a relay that could not reach a worker, so that the next order takes another way.
 void
 NoteReachability(EntryState& aState,
                  const std::string& aWorker,
@@ -248,8 +267,10 @@
                  OrderOutcome aOutcome)
 {
   if (aOutcome == OrderOutcome::Unanswered || aOutcome == OrderOutcome::NotSent) {
-    aState.mRelays.mFailedRelay[aWorker] = aRelay;
+    aState.mRelays.mFailedRelays[aWorker].insert(aRelay);
     aState.mRelays.mRelayOfWorker.erase(aWorker);
+  } else {
+    aState.mRelays.mFailedRelays.erase(aWorker);
   }
 }
 
@@ -318,8 +339,11 @@
 void
 RelayWorkerOrders(EntryState& aState, Time aNow, Effects& aOut)
 {
-  if (aState.mPhase != OwnerPhase::Owner ||
-      aState.mCell->mWorkers.size() <= aState.mSettings.Cell().DirectWorkerLimit()) {
+  if (aState.mPhase != OwnerPhase::Owner) {
+    return;
+  }
+  if (aState.mCell->mWorkers.size() <= aState.mSettings.Cell().DirectWorkerLimit()) {
+    SendOutbox(aState.mRelays, aNow, aOut);
     return;
   }
   auto& held = aState.mRelays.mHeld;
@@ -361,6 +385,9 @@
       continue;
     }
     aState.mRelays.mOpen.erase(open);
+    if (aState.mCell->mFenced) {
+      return;
+    }
     std::visit(AnswerHandler{ aState, aRelay, aNow, aOut }, answer.Body());
   }
 }
@@ -393,7 +420,7 @@
   }
   std::set<std::string> late;
   for (const auto& [number, order] : relays.mOpen) {
-    if (order.mDeadline <= aNow) {
+    if (IsUnanswered(aState, order, aNow)) {
       late.insert(order.mRelay);
     }
   }
--- a/tests/by_entry/RelayTest.cpp
+++ b/tests/by_entry/RelayTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -272,3 +273,72 @@
   owner.Advance(kSent);
   CHECK_EQUAL(0, CountPolls(owner.TakeRelayedPolls()));
 }
+
+TEST(Relay, RelayThatLeavesAnOrderUnansweredIsReplacedBeforeTheLeaseExpires)
+{
+  RelayFixture owner;
+  const auto polls = owner.TakeRelayedPolls();
+  for (const auto& poll : polls.at("m1")) {
+    owner.Answer("m1", poll, OrderOutcome::Accepted);
+  }
+  for (int i = 0; i < 4; ++i) {
+    owner.Advance(Time::FromMilliseconds(500));
+    owner.Hear();
+  }
+  owner.Advance(Time::FromMilliseconds(150));
+  CHECK(owner.TakeRelayedPolls()["m1"].size() >= polls.at("m0").size());
+}
+
+/// An owner that had stalled took all relays for lost in its first step and called all workers
+/// itself.
+TEST(Relay, OwnerThatStalledReadsAnswersBeforeItSuspendsRelays)
+{
+  RelayFixture owner;
+  owner.TakeRelayedPolls();
+  owner.mNow = owner.mNow + Time::FromMilliseconds(3000);
+  owner.Deliver(ClockTick::Create({ .mNumber = 1 }).value());
+  owner.Advance(kSent);
+  CHECK(owner.Take<PollWorker>().empty());
+  CHECK(owner.mState.mRelays.mSuspended.empty());
+}
+
+/// Two relays of a zone that could not reach a worker took turns until it counted as lost.
+TEST(Relay, WorkerThatTwoRelaysCannotReachIsPolledThroughAThird)
+{
+  RelayFixture owner;
+  owner.Link("m2", "z0");
+  auto poll = owner.TakeRelayedPolls()["m0"].front();
+  std::set<std::string> tried{ "m0" };
+  auto relay = std::string("m0");
+  while (tried.size() < 3) {
+    owner.Answer(relay, poll, OrderOutcome::Unanswered);
+    owner.Hear();
+    owner.Advance(Time::FromMilliseconds(300));
+    relay.clear();
+    for (const auto& [node, sent] : owner.TakeRelayedPolls()) {
+      for (const auto& next : sent) {
+        if (next.Worker() == poll.Worker()) {
+          relay = node;
+          poll = next;
+        }
+      }
+    }
+    CHECK(!relay.empty() && tried.insert(relay).second);
+    if (relay.empty()) {
+      return;
+    }
+  }
+}
+
+TEST(Relay, OrdersLeaveAlsoWhenTheCellHasBecomeSmall)
+{
+  RelayFixture owner;
+  owner.TakeRelayedPolls();
+  owner.mState.mRelays.mOutbox["m0"].push_back(
+    WorkerOrder::Create({ .mBody = PollWorker::Create({ .mWorker = "w1" }).value() }).value());
+  owner.mState.mRelays.mSendAt = owner.mNow;
+  owner.mState.mSettings =
+    owner.mState.mSettings.WithCell(owner.mState.mSettings.Cell().WithDirectWorkerLimit(kWorkers));
+  owner.Advance(kSent);
+  CHECK_EQUAL(1, CountPolls(owner.TakeRelayedPolls()));
+}
