Ignore heartbeats of earlier owners, and pace failed joins

A heartbeat of the previous owner that still lay in the queue when the new claim was read set the state of the new owner: 'store lost' released a healthy owner, so that an elected node claimed at once, and 'owner' let requests go to a link that was not up. Heartbeats of lower epochs are ignored, and an owner counts as active only after a heartbeat over the current link; a member that links again forgets the handover that it waited for, since its withdrawal may have been missed. A join that the store refused was repeated at once, by every node, until the membership had expired; it is repeated after 100 ms.

--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -53,6 +53,10 @@
 void
 HandleHeartbeat(EntryState& aState, const LinkHeartbeat& aHeartbeat, Time aNow, Effects& aOut)
 {
+  if (aHeartbeat.Epoch() < aState.mOwner->Epoch()) {
+    // It is of an earlier owner, or of a process that has not claimed the cell.
+    return;
+  }
   if (aState.mOwnerLostStore != aHeartbeat.StoreLost()) {
     Log(aOut,
         aHeartbeat.StoreLost() ? "owner.lost_store" : "owner.regained_store",
@@ -146,9 +150,11 @@
   if (!aState.mOwnerLeaving) {
     aState.mOwnerReleasedAt = Time::Never();
   }
+  aState.mOwnerActive = false;
+  // A withdrawal of a handover may have been sent while the link was down.
+  aState.mHandover.mAwaitedUntil = Time::Never();
   if (wasUp) {
     // A newer connection has replaced the one that requests were sent over.
-    aState.mOwnerActive = false;
     RequeueForwardedCalls(aState);
   }
   aState.mOwnerHeardAt = aNow;
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -167,7 +167,7 @@
   aState.mJoinInFlight = false;
   if (aEvent.Outcome() != StoreOutcome::Done) {
     aState.mStoreFailedAt = aNow;
-    aState.mNextJoin = aNow;
+    aState.mNextJoin = aNow + kClaimRetryDelay;
     if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
       Log(aOut,
           "group.lost",
@@ -176,7 +176,6 @@
                        std::string(ToString(aEvent.Outcome())),
                        " silent_ms=",
                        (aNow - aState.mJoinedAt).Milliseconds()));
-      aState.mNextJoin = aNow + kClaimRetryDelay;
     }
     return;
   }
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -397,3 +397,31 @@
   node.Advance(Time::FromMilliseconds(1300));
   CHECK(node.Take<ReadClaim>().empty());
 }
+
+// An old heartbeat that still lay in the queue made a new owner look as if it had lost the store,
+// and another node claimed the cell from it.
+TEST(Entry, HeartbeatOfAnEarlierOwnerSaysNothingOfTheNewOne)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(4);
+  node.Join(true);
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  node.Deliver(
+    FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+  CHECK(node.Take<ReadClaim>().empty());
+  CHECK(!node.mState.mOwnerLostStore);
+}
+
+TEST(Entry, FailedJoinIsNotRepeatedAtOnce)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  node.Advance(Time::FromMilliseconds(350));
+  node.Take<JoinGroup>();
+  node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Refused }).value());
+  CHECK(node.Take<JoinGroup>().empty());
+  node.Advance(Time::FromMilliseconds(150));
+  CHECK_EQUAL(1, node.Take<JoinGroup>().size());
+}
