Count placement misses and advice queries by pool

Sixty waiting steps of a full pool ended each placement pass before the steps of an idle pool, and four of them used up the advice queries of a pass.

Test: FullPoolHidesNoOtherPool.

--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -20,9 +20,9 @@
 
 /// Steps per placement pass; further ones wait for the next, so that a pass stays short.
 constexpr std::size_t kMaxStepsPerPass = 400;
-/// A placement pass ends after this many steps without capacity or advice.
+/// A placement pass leaves a pool after this many steps without capacity there.
 constexpr std::size_t kMaxMissesPerPass = 60;
-/// Advice queries per placement pass, since selecting the workers to ask for takes long.
+/// Advice queries per placement pass and pool, since selecting the workers to ask for takes long.
 constexpr std::size_t kMaxQueriesPerPass = 4;
 /// Minimum interval between passes, so that many events share one.
 constexpr Time kPassInterval = Time::FromMilliseconds(5);
@@ -107,8 +107,9 @@
   Effects& mOut;
   std::map<std::string, Candidates> mPools;
   std::size_t mPlaced{ 0 };
-  std::size_t mMisses{ 0 };
-  std::size_t mQueries{ 0 };
+  /// Steps without capacity, and advice queries, by pool, so that a full pool hides no other.
+  std::map<std::string, std::size_t> mMisses{};
+  std::map<std::string, std::size_t> mQueries{};
 
   Candidates& Pool(const std::string& aPool)
   {
@@ -301,6 +302,9 @@
     return;
   }
   const auto& policy = PolicyOf(aPass.mState, *job);
+  if (aPass.mMisses[policy.Pool()] >= kMaxMissesPerPass) {
+    return;
+  }
   auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
   const bool needsAdvice = policy.Advice().has_value();
   const auto holders = needsAdvice
@@ -310,7 +314,7 @@
   const auto& step = StepOf(*job, aKey.mStep);
   const std::size_t needed = step.Gang() ? step.Count() : 1;
   if (CountSlots(candidates, step, needed) < needed) {
-    aPass.mMisses += candidates.empty() ? 0 : 1;
+    aPass.mMisses[policy.Pool()] += candidates.empty() ? 0 : 1;
   } else {
     if (step.Gang()) {
       PlaceGang(aPass, *job, aKey, candidates);
@@ -319,9 +323,9 @@
     }
     RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
   }
-  if (needsAdvice && row.mReady && aPass.mQueries < kMaxQueriesPerPass &&
+  if (needsAdvice && row.mReady && aPass.mQueries[policy.Pool()] < kMaxQueriesPerPass &&
       MayQueryAdvice(step, row.mAdvice, aPass.mNow)) {
-    ++aPass.mQueries;
+    ++aPass.mQueries[policy.Pool()];
     QueryAdvice(aPass.mState,
                 *job,
                 aKey.mOccurrence,
@@ -407,7 +411,7 @@
   }
   aState.mPlacementNeeded = false;
   aState.mNextPlacement = aNow + kPassInterval;
-  Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {}, .mPlaced = 0 };
+  Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
   for (const auto& key : aState.mReady) {
     keys.push_back(key);
@@ -416,9 +420,6 @@
     }
   }
   for (const auto& key : keys) {
-    if (pass.mMisses >= kMaxMissesPerPass) {
-      break;
-    }
     PlaceStep(pass, key);
   }
   return pass.mPlaced;
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -424,3 +424,19 @@
   CHECK_EQUAL(3, nodes.size());
   CHECK_EQUAL(90, workers.size());
 }
+
+// Sixty waiting steps of a full pool ended the placement pass before the steps of an idle pool.
+TEST(Cell, FullPoolHidesNoOtherPool)
+{
+  CellFixture cell(2);
+  auto idle = cell.mCell.mWorkers.at("w2").mRegistration.WithPool("idle");
+  HandleWorkersChanged(
+    cell.mCell, WorkersChanged::Create({ .mPresent = { idle } }).value(), cell.mNow, cell.mOut);
+  for (int i = 0; i < 70; ++i) {
+    cell.SubmitUnstored("full" + std::to_string(i), { CellFixture::Step(1) });
+  }
+  cell.mQueue = cell.mQueue.WithPool("idle").WithPathPrefix("/idle/");
+  cell.SubmitUnstored("other", { CellFixture::Step(1) });
+  cell.AdvanceTime(Time::FromMilliseconds(50));
+  CHECK_EQUAL(1, CountRuns(cell, "w2"));
+}
