Serve requests while urgent events never end

Requests were taken only from batches that urgent events did not fill; polls of 350 workers can fill every batch of an owner that is behind, and queries and cancels then waited without end. An eighth of each batch is kept for requests.

Test: RequestsAreServedWhileUrgentEventsNeverEnd; fails without the change.

--- a/modules/by_entryd/detail/EventQueue.cpp
+++ b/modules/by_entryd/detail/EventQueue.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// One in this many events of a batch may be a request also while urgent events wait.
+constexpr std::size_t kRequestDivisor = 8;
+
 /// @returns a member's request, or nullptr for any other event.
 const FromMember*
 MemberRequest(const EntryEvent& aEvent)
@@ -60,7 +63,8 @@
   EventBatch batch;
   batch.mDropped = std::exchange(mDropped, {});
   batch.mEvents.reserve(std::min(aLimit, mUrgent.size() + mRequests.size()));
-  TakeFrom(mUrgent, aLimit, aNow, batch);
+  const auto reserved = std::min(mRequests.size(), aLimit / kRequestDivisor);
+  TakeFrom(mUrgent, aLimit - reserved, aNow, batch);
   TakeFrom(mRequests, aLimit, aNow, batch);
   mIsConsumerAwake = batch.mLeft > 0;
   return batch;
--- a/tests/by_entryd/EventQueueTest.cpp
+++ b/tests/by_entryd/EventQueueTest.cpp
@@ -143,3 +143,18 @@
   CHECK(At(600) == batch.mLongestWait);
   CHECK(At(0) == mQueue.Take(1, At(1700)).mLongestWait);
 }
+
+// Polls of many workers kept the urgent class full, and callers' requests waited without end.
+TEST(EventQueue, RequestsAreServedWhileUrgentEventsNeverEnd)
+{
+  detail::EventQueue queue;
+  std::vector<EntryEvent> events;
+  for (std::uint64_t n = 0; n < 200; ++n) {
+    events.push_back(Tick(n));
+  }
+  events.push_back(Call(1));
+  queue.Push(events, At(0));
+  const auto batch = queue.Take(64, At(1));
+  CHECK_EQUAL(64, batch.mEvents.size());
+  CHECK(std::holds_alternative<JobCall>(batch.mEvents.back().Body()));
+}
