Repeat no start on a draining worker, and poll less often when behind

The start of a run that went unanswered was sent again after its worker had begun to drain; the task goes back to its queue instead. Steps that wait for capacity made polls four times as frequent, which an owner that is behind can't afford; it now polls at the usual interval.

Test: UnansweredStartIsNotRepeatedOnAWorkerThatDrains; fails without the change.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -85,6 +85,8 @@
   /// Whether a worker, the store or the machines have refused this epoch; a fenced owner does no
   /// more work.
   bool mFenced{ false };
+  /// Whether the owner is behind with its events, so that it polls no more often than it has to.
+  bool mIsBehind{ false };
   /// Whether capacity or ready steps have changed since the last placement pass.
   bool mPlacementNeeded{ false };
   /// The earliest time of the next placement pass.
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -99,14 +99,23 @@
   if (aWorker.mHealth != WorkerHealth::Reachable) {
     return;
   }
+  std::vector<JobTaskKey> withdrawn;
   for (auto& [run, row] : aWorker.mRuns) {
     if (!row.mStopInFlight && row.mStopRetryAt <= aNow) {
       detail::SendStop(aState, aWorker, run, aNow, aOut);
     }
-    if (!row.mStartInFlight && row.mStartRetryAt <= aNow && MayRenewLeases(aState, aNow)) {
+    if (row.mStartInFlight || row.mStartRetryAt > aNow) {
+      continue;
+    }
+    if (aWorker.mRegistration.Draining()) {
+      withdrawn.push_back(run.mTask);
+    } else if (MayRenewLeases(aState, aNow)) {
       detail::SendStart(aState, aWorker, run, aNow, aOut);
     }
   }
+  for (const auto& task : withdrawn) {
+    detail::Requeue(aState, task, aNow, aOut);
+  }
 }
 
 /// @returns whether the registry is known to lack a worker of which only inherited runs are known.
--- a/modules/by_cell/detail/PollTimes.cpp
+++ b/modules/by_cell/detail/PollTimes.cpp
@@ -42,7 +42,8 @@
 Time
 NextPollTime(CellState& aState, const WorkerRow& aWorker, Time aNow)
 {
-  auto next = aNow + (aState.mReady.empty() ? aState.mSettings.PollInterval() : kBusyPollInterval);
+  const bool isQuick = !aState.mReady.empty() && !aState.mIsBehind;
+  auto next = aNow + (isQuick ? kBusyPollInterval : aState.mSettings.PollInterval());
   for (const auto& [run, row] : aWorker.mRuns) {
     if (row.mPhase == RunPhase::Planned) {
       continue;
--- a/modules/by_entry/detail/Load.cpp
+++ b/modules/by_entry/detail/Load.cpp
@@ -77,6 +77,9 @@
         absl::StrCat("overloaded_for_ms=", (aNow - load.mOverloadedAt).Milliseconds()));
     load.mOverloadedAt = Time::Never();
   }
+  if (aState.mCell) {
+    aState.mCell->mIsBehind = load.mOverloadedAt != Time::Never();
+  }
 }
 
 bool
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -342,3 +342,18 @@
   unread.Poll("w2", {}, {});
   CHECK(worker.mLeaseSent == worker.mWorkerClock + unread.mCell.mSettings.Lease());
 }
+
+// A start that went unanswered was sent again after its worker had begun to drain.
+TEST(Workers, UnansweredStartIsNotRepeatedOnAWorkerThatDrains)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto start = cell.TakeStarts().front();
+  cell.Started("w1", { start.Task(), start.Run() }, OrderOutcome::Unanswered);
+  auto entry = cell.mCell.mWorkers.at("w1").mRegistration.WithDraining(true);
+  HandleWorkersChanged(
+    cell.mCell, WorkersChanged::Create({ .mPresent = { entry } }).value(), cell.mNow, cell.mOut);
+  cell.AdvanceTime(Time::FromMilliseconds(300));
+  CHECK(cell.TakeStarts().empty());
+  CHECK_EQUAL(1, cell.TakeStops().size());
+}
