--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -12,6 +12,7 @@
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Ownership.h"
+#include "by_entry/detail/RelayMember.h"
 #include "by_entry/detail/Relays.h"
 #include "by_entry/detail/Settings.h"
 #include "by_entry/detail/Stopping.h"
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -11,6 +11,8 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Load.h"
+#include "by_entry/detail/RelayChoice.h"
+#include "by_entry/detail/RelayMember.h"
 #include "by_entry/detail/Relays.h"
 
 namespace by::detail {
--- a/modules/by_entry/detail/Relays.cpp
+++ b/modules/by_entry/detail/Relays.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -12,7 +11,7 @@
 #include "by_cell/HandleOrders.h"
 #include "by_cell/HandlePolls.h"
 #include "by_cell/detail/Emit.h"
-#include "by_membership/Rendezvous.h"
+#include "by_entry/detail/RelayChoice.h"
 
 namespace by::detail {
 
@@ -23,41 +22,17 @@
 /// An order counts as unanswered this long after its deadline even if nothing was heard from its
 /// relay since.
 constexpr Time kSilentRelayMargin = Time::FromMilliseconds(2500);
-/// Members that relay orders; with fewer of them, more orders and answers share a message.
-constexpr std::size_t kMaxRelays = 8;
 /// Interval between checks for relays that are silent or late.
 constexpr Time kCheckInterval = Time::FromMilliseconds(100);
 /// How long an order waits for others to the same relay.
 constexpr Time kSendDelay = Time::FromMilliseconds(5);
-/// How long an answer waits for others, if the owner acts on it and if it does not.
-constexpr Time kReturnDelay = Time::FromMilliseconds(10);
-constexpr Time kIdleReturnDelay = Time::FromMilliseconds(60);
-/// A member that has been silent this much longer than the last one heard gets no orders.
-constexpr Time kRelaySilence = Time::FromMilliseconds(1200);
 /// How long a relay that left an order unanswered gets no orders.
 constexpr Time kSuspension = Time::FromMilliseconds(2000);
 /// A new owner sends no orders for this long, so that members can link first.
 constexpr Time kLinkDelay = Time::FromMilliseconds(200);
+/// The position of the epoch in the number of an order.
 constexpr std::uint64_t kEpochShift = 32;
 
-Time
-LastHeard(const EntryState& aState)
-{
-  Time last{};
-  for (const auto& [node, member] : aState.mMembers) {
-    last = std::max(last, member.mHeardAt);
-  }
-  return last;
-}
-
-/// Silence counts from the last message of any member, so that an owner that is behind does not
-/// take all of them for silent.
-bool
-IsUsable(const EntryState& aState, const std::string& aNode, const MemberRow& aMember, Time aHeard)
-{
-  return aMember.mHeardAt + kRelaySilence > aHeard && !aState.mRelays.mSuspended.contains(aNode);
-}
-
 /// An answer may lie in the queue of an owner that is behind. It does not if a message that the
 /// relay sent after the deadline has been read.
 bool
@@ -71,74 +46,6 @@
          aNow >= aOrder.mDeadline + kSilentRelayMargin;
 }
 
-ZoneId
-ZoneOf(const EntryState& aState, const std::string& aWorker)
-{
-  const auto it = aState.mCell->mWorkers.find(aWorker);
-  return it == aState.mCell->mWorkers.end() ? ZoneId() : it->second.mRegistration.Zone();
-}
-
-/// @returns the usable members that relay orders: those with the largest processor share, and of
-/// equal ones the same as long as they stay linked.
-std::vector<std::string>
-SelectRelays(const EntryState& aState)
-{
-  const auto heard = LastHeard(aState);
-  std::vector<std::tuple<std::int64_t, std::uint64_t, std::string>> ranked;
-  for (const auto& [node, member] : aState.mMembers) {
-    if (IsUsable(aState, node, member, heard)) {
-      ranked.emplace_back(-static_cast<std::int64_t>(member.mProcessorShare),
-                          RendezvousWeight(NodeId(node), "relay"),
-                          node);
-    }
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> relays;
-  for (const auto& [share, weight, node] : ranked) {
-    if (relays.size() == kMaxRelays) {
-      break;
-    }
-    relays.push_back(node);
-  }
-  return relays;
-}
-
-/// Selects a worker's relay: members in the worker's availability zone first, without those that
-/// could not reach the worker.
-/// @returns the node; empty where no member is usable.
-std::string
-SelectRelay(const EntryState& aState, const std::string& aWorker)
-{
-  const auto zone = ZoneOf(aState, aWorker);
-  const auto failed = aState.mRelays.mFailedRelays.find(aWorker);
-  std::vector<NodeId> nearby;
-  std::vector<NodeId> all;
-  for (const auto& node : SelectRelays(aState)) {
-    if (failed != aState.mRelays.mFailedRelays.end() && failed->second.contains(node)) {
-      continue;
-    }
-    all.emplace_back(node);
-    if (aState.mMembers.at(node).mZone == zone) {
-      nearby.emplace_back(node);
-    }
-  }
-  return RendezvousOwner(nearby.empty() ? all : nearby, aWorker).Text();
-}
-
-const std::string&
-RelayOf(EntryState& aState, const std::string& aWorker)
-{
-  auto [it, isNew] = aState.mRelays.mRelayOfWorker.try_emplace(aWorker);
-  if (isNew) {
-    it->second = SelectRelay(aState, aWorker);
-    if (it->second.empty()) {
-      // This node tries the worker itself, and the relays after it.
-      aState.mRelays.mFailedRelays.erase(aWorker);
-    }
-  }
-  return it->second;
-}
-
 /// Describes what remains to be done if an order is not answered.
 struct WithoutAnswer
 {
@@ -259,21 +166,6 @@
   SettleOrdersOf(aState, aRelay, aNow, aOut);
 }
 
-/// Remembers a relay that could not reach a worker, so that the next order takes another way.
-void
-NoteReachability(EntryState& aState,
-                 const std::string& aWorker,
-                 const std::string& aRelay,
-                 OrderOutcome aOutcome)
-{
-  if (aOutcome == OrderOutcome::Unanswered || aOutcome == OrderOutcome::NotSent) {
-    aState.mRelays.mFailedRelays[aWorker].insert(aRelay);
-    aState.mRelays.mRelayOfWorker.erase(aWorker);
-  } else {
-    aState.mRelays.mFailedRelays.erase(aWorker);
-  }
-}
-
 /// Passes an answer to the cell.
 struct AnswerHandler
 {
@@ -322,18 +214,6 @@
   return std::visit([](const auto& aBody) { return aBody.Number(); }, aAnswer.Body());
 }
 
-/// @returns whether the owner acts on an answer: a run has ended, or an order was not carried out.
-bool
-IsUrgent(const WorkerAnswer& aAnswer)
-{
-  const auto* polled = std::get_if<WorkerPolled>(&aAnswer.Body());
-  if (polled != nullptr && !polled->Report().Ended().empty()) {
-    return true;
-  }
-  return std::visit([](const auto& aBody) { return aBody.Outcome() != OrderOutcome::Accepted; },
-                    aAnswer.Body());
-}
-
 } // namespace
 
 void
@@ -392,12 +272,6 @@
   }
 }
 
-void
-RebalanceRelays(EntryState& aState)
-{
-  aState.mRelays.mRelayOfWorker.clear();
-}
-
 void
 HandleRelayLost(EntryState& aState, const std::string& aRelay, Time aNow, Effects& aOut)
 {
@@ -424,9 +298,8 @@
       late.insert(order.mRelay);
     }
   }
-  const auto heard = LastHeard(aState);
   for (const auto& [node, member] : aState.mMembers) {
-    if (!relays.mSuspended.contains(node) && !IsUsable(aState, node, member, heard)) {
+    if (!relays.mSuspended.contains(node) && IsSilent(aState, member)) {
       late.insert(node);
     }
   }
@@ -435,37 +308,4 @@
   }
 }
 
-void
-PerformRelayOrders(const RelayOrders& aOrders, Effects& aOut)
-{
-  for (const auto& order : aOrders.Orders()) {
-    std::visit([&](const auto& aOrder) { Emit(aOut, aOrder); }, order.Body());
-  }
-}
-
-void
-KeepRelayedAnswer(EntryState& aState, WorkerAnswer aAnswer, Time aNow)
-{
-  const auto delay = IsUrgent(aAnswer) ? kReturnDelay : kIdleReturnDelay;
-  aState.mReturnAnswersAt = std::min(aState.mReturnAnswersAt, aNow + delay);
-  aState.mRelayedAnswers.push_back(std::move(aAnswer));
-}
-
-void
-ReturnRelayedAnswers(EntryState& aState, Time aNow, Effects& aOut)
-{
-  if (aNow < aState.mReturnAnswersAt) {
-    return;
-  }
-  aState.mReturnAnswersAt = Time::Never();
-  auto answers =
-    RelayAnswers::Create({ .mAnswers = std::exchange(aState.mRelayedAnswers, {}) }).value();
-  if (aState.mLinkUp) {
-    Emit(aOut,
-         SendToOwner::Create(
-           { .mMessage = LinkMessage::Create({ .mBody = std::move(answers) }).value() })
-           .value());
-  }
-}
-
 } // namespace by::detail
--- a/modules/by_entry/detail/Relays.h
+++ b/modules/by_entry/detail/Relays.h
@@ -5,8 +5,6 @@
 #include "by_cell/Effects.h"
 #include "by_entry/EntryState.h"
 #include "by_schema/RelayAnswers.h"
-#include "by_schema/RelayOrders.h"
-#include "by_schema/WorkerAnswer.h"
 
 namespace by::detail {
 
@@ -24,10 +22,6 @@
                    Time aNow,
                    Effects& aOut);
 
-/// Distributes the workers over the relays anew, because a member has linked.
-void
-RebalanceRelays(EntryState& aState);
-
 /// Settles the orders that a lost node would have relayed.
 void
 HandleRelayLost(EntryState& aState, const std::string& aRelay, Time aNow, Effects& aOut);
@@ -36,17 +30,4 @@
 void
 ExpireRelayedOrders(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Sends the orders that the owner asked this node to relay.
-void
-PerformRelayOrders(const RelayOrders& aOrders, Effects& aOut);
-
-/// Keeps a worker's answer for the owner that asked this node to relay the order. Answers leave
-/// together: those that the owner acts on after a few milliseconds, others later.
-void
-KeepRelayedAnswer(EntryState& aState, WorkerAnswer aAnswer, Time aNow);
-
-/// Returns the kept answers to the owner when they are due.
-void
-ReturnRelayedAnswers(EntryState& aState, Time aNow, Effects& aOut);
-
 } // namespace by::detail
