--- a/modules/by_schema/OwnerLeaving.h
+++ b/modules/by_schema/OwnerLeaving.h
@@ -10,16 +10,17 @@
 
 namespace by {
 
-/// Announces that the owner is about to stop; receivers query the store for its successor at once.
+/// Announces that the owner is about to leave the cell, because it stops or hands the cell over.
 class OwnerLeaving
 {
 public:
   /// All fields by name, as input of Create().
   struct Fields
   {
-    /// Epoch of the owner that stops.
+    /// Epoch of the owner that leaves.
     std::uint64_t mEpoch{ 0 };
-    /// Node that the owner hands the cell to; empty if any node may claim it.
+    /// Node that the owner hands the cell to; empty if any node may claim it, and the owner itself
+    /// if it withdraws a handover.
     std::string mSuccessor{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -39,7 +40,7 @@
   /// Returns a copy of the fields, from which a changed value can be created.
   Fields ToFields() const { return mFields; }
 
-  /// Epoch of the owner that stops.
+  /// Epoch of the owner that leaves.
   std::uint64_t Epoch() const { return mFields.mEpoch; }
   /// @returns a copy of this value with another Epoch.
   [[nodiscard]] OwnerLeaving WithEpoch(std::uint64_t aValue) const
@@ -49,7 +50,8 @@
     return copy;
   }
 
-  /// Node that the owner hands the cell to; empty if any node may claim it.
+  /// Node that the owner hands the cell to; empty if any node may claim it, and the owner itself if
+  /// it withdraws a handover.
   const std::string& Successor() const { return mFields.mSuccessor; }
   /// @returns a copy of this value with another Successor.
   [[nodiscard]] OwnerLeaving WithSuccessor(std::string aValue) const
