--- a/modules/by_entry/detail/RelayChoice.cpp
+++ b/modules/by_entry/detail/RelayChoice.cpp
@@ -26,6 +26,12 @@
   return last;
 }
 
+bool
+IsSilentSince(const MemberRow& aMember, Time aLastHeard)
+{
+  return aMember.mHeardAt + kRelaySilence <= aLastHeard;
+}
+
 ZoneId
 ZoneOf(const EntryState& aState, const std::string& aWorker)
 {
@@ -38,9 +44,10 @@
 std::vector<std::string>
 SelectRelays(const EntryState& aState)
 {
+  const auto heard = LastHeard(aState);
   std::vector<std::tuple<std::int64_t, std::uint64_t, std::string>> ranked;
   for (const auto& [node, member] : aState.mMembers) {
-    if (!aState.mRelays.mSuspended.contains(node) && !IsSilent(aState, member)) {
+    if (!aState.mRelays.mSuspended.contains(node) && !IsSilentSince(member, heard)) {
       ranked.emplace_back(-static_cast<std::int64_t>(member.mProcessorShare),
                           RendezvousWeight(NodeId(node), "relay"),
                           node);
@@ -84,7 +91,7 @@
 bool
 IsSilent(const EntryState& aState, const MemberRow& aMember)
 {
-  return aMember.mHeardAt + kRelaySilence <= LastHeard(aState);
+  return IsSilentSince(aMember, LastHeard(aState));
 }
 
 const std::string&
