Let a soak's node end at once if it is stopped before it has started

Its faults kill all nodes at 5.567 s, start them again 0.348 s later and stop them at 5.954 s, 40 ms after the start; node-05 had not reached main, so that the signal had its default effect. Such a process has opened no socket and read no request. The check passes over exactly this: status -15 of a process that has not written node.started; it is counted, as stops_before_start.

--- a/scripts/soak_entry/nodes.py
+++ b/scripts/soak_entry/nodes.py
@@ -33,6 +33,7 @@
         self.ready = False
         self.retention_s = 120
         self.starts = 0
+        self.log_from = 0  # where the log of the current process begins
 
     def write_settings(self):
         site = self.site
@@ -56,6 +57,7 @@
         self.write_settings()
         self.starts += 1
         self.ending = False
+        self.log_from = os.fstat(self.log.fileno()).st_size
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, stdout=self.log, stderr=self.log, start_new_session=True,
             env={"PATH": os.environ.get("PATH", ""), "BERGAMOTYARD_SETTINGS": str(self.settings_path)})
@@ -96,14 +98,22 @@
             status = await asyncio.wait_for(self.process.wait(), GRACE_S + GRACE_SLACK_S)
             if time.monotonic() - begin > GRACE_S:
                 self.site.judge.counts["stops_over_grace"] += 1
-            if status:
+            if status > 0:
                 self.site.judge.counts["stops_with_open_calls"] += 1
-            if status < 0 or status > 1:
+            if status == -signal.SIGTERM and not self._has_started():
+                self.site.judge.counts["stops_before_start"] += 1
+            elif status < 0 or status > 1:
                 self.site.judge.violate("STOP", f"{self.name} ended with status {status} after SIGTERM")
         except asyncio.TimeoutError:
             self.site.judge.violate("STOP", f"{self.name} still ran {GRACE_S + GRACE_SLACK_S} s after SIGTERM")
             await self.kill()
 
+    def _has_started(self):
+        """Whether the current process has come so far that it handles signals and serves."""
+        with open(self.log.name, "rb") as log:
+            log.seek(self.log_from)
+            return b'"event":"node.started"' in log.read()
+
     async def freeze(self, seconds):
         self.signal(signal.SIGSTOP)
         try:
