--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -37,7 +37,7 @@
         self.nodes = [Node(self, index) for index in range(options.nodes)]
         self.version = 0
         self.extra = []
-        self.stalls = []  # (time, seconds) by which this process itself was late
+        self.stalls = []  # (begin, end) of the times in which this process itself was late
 
     async def _watch_lag(self):
         while True:
@@ -45,11 +45,11 @@
             await asyncio.sleep(LAG_STEP_S)
             now = time.monotonic()
             if now - before > 2 * LAG_STEP_S:
-                self.stalls.append((now, now - before))
+                self.stalls.append((before + LAG_STEP_S, now))
 
     def stalled_since(self, begin):
         """How long the soak itself did not look at its connections since a time."""
-        return sum(seconds for at, seconds in self.stalls if at > begin)
+        return sum(end - max(start, begin) for start, end in self.stalls if end > begin)
 
     def publish(self):
         self.version += self.random.randrange(1, 4)
