Let the node of an earlier owner claim the cell without an election

Ruled out: the start of the processes (0.1 s) and the load of the cell (0.2 s). Change: the claim of an earlier process of the same node is reason enough to write a claim. Test: Entry, NodeWhoseEarlierProcessOwnedTheCellWritesItsClaimWithoutAnElection, failed before.

--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -303,8 +303,9 @@
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
   }
+  // The claim of an earlier process of this node shows that the owner is gone for certain.
   if (claim && (IsForestalled(aState, *claim) ||
-                (!aState.mElected && !IsClaimOfThisProcess(aState, *claim) &&
+                (!aState.mElected && claim->Node() != aState.mSettings.Node() &&
                  aState.mOwnerReleasedAt == Time::Never()))) {
     // Another node claimed first; its claim has just been recorded as the owner's.
     aState.mPhase = OwnerPhase::Member;
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -369,6 +369,25 @@
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
 }
 
+// The node read the claim, found that it was not elected, and began again, 150 times a second, until
+// another node was elected after 1.7 s.
+TEST(Entry, NodeWhoseEarlierProcessOwnedTheCellWritesItsClaimWithoutAnElection)
+{
+  EntryFixture node("n1");
+  node.Configure();
+  node.Join(false);
+  auto claim = CellClaim::Create({ .mEpoch = 3, .mNode = "n1", .mIncarnation = 9 }).value();
+  const auto read =
+    ClaimRead::Create({ .mOutcome = StoreOutcome::Done, .mClaim = claim, .mEnd = 3 }).value();
+  node.Deliver(read);
+  node.Take<ReadClaim>();
+  node.Deliver(read);
+  const auto writes = node.Take<WriteClaim>();
+  CHECK_EQUAL(1, writes.size());
+  CHECK_EQUAL(4, writes.front().Claim().Epoch());
+  CHECK(node.Take<ReadClaim>().empty());
+}
+
 TEST(Entry, NewlyElectedNodeClaimsFromAnOwnerWhoseHeartbeatsAreMissing)
 {
   EntryFixture node;
