Tell nodes that cannot reach the store who owns the cell

Cause: claims are read from the store only. Change: a member that follows a newer owner tells the last one, over the link that it still has; a node that learns of a newer claim tells the nodes linked to it, and those that link later with an older epoch. Claims are ordered by epoch and are only ever passed on as they were read, so that a message from a peer is as good as a read. A link sends what is queued before it is closed.

--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -11,6 +11,7 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Load.h"
+#include "by_entry/detail/Ownership.h"
 #include "by_entry/detail/RelayChoice.h"
 #include "by_entry/detail/RelayMember.h"
 #include "by_entry/detail/Relays.h"
@@ -52,6 +53,24 @@
          aNow;
 }
 
+/// Tells the nodes that have a link with this one who owns the cell. A node that can't reach the
+/// store learns it from them: the members of the last owner tell that owner, and it tells the others.
+void
+AnnounceClaim(const EntryState& aState, const CellClaim& aClaim, Effects& aOut)
+{
+  if (!aState.mOwner || IsClaimOfThisNode(aState, aClaim)) {
+    return;
+  }
+  if (aState.mLinkUp && aState.mOwner->Node() != aClaim.Node()) {
+    Emit(aOut, SendToOwner::Create({ .mMessage = MessageOf(aClaim) }).value());
+  }
+  for (const auto& [node, member] : aState.mMembers) {
+    if (node != aClaim.Node()) {
+      Emit(aOut, SendToMember::Create({ .mNode = node, .mMessage = MessageOf(aClaim) }).value());
+    }
+  }
+}
+
 void
 HandleHeartbeat(EntryState& aState, const LinkHeartbeat& aHeartbeat, Time aNow, Effects& aOut)
 {
@@ -87,6 +106,7 @@
       "owner.known",
       absl::StrCat("epoch ", aClaim.Epoch()),
       absl::StrCat("node=", aClaim.Node(), " link=", aClaim.Link().Address()));
+  AnnounceClaim(aState, aClaim, aOut);
   aState.mOwner = aClaim;
   aState.mOwnerKnownAt = aNow;
   aState.mLinkUp = false;
@@ -187,6 +207,8 @@
     HandleOwnerLeaving(aState, *leaving, aNow, aOut);
   } else if (const auto* orders = std::get_if<RelayOrders>(&body)) {
     PerformRelayOrders(*orders, aOut);
+  } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
+    TakeClaim(aState, *claim, aNow, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
     HandleHeartbeat(aState, *heartbeat, aNow, aOut);
   }
@@ -214,6 +236,17 @@
     HandleRelayAnswers(aState, aEvent.Node(), *answers, aNow, aOut);
   } else if (std::holds_alternative<LinkHeartbeat>(body)) {
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
+  } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
+    TakeClaim(aState, *claim, aNow, aOut);
+  } else if (const auto* hello = std::get_if<LinkHello>(&body)) {
+    const bool isOutdated = aState.mOwner && hello->Epoch() < aState.mOwner->Epoch() &&
+                            !IsClaimOfThisNode(aState, *aState.mOwner);
+    if (isOutdated) {
+      Emit(aOut,
+           SendToMember::Create(
+             { .mNode = aEvent.Node(), .mMessage = MessageOf(*aState.mOwner) })
+             .value());
+    }
   }
 }
 
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -278,6 +278,18 @@
   Emit(aOut, ReadClaim::Create({ .mNumber = ++aState.mClaimReadNumber }).value());
 }
 
+void
+TakeClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
+{
+  if (!aState.mOwner || aState.mOwner->Epoch() < aClaim.Epoch()) {
+    FollowOwner(aState, aClaim, aNow, aOut);
+  }
+  if (aClaim.Epoch() > aState.mEpoch && !IsClaimOfThisProcess(aState, aClaim) &&
+      (aState.mPhase == OwnerPhase::Owner || aState.mPhase == OwnerPhase::Loading)) {
+    StepDown(aState, "another node claimed the cell", aNow, aOut);
+  }
+}
+
 void
 HandleClaimRead(EntryState& aState, const ClaimRead& aEvent, Time aNow, Effects& aOut)
 {
@@ -292,13 +304,8 @@
     return;
   }
   const auto& claim = aEvent.Claim();
-  if (claim && (!aState.mOwner || aState.mOwner->Epoch() < claim->Epoch())) {
-    FollowOwner(aState, *claim, aNow, aOut);
-  }
-  if (claim && claim->Epoch() > aState.mEpoch && !IsClaimOfThisProcess(aState, *claim) &&
-      (aState.mPhase == OwnerPhase::Owner || aState.mPhase == OwnerPhase::Loading)) {
-    StepDown(aState, "another node claimed the cell", aNow, aOut);
-    return;
+  if (claim) {
+    TakeClaim(aState, *claim, aNow, aOut);
   }
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
     return;
--- a/modules/by_links/detail/LinkConnection.cpp
+++ b/modules/by_links/detail/LinkConnection.cpp
@@ -57,6 +57,12 @@
   mReceived = nullptr;
   mClosed = nullptr;
   error_code ignored;
+  if (mWritten.empty() && !mQueue.empty()) {
+    // The last messages still leave, as far as the socket takes them without waiting.
+    mSocket.non_blocking(true, ignored);
+    mSocket.write_some(boost::asio::buffer(mQueue), ignored);
+    mQueue.clear();
+  }
   mSocket.close(ignored);
 }
 
@@ -111,6 +117,7 @@
       self->Fail();
       return;
     }
+    self->mWritten.clear();
     self->Write();
   };
   boost::asio::async_write(mSocket, boost::asio::buffer(mWritten), std::move(written));
--- a/modules/by_links/detail/LinkConnection.h
+++ b/modules/by_links/detail/LinkConnection.h
@@ -35,7 +35,7 @@
   /// Queues a message; a queue that is full ends the connection. Messages that one handler of the
   /// io_context sends leave in one write.
   void Send(const LinkMessage& aMessage);
-  /// Ends the connection; Closed is not called.
+  /// Ends the connection after what is queued and can leave at once; Closed is not called.
   void Close();
 
 private:
--- a/modules/by_schema/LinkMessage.h
+++ b/modules/by_schema/LinkMessage.h
@@ -10,6 +10,7 @@
 #include "absl/status/statusor.h"
 
 #include "by_schema/AdviceAnswered.h"
+#include "by_schema/CellClaim.h"
 #include "by_schema/CellRequest.h"
 #include "by_schema/JobReply.h"
 #include "by_schema/LinkHeartbeat.h"
@@ -37,7 +38,8 @@
                  AdviceAnswered,
                  OwnerLeaving,
                  RelayOrders,
-                 RelayAnswers>
+                 RelayAnswers,
+                 CellClaim>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -66,7 +68,8 @@
                      AdviceAnswered,
                      OwnerLeaving,
                      RelayOrders,
-                     RelayAnswers>&
+                     RelayAnswers,
+                     CellClaim>&
   Body() const
   {
     return mFields.mBody;
@@ -80,7 +83,8 @@
                                                   AdviceAnswered,
                                                   OwnerLeaving,
                                                   RelayOrders,
-                                                  RelayAnswers> aValue) const
+                                                  RelayAnswers,
+                                                  CellClaim> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
