Let the larger nodes claim the cell from a silent owner

Cause: the elected node alone claimed, and only if it had just been elected; an owner need not be the elected node, so that its loss often elects nobody new. An elected node took no account of its size. Change: the evidence is a change of the group and a silent link together, whichever node is elected. It releases the cell, so that larger nodes claim at once and smaller ones 75 and 150 ms later, as after a planned stop. An owner that is heard again keeps the cell. Tests: SilentOwner; NodeThatHasLongBeenElectedDoesNotClaimForASilentLink holds as it was.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -42,8 +42,8 @@
   Time mStoreFailedAt{};
   /// Whether the group elected this node to own the cell.
   bool mElected{ false };
-  /// When the group elected this node; zero while it has not.
-  Time mElectedAt{};
+  /// When this node last learned that a node has joined or left the group; zero before the first.
+  Time mGroupChangedAt{};
 
   /// How far this node has come in acquiring the cell.
   OwnerPhase mPhase{ OwnerPhase::Member };
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -22,10 +22,10 @@
 /// since the last message of an owner that is not active. A newly elected node has already waited
 /// for the owner's group membership to expire.
 constexpr Time kOwnerLossTimeout = Time::FromMilliseconds(300);
-/// A node that was elected less than kRecentElection ago takes an owner that has been silent for
-/// this long for lost: two of its heartbeats are missing.
+/// If the group has changed less than kRecentChange ago, an owner that has been silent for this long
+/// counts as lost: two of its heartbeats are missing.
 constexpr Time kElectedSilence = Time::FromMilliseconds(1100);
-constexpr Time kRecentElection = Time::FromMilliseconds(1500);
+constexpr Time kRecentChange = Time::FromMilliseconds(1500);
 /// Nodes that know that the owner is gone, leaving or without the store delay their claims by a
 /// number of steps derived from their incarnation, so that they seldom claim at the same time.
 constexpr std::int64_t kPreemptiveClaimStepMs = 15;
@@ -185,10 +185,10 @@
         MemberName(aState),
         absl::StrCat("generation=", aEvent.Generation(), " chosen=", aEvent.Elected()));
   }
-  aState.mGeneration = aEvent.Generation();
-  if (aEvent.Elected() != aState.mElected) {
-    aState.mElectedAt = aEvent.Elected() ? aNow : Time();
+  if (aState.mGeneration != aEvent.Generation()) {
+    aState.mGroupChangedAt = aNow;
   }
+  aState.mGeneration = aEvent.Generation();
   aState.mElected = aEvent.Elected();
   aState.mJoinedAt = std::max(aState.mJoinedAt, aEvent.Sent());
   if (aState.mCell && aState.mElected) {
@@ -211,17 +211,21 @@
   if (MayOwnerRegainStore(aState, aNow)) {
     return;
   }
-  // The election of another node and a silent link together show sooner than either that the owner
-  // is gone: the store has not heard from it either.
+  // A change of the group and a silent link together show sooner than either that the owner is gone:
+  // the store has not heard from some node either. An owner that is only slow loses the cell to a
+  // node that serves at once.
   const bool isSilent = aState.mLinkUp && aNow > aState.mOwnerHeardAt + kElectedSilence &&
-                        aNow < aState.mElectedAt + kRecentElection;
+                        aNow < aState.mGroupChangedAt + kRecentChange;
+  if (isSilent) {
+    // The larger nodes see the same and claim the cell first.
+    aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
+  }
   const bool hasOwnedEarlier =
     hasNoOtherOwner && aState.mOwner && !IsClaimOfThisProcess(aState, *aState.mOwner);
-  const bool isReleased = (aState.mOwnerLeaving || aState.mOwnerLostStore) &&
-                          aNow >= aState.mOwnerReleasedAt + ShareDelay(aState);
+  const bool isReleased = aNow >= aState.mOwnerReleasedAt + ShareDelay(aState);
   // The claim of an earlier process of this node shows that the owner is gone for certain.
-  if (hasOwnedEarlier || (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive ||
-                                              isReleased || isSilent))) {
+  if (hasOwnedEarlier ||
+      (aState.mElected && (hasNoOtherOwner || isUnreachable || isInactive || isReleased))) {
     Log(aOut,
         "owner.claiming",
         aState.mSettings.Node(),
--- a/tests/by_entry/ClaimNoticesTest.cpp
+++ b/tests/by_entry/ClaimNoticesTest.cpp
@@ -152,3 +152,45 @@
   CHECK_EQUAL(1, claims.size());
   CHECK_EQUAL(4, claims.front().Epoch());
 }
+
+/// The machine of an owner was gone; the node that was elected had been so for long, so that it
+/// waited until its link had been silent for 1.5 s and down for 0.3 s.
+TEST_GROUP(SilentOwner){};
+
+TEST(SilentOwner, LargeNodeClaimsOnceTheGroupHasChangedToo)
+{
+  Member member;
+  member.Advance(Time::FromMilliseconds(1200));
+  member.Take<ReadClaim>();
+  member.JoinGeneration(8);
+  member.Advance(Time::FromMilliseconds(150));
+  CHECK_EQUAL(1, member.Take<ReadClaim>().size());
+}
+
+TEST(SilentOwner, SmallNodeLeavesTheCellToLargerOnesFirst)
+{
+  Member member(kSmall);
+  member.Advance(Time::FromMilliseconds(1200));
+  member.Take<ReadClaim>();
+  member.JoinGeneration(8);
+  member.Advance(Time::FromMilliseconds(100));
+  CHECK(member.Take<ReadClaim>().empty());
+}
+
+TEST(SilentOwner, OwnerThatIsHeardAgainKeepsTheCell)
+{
+  Member member(kSmall);
+  member.Advance(Time::FromMilliseconds(1200));
+  member.JoinGeneration(8);
+  member.Beat();
+  member.Take<ReadClaim>();
+  member.Advance(Time::FromMilliseconds(400));
+  CHECK(member.Take<ReadClaim>().empty());
+}
+
+TEST(SilentOwner, SilentLinkAloneIsNoReasonToClaim)
+{
+  Member member;
+  member.Advance(Time::FromMilliseconds(1600));
+  CHECK(member.Take<ReadClaim>().empty());
+}
