Count the wait for members from an owner's claim

Cause: a new owner sends no orders for 200 ms so that members can link first, counted from the end of its load; members link when they read its claim, which is 70 to 700 ms earlier. Change: the wait counts from the claim. Relay, NewOwnerWaitsForMembersBeforeItCallsAllWorkersItself holds.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -47,8 +47,9 @@
 
   /// How far this node has come in acquiring the cell.
   OwnerPhase mPhase{ OwnerPhase::Member };
-  /// The epoch that this node last claimed.
+  /// The epoch that this node last claimed, and when it did.
   std::uint64_t mEpoch{ 0 };
+  Time mClaimedAt{};
   /// The newest epoch known when this node began to claim; empty if no claim was known.
   std::optional<std::uint64_t> mClaimedAfter;
   /// The number of the last request to read the claim.
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -122,9 +122,10 @@
 }
 
 void
-BeginLoad(EntryState& aState, std::uint64_t aEpoch, Effects& aOut)
+BeginLoad(EntryState& aState, std::uint64_t aEpoch, Time aNow, Effects& aOut)
 {
   aState.mPhase = OwnerPhase::Loading;
+  aState.mClaimedAt = aNow;
   aState.mEpoch = aEpoch;
   aState.mRetryAt = Time::Never();
   Log(aOut, "owner.claimed", absl::StrCat("epoch ", aEpoch), "next=load");
@@ -323,7 +324,7 @@
     return;
   }
   if (claim && IsClaimOfThisProcess(aState, *claim) && claim->Epoch() > aState.mEpoch) {
-    BeginLoad(aState, claim->Epoch(), aOut);
+    BeginLoad(aState, claim->Epoch(), aNow, aOut);
     return;
   }
   WriteOwnClaim(aState, aEvent, aOut);
@@ -337,7 +338,7 @@
   }
   if (aEvent.Outcome() == StoreOutcome::Done) {
     FollowOwner(aState, aEvent.Claim(), aNow, aOut);
-    BeginLoad(aState, aEvent.Claim().Epoch(), aOut);
+    BeginLoad(aState, aEvent.Claim().Epoch(), aNow, aOut);
     return;
   }
   // Reading the claims again shows whether an unanswered write took effect.
--- a/modules/by_entry/detail/Relays.cpp
+++ b/modules/by_entry/detail/Relays.cpp
@@ -28,7 +28,7 @@
 constexpr Time kSendDelay = Time::FromMilliseconds(5);
 /// How long a relay that left an order unanswered gets no orders.
 constexpr Time kSuspension = Time::FromMilliseconds(2000);
-/// A new owner sends no orders for this long, so that members can link first.
+/// A new owner sends no orders for this long after its claim, so that members can link first.
 constexpr Time kLinkDelay = Time::FromMilliseconds(200);
 /// The position of the epoch in the number of an order.
 constexpr std::uint64_t kEpochShift = 32;
@@ -227,7 +227,7 @@
     return;
   }
   auto& held = aState.mRelays.mHeld;
-  if (aNow < aState.mCell->mOwnerSince + kLinkDelay) {
+  if (aNow < aState.mClaimedAt + kLinkDelay) {
     HoldOrders(held, aOut);
     return;
   }
