Let refused callers return by the age of an outage and their slack

What callers see: every refusal while the store was lost said 1 s, whatever the age of the outage and the time that the job had. A member counts an outage from its own failed calls to the store.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -2,25 +2,35 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleStore.h"
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
 #include "by_jobs/by_jobs.h"
+#include "by_queueing/RetryDelay.h"
 
 namespace by {
 
 namespace {
 
+/// Retry delay of callers that are not refused because the store is lost.
+constexpr Time kRetryDelay = Time::FromMilliseconds(1000);
+
 void
 Refuse(const CellState& aState,
        const PendingCaller& aCaller,
        const CellRequest& aRequest,
        const char* aReason,
+       Time aRetryAfter,
        Effects& aOut)
 {
-  detail::Log(aOut, "job.refused", aRequest.Job(), absl::StrCat("reason=", aReason));
-  detail::ReplyRefused(aState, aCaller, aOut);
+  detail::Log(
+    aOut,
+    "job.refused",
+    aRequest.Job(),
+    absl::StrCat("reason=", aReason, " retry_after_ms=", aRetryAfter.Milliseconds()));
+  detail::ReplyRefused(aState, aCaller, aRetryAfter, aOut);
 }
 
 /// An owner that the store has not confirmed for this long may have been replaced by one that
@@ -41,7 +51,7 @@
               aRequest.Job(),
               absl::StrCat("epoch=", aState.mEpoch, " confirmed_ms_ago=", age.Milliseconds()));
   if (age > kUnknownJobValidity) {
-    detail::ReplyRefused(aState, aCaller, aOut);
+    detail::ReplyRefused(aState, aCaller, kRetryDelay, aOut);
   } else {
     detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
   }
@@ -85,11 +95,17 @@
     return;
   }
   if (aState.mStoreRejects || aState.mStoreLostAt + aState.mSettings.StoreLossTimeout() < aNow) {
-    Refuse(aState, aCaller, aRequest, "store out of reach", aOut);
+    const auto slack = SlackTime(*aRequest.Definition(), aRequest.Queue());
+    Refuse(aState,
+           aCaller,
+           aRequest,
+           "store out of reach",
+           RetryDelayInOutage(StoreOutageAge(aState, aNow), slack),
+           aOut);
     return;
   }
   if (aState.mJobs.size() >= aState.mSettings.JobLimit()) {
-    Refuse(aState, aCaller, aRequest, "too many open jobs", aOut);
+    Refuse(aState, aCaller, aRequest, "too many open jobs", kRetryDelay, aOut);
     return;
   }
   auto& job = aState.mJobs[aRequest.Job()];
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -12,6 +12,7 @@
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
 #include "by_jobs/by_jobs.h"
+#include "by_queueing/RetryDelay.h"
 
 namespace by {
 
@@ -129,10 +130,17 @@
   if (job == nullptr || job->mStored) {
     return;
   }
+  const auto retryAfter =
+    RetryDelayInOutage(StoreOutageAge(aState, aNow),
+                       SlackTime(job->mJob.Definition(), job->mJob.Queue()));
   for (const auto& caller : job->mSubmitters) {
-    detail::ReplyRefused(aState, caller, aOut);
+    detail::ReplyRefused(aState, caller, retryAfter, aOut);
   }
-  detail::Log(aOut, "job.refused", aJob, "reason=store out of reach");
+  detail::Log(
+    aOut,
+    "job.refused",
+    aJob,
+    absl::StrCat("reason=store out of reach retry_after_ms=", retryAfter.Milliseconds()));
   detail::DiscardJob(aState, aJob, aNow, aOut);
 }
 
@@ -286,6 +294,12 @@
 
 } // namespace
 
+Time
+StoreOutageAge(const CellState& aState, Time aNow)
+{
+  return aState.mStoreLostAt == Time::Never() ? Time() : aNow - aState.mStoreLostAt;
+}
+
 bool
 HasUnstored(const CellState& aState)
 {
--- a/modules/by_cell/HandleStore.h
+++ b/modules/by_cell/HandleStore.h
@@ -21,6 +21,10 @@
 void
 AnswerStalledCallers(CellState& aState, Time aNow, Effects& aOut);
 
+/// @returns for how long the store has been lost; zero while it answers.
+Time
+StoreOutageAge(const CellState& aState, Time aNow);
+
 /// @returns whether changes or an append still wait for the store.
 bool
 HasUnstored(const CellState& aState);
--- a/modules/by_cell/detail/Emit.cpp
+++ b/modules/by_cell/detail/Emit.cpp
@@ -6,14 +6,6 @@
 
 namespace by::detail {
 
-namespace {
-
-/// Retry delay for submitters that are refused: the store is unavailable, or too many jobs are
-/// open.
-constexpr Time kStoreRetry = Time::FromMilliseconds(1000);
-
-} // namespace
-
 void
 Log(Effects& aOut, std::string aEvent, std::string aSubject, std::string aDetail)
 {
@@ -47,9 +39,12 @@
 }
 
 void
-ReplyRefused(const CellState& aState, const PendingCaller& aCaller, Effects& aOut)
+ReplyRefused(const CellState& aState,
+             const PendingCaller& aCaller,
+             Time aRetryAfter,
+             Effects& aOut)
 {
-  Reply(aState, aCaller, { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = kStoreRetry }, aOut);
+  Reply(aState, aCaller, { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = aRetryAfter }, aOut);
 }
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Emit.h
+++ b/modules/by_cell/detail/Emit.h
@@ -40,7 +40,10 @@
 
 /// Replies to a caller that its job is refused, so that it never runs, and when to retry.
 void
-ReplyRefused(const CellState& aState, const PendingCaller& aCaller, Effects& aOut);
+ReplyRefused(const CellState& aState,
+             const PendingCaller& aCaller,
+             Time aRetryAfter,
+             Effects& aOut);
 
 } // namespace detail
 
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -40,6 +40,8 @@
   Time mJoinedAt{};
   /// When a call of this node to the store last failed; zero before the first.
   Time mStoreFailedAt{};
+  /// Since when the calls that renew the membership have failed; Never() while they succeed.
+  Time mStoreLostAt{ Time::Never() };
   /// Whether the group elected this node to own the cell.
   bool mElected{ false };
   /// When this node last learned that a node has joined or left the group; zero before the first.
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -11,6 +11,8 @@
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
+#include "by_jobs/CriticalPaths.h"
+#include "by_queueing/RetryDelay.h"
 
 namespace by::detail {
 
@@ -79,6 +81,12 @@
                    mayHaveRun ? "uncertain" : "not run"));
   if (mayHaveRun) {
     Answer(aNumber, { .mOutcome = JobCallOutcome::Uncertain }, aOut);
+  } else if (aCall.mRequest.Definition() && aState.mStoreLostAt != Time::Never()) {
+    const auto slack = SlackTime(*aCall.mRequest.Definition(), aCall.mRequest.Queue());
+    Answer(aNumber,
+           { .mOutcome = JobCallOutcome::Refused,
+             .mRetryAfter = RetryDelayInOutage(aNow - aState.mStoreLostAt, slack) },
+           aOut);
   } else {
     Refuse(aState, aNumber, aNow, aOut);
   }
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -168,6 +168,7 @@
   aState.mJoinInFlight = false;
   if (aEvent.Outcome() != StoreOutcome::Done) {
     aState.mStoreFailedAt = aNow;
+    aState.mStoreLostAt = std::min(aState.mStoreLostAt, aNow);
     aState.mNextJoin = aNow + kClaimRetryDelay;
     if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
       Log(aOut,
@@ -180,6 +181,7 @@
     }
     return;
   }
+  aState.mStoreLostAt = Time::Never();
   if (aState.mGeneration != aEvent.Generation() || aState.mElected != aEvent.Elected()) {
     Log(aOut,
         "group.changed",
--- a/modules/by_jobs/CriticalPaths.cpp
+++ b/modules/by_jobs/CriticalPaths.cpp
@@ -21,15 +21,31 @@
   return paths;
 }
 
+namespace {
+
 Time
-ObjectiveTime(const JobDefinition& aDefinition, const QueuePolicy& aQueue)
+LongestPath(const JobDefinition& aDefinition)
 {
   Time longest;
   for (const auto path : CriticalPathsFrom(aDefinition)) {
     longest = std::max(longest, path);
   }
-  const auto allowed =
-    std::llround(aQueue.SlowdownLimit() * static_cast<double>(longest.Milliseconds()));
+  return longest;
+}
+
+} // namespace
+
+Time
+SlackTime(const JobDefinition& aDefinition, const QueuePolicy& aQueue)
+{
+  return ObjectiveTime(aDefinition, aQueue) - LongestPath(aDefinition);
+}
+
+Time
+ObjectiveTime(const JobDefinition& aDefinition, const QueuePolicy& aQueue)
+{
+  const auto allowed = std::llround(
+    aQueue.SlowdownLimit() * static_cast<double>(LongestPath(aDefinition).Milliseconds()));
   return Time::FromMilliseconds(allowed) + aQueue.Slack();
 }
 
--- a/modules/by_jobs/CriticalPaths.h
+++ b/modules/by_jobs/CriticalPaths.h
@@ -13,6 +13,11 @@
 std::vector<Time>
 CriticalPathsFrom(const JobDefinition& aDefinition);
 
+/// @returns how long after its arrival a job can start and still finish within ObjectiveTime(), by
+/// the declared estimates.
+Time
+SlackTime(const JobDefinition& aDefinition, const QueuePolicy& aQueue);
+
 /// @returns the time from a job's arrival within which its queue aims to finish it.
 Time
 ObjectiveTime(const JobDefinition& aDefinition, const QueuePolicy& aQueue);
