Plan advice in rounds, and hold room for gangs that wait

Cause, from step.waiting lines: tasks that start alone took each piece of room as it appeared; a gang asked for the tickets of a few more workers each second while the earlier ones expired after 2 s, with no room on any of them; all gangs listed the same workers; nodes were busy with queries that could not place anything. Change, in by_queueing as functions of plain values with the load pattern that each answers: - a round for a gang either learns of workers, as many as the query's fixed time is worth, or renews tickets once there is room (PlanGangRound); nothing is asked while only room is missing; - rooms that gangs wait for are held on workers known to be allowed, from a pass of placement to the next, for tasks that end in time or have to start now to stay usable (GangHold); - a round is split between nodes while most are idle (SplitQueries); late jobs use idle nodes only; - the share of workers that a queue allows is learned; room counts when the answer arrives; - an answer read after its deadline gives no tickets, and tickets that were not asked for are logged.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -12,6 +12,7 @@
 #include "absl/container/btree_set.h"
 
 #include "by_cell/AdviceProxyRow.h"
+#include "by_cell/AdviceShare.h"
 #include "by_cell/AppendBatch.h"
 #include "by_cell/JobRow.h"
 #include "by_cell/OutcomeRow.h"
@@ -58,6 +59,8 @@
   absl::btree_set<std::pair<std::uint64_t, std::string>> mNewMaintenance;
   /// Nodes that can query the advice service.
   std::vector<AdviceProxyRow> mAdviceProxies;
+  /// How many of the queried workers the service allowed, by the host and path prefix of the queue.
+  std::map<std::pair<std::string, std::string>, AdviceShare> mAdviceShares;
 
   /// Changes since the last append: accepted jobs, tasks with new progress, outcomes, deleted keys.
   std::vector<std::string> mNewJobs;
@@ -89,6 +92,10 @@
   bool mIsBehind{ false };
   /// Whether capacity or ready steps have changed since the last placement pass.
   bool mPlacementNeeded{ false };
+  /// The number of the last placement pass; passes are numbered from 1.
+  std::uint64_t mPlacementPass{ 0 };
+  /// The number of the last hold of workers' room for a gang.
+  std::uint64_t mLastHold{ 0 };
   /// The earliest time of the next placement pass.
   Time mNextPlacement{};
   /// When the periodic checks last ran, and the last pass over all workers.
--- a/modules/by_cell/HandleAdvice.cpp
+++ b/modules/by_cell/HandleAdvice.cpp
@@ -1,7 +1,8 @@
 #include "by_cell/HandleAdvice.h"
 
-#include <algorithm>
+#include <cstddef>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Advice.h"
@@ -20,7 +21,7 @@
   }
   auto& advice = occurrence->mSteps[aEvent.Step()].mAdvice;
   const auto& policy = detail::PolicyOf(aState, *job).Advice();
-  detail::CloseAdviceQuery(aState, advice, aEvent.Workers());
+  const bool isInTime = detail::CloseAdviceQuery(aState, advice, aEvent.Workers(), aNow);
   aState.mPlacementNeeded = true;
   detail::Log(aOut,
               "advice.answered",
@@ -30,17 +31,42 @@
                            " asked=",
                            aEvent.Workers().size(),
                            " allowed=",
-                           aEvent.Tickets().size()));
+                           aEvent.Tickets().size(),
+                           " in_time=",
+                           isInTime));
   if (!aEvent.Answered() || !policy) {
     return;
   }
+  std::size_t queried = 0;
   for (const auto& worker : aEvent.Workers()) {
+    queried += advice.mTickets.contains(worker) ? 0 : 1;
     advice.mDeniedWorkers.insert(worker);
   }
+  std::size_t allowed = 0;
+  std::size_t unexpected = 0;
   for (const auto& ticket : aEvent.Tickets()) {
-    advice.mDeniedWorkers.erase(ticket.Worker());
-    advice.mTickets[ticket.Worker()] = ticket.Text();
-    advice.mValidUntil[ticket.Worker()] = aNow + policy->Validity();
+    const auto& worker = ticket.Worker();
+    if (!absl::c_linear_search(aEvent.Workers(), worker)) {
+      ++unexpected;
+      continue;
+    }
+    advice.mDeniedWorkers.erase(worker);
+    allowed += advice.mTickets.insert_or_assign(worker, ticket.Text()).second ? 1 : 0;
+    // The tickets of an answer that was read late may have expired.
+    advice.mValidUntil[worker] = isInTime ? aNow + policy->Validity() : aNow;
+  }
+  for (const auto& worker : aEvent.Workers()) {
+    if (advice.mDeniedWorkers.contains(worker)) {
+      advice.mTickets.erase(worker);
+      advice.mValidUntil.erase(worker);
+    }
+  }
+  detail::UpdateAllowedShare(aState, *job, queried, allowed);
+  if (unexpected > 0) {
+    detail::Log(aOut,
+                "advice.unexpected",
+                absl::StrCat(aEvent.Job(), ".", aEvent.Occurrence(), ".", aEvent.Step()),
+                absl::StrCat("tickets=", unexpected, " reason=not asked for"));
   }
   advice.mNextQuery = aNow;
 }
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <tuple>
 
-#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/detail/AdviceSelection.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Placement.h"
 #include "by_cell/detail/Tables.h"
+#include "by_queueing/AdviceRound.h"
 
 namespace by::detail {
 
@@ -19,24 +20,19 @@
 constexpr Time kTicketMargin = Time::FromMilliseconds(150);
 /// Time for an answer beyond the decision itself: hops between nodes and queueing.
 constexpr Time kAnswerMargin = Time::FromMilliseconds(600);
-/// Minimum interval between queries on one step.
+/// Minimum interval between rounds of queries on one step.
 constexpr Time kQueryInterval = Time::FromMilliseconds(50);
-/// Delay before an unanswered query is repeated.
+/// Delay before a round without a free node is tried again.
 constexpr Time kQueryRetryDelay = Time::FromMilliseconds(200);
-/// Minimum number of workers in a query; the fixed cost of a call outweighs a few more names.
-constexpr std::size_t kMinQueriedWorkers = 6;
-/// Maximum number of workers in a query; the queues' objectives allow for a call with this many.
-constexpr std::size_t kMaxQueriedWorkers = 30;
-/// Open queries per step; a step wider than one query covers has several, through different nodes.
-constexpr std::size_t kMaxQueriesPerStep = 3;
 /// Queries with a longer decision time leave one in this many nodes idle for short ones.
-constexpr std::size_t kIdleNodeDivisor = 4;
+constexpr std::size_t kIdleNodeDivisor = 10;
 /// Open queries per node: the service answers one of them, and the second waits there meanwhile.
 constexpr std::size_t kMaxOpenQueries = 2;
 /// Queries with a longer decision time are kept off the last idle nodes, so that short ones need
 /// not wait behind them.
 constexpr Time kLongQuery = Time::FromMilliseconds(100);
-constexpr std::int64_t kMicrosInMilli = 1000;
+/// The number of queried workers from which on older answers count less.
+constexpr double kShareSamples = 400.0;
 
 void
 RemoveExpiredQueries(AdviceProxyRow& aProxy, Time aNow)
@@ -66,94 +62,64 @@
 }
 
 std::size_t
-CountWorkersToQuery(const JobStep& aStep)
+CountIdleProxies(CellState& aState, Time aNow)
 {
-  const std::size_t tasks = aStep.Count();
-  return std::clamp(2 * tasks + 4, kMinQueriedWorkers, kMaxQueriedWorkers);
-}
-
-/// @returns how many open queries a step may have, which together cover its width.
-std::size_t
-MaxOpenQueries(const JobStep& aStep)
-{
-  const std::size_t tasks = aStep.Count();
-  const auto needed = (2 * tasks + 4 + kMaxQueriedWorkers - 1) / kMaxQueriedWorkers;
-  return std::clamp<std::size_t>(needed, 1, kMaxQueriesPerStep);
-}
-
-std::size_t
-CountOpenQueries(const StepAdvice& aAdvice, Time aNow)
-{
-  return static_cast<std::size_t>(std::count_if(
-    aAdvice.mOpenQueries.begin(), aAdvice.mOpenQueries.end(), [&](const AdviceQuery& aQuery) {
-      return aQuery.mDeadline > aNow;
-    }));
-}
-
-Time
-DecisionTime(const AdvicePolicy& aPolicy, std::size_t aWorkers)
-{
-  const auto us = aPolicy.DecisionUs() + aPolicy.WorkerUs() * static_cast<std::int64_t>(aWorkers);
-  return Time::FromMilliseconds(us / kMicrosInMilli + 1);
+  std::size_t idle = 0;
+  for (auto& proxy : aState.mAdviceProxies) {
+    RemoveExpiredQueries(proxy, aNow);
+    idle += proxy.mOpenQueries.empty() ? 1 : 0;
+  }
+  return idle;
 }
 
-/// Selects workers that are not denied: those with free capacity first, and among these the ones
-/// that were allowed before. Without capacity for the step there is nothing to query.
-std::vector<std::string>
-SelectWorkers(const CellState& aState,
-              const JobStep& aStep,
-              double aSpare,
-              const StepAdvice& aAdvice,
-              const std::vector<WorkerRow*>& aCandidates,
-              Time aNow)
+/// Sends a query through a free node.
+/// @returns whether a node was free.
+bool
+SendQuery(CellState& aState,
+          const JobRow& aJob,
+          std::uint32_t aOccurrence,
+          std::uint32_t aStep,
+          StepAdvice& aAdvice,
+          std::vector<std::string> aWorkers,
+          Time aNow,
+          Effects& aOut)
 {
-  struct Candidate
-  {
-    bool mFull;
-    bool mUnknown;
-    Suitability mSuitability;
-    std::int64_t mFreeCpu;
-    const std::string* mName;
-  };
-  absl::flat_hash_set<std::string_view> asked;
-  for (const auto& query : aAdvice.mOpenQueries) {
-    asked.insert(query.mWorkers.begin(), query.mWorkers.end());
-  }
-  std::vector<Candidate> found;
-  std::size_t withCapacity = 0;
-  for (const auto* worker : aCandidates) {
-    const auto& id = worker->mRegistration.Id();
-    if (aAdvice.mDeniedWorkers.contains(id) || HasTicket(aAdvice, id, aNow + kAnswerMargin) ||
-        !HasLabel(*worker, aStep.RequiredLabel()) || asked.contains(id)) {
-      continue;
-    }
-    const bool isFull = !CanHost(*worker, aStep);
-    withCapacity += isFull ? 0 : 1;
-    found.push_back({ isFull,
-                      !aAdvice.mTickets.contains(id),
-                      SuitabilityOf(aState, *worker, aStep, aSpare),
-                      FreeCapacity(*worker).CpuMillis(),
-                      &id });
-  }
-  if (withCapacity == 0) {
-    return {};
+  const auto decisionTime = AnswerTime(CostOf(*PolicyOf(aState, aJob).Advice()), aWorkers.size());
+  auto* proxy = FindFreeProxy(aState, decisionTime, aNow);
+  if (proxy == nullptr) {
+    return false;
   }
-  const auto n = std::min(found.size(), CountWorkersToQuery(aStep));
-  std::partial_sort(
-    found.begin(),
-    found.begin() + static_cast<std::ptrdiff_t>(n),
-    found.end(),
-    [](const Candidate& aLeft, const Candidate& aRight) {
-      return std::tie(
-               aLeft.mFull, aLeft.mUnknown, aLeft.mSuitability, aRight.mFreeCpu, *aLeft.mName) <
-             std::tie(
-               aRight.mFull, aRight.mUnknown, aRight.mSuitability, aLeft.mFreeCpu, *aRight.mName);
-    });
-  std::vector<std::string> names;
-  for (std::size_t i = 0; i < n; ++i) {
-    names.push_back(*found[i].mName);
+  const auto timeout =
+    decisionTime * static_cast<std::int64_t>(proxy->mOpenQueries.size() + 1) + kAnswerMargin;
+  aAdvice.mOpenQueries.push_back({ proxy->mNode, aNow + timeout, aWorkers });
+  proxy->mOpenQueries.push_back(aNow + timeout);
+  Log(aOut,
+      "advice.asked",
+      absl::StrCat(aJob.mJob.Id(), ".", aOccurrence, ".", aStep),
+      absl::StrCat("through=",
+                   proxy->mNode,
+                   " workers=",
+                   aWorkers.size(),
+                   " ahead=",
+                   proxy->mOpenQueries.size() - 1,
+                   " takes_ms=",
+                   decisionTime.Milliseconds()));
+  auto query = by::RequestAdvice::Create({ .mJob = aJob.mJob.Id(),
+                                           .mOccurrence = aOccurrence,
+                                           .mStep = aStep,
+                                           .mWorkers = std::move(aWorkers),
+                                           .mTimeout = timeout })
+                 .value();
+  if (proxy->mNode == aState.mNode) {
+    Emit(aOut, std::move(query));
+    return true;
   }
-  return names;
+  Emit(
+    aOut,
+    SendToMember::Create({ .mNode = proxy->mNode,
+                           .mMessage = LinkMessage::Create({ .mBody = std::move(query) }).value() })
+      .value());
+  return true;
 }
 
 } // namespace
@@ -172,9 +138,37 @@
 }
 
 bool
-MayQueryAdvice(const JobStep& aStep, const StepAdvice& aAdvice, Time aNow)
+MayQueryAdvice(const StepAdvice& aAdvice, Time aNow)
+{
+  return aAdvice.mNextQuery <= aNow &&
+         std::none_of(aAdvice.mOpenQueries.begin(),
+                      aAdvice.mOpenQueries.end(),
+                      [&](const AdviceQuery& aQuery) { return aQuery.mDeadline > aNow; });
+}
+
+double
+AllowedShareOf(const CellState& aState, const JobRow& aJob)
 {
-  return aAdvice.mNextQuery <= aNow && CountOpenQueries(aAdvice, aNow) < MaxOpenQueries(aStep);
+  const auto& queue = aJob.mJob.Queue();
+  const auto it = aState.mAdviceShares.find({ queue.Host(), queue.PathPrefix() });
+  const auto share = it == aState.mAdviceShares.end() ? AdviceShare() : it->second;
+  return share.mAllowed / share.mQueried;
+}
+
+void
+UpdateAllowedShare(CellState& aState,
+                   const JobRow& aJob,
+                   std::size_t aQueried,
+                   std::size_t aAllowed)
+{
+  const auto& queue = aJob.mJob.Queue();
+  auto& share = aState.mAdviceShares[{ queue.Host(), queue.PathPrefix() }];
+  share.mQueried += static_cast<double>(aQueried);
+  share.mAllowed += static_cast<double>(aAllowed);
+  if (share.mQueried > kShareSamples) {
+    share.mQueried /= 2;
+    share.mAllowed /= 2;
+  }
 }
 
 bool
@@ -189,16 +183,17 @@
     });
 }
 
-void
-CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers)
+bool
+CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers, Time aNow)
 {
   auto& open = aAdvice.mOpenQueries;
   const auto query = std::find_if(open.begin(), open.end(), [&](const AdviceQuery& aQuery) {
     return aQuery.mWorkers == aWorkers;
   });
   if (query == open.end()) {
-    return;
+    return false;
   }
+  const bool isInTime = aNow <= query->mDeadline;
   for (auto& proxy : aState.mAdviceProxies) {
     if (proxy.mNode == query->mNode) {
       const auto it =
@@ -209,6 +204,7 @@
     }
   }
   open.erase(query);
+  return isInTime;
 }
 
 void
@@ -239,57 +235,29 @@
 {
   const auto& policy = PolicyOf(aState, aJob).Advice();
   auto& advice = aJob.mOccurrences.at(aOccurrence).mSteps[aStep].mAdvice;
-  const auto& step = StepOf(aJob, aStep);
-  if (!policy || !MayQueryAdvice(step, advice, aNow) || !CanQueryAdvice(aState, aNow)) {
+  if (!policy || !MayQueryAdvice(advice, aNow) || !CanQueryAdvice(aState, aNow)) {
     return;
   }
   advice.mNextQuery = aNow + kQueryInterval;
   std::erase_if(advice.mOpenQueries,
                 [&](const AdviceQuery& aQuery) { return aQuery.mDeadline <= aNow; });
-  const auto limit = CountWorkersToQuery(step);
-  auto* proxy = FindFreeProxy(aState, DecisionTime(*policy, limit), aNow);
-  if (proxy == nullptr) {
-    return;
-  }
-  const auto spare = SpareFactor(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow);
-  auto workers = SelectWorkers(aState, step, spare, advice, aCandidates, aNow);
-  if (workers.empty()) {
+  const auto& occurrence = aJob.mOccurrences.at(aOccurrence);
+  const auto idle = CountIdleProxies(aState, aNow);
+  const auto nodes = aState.mAdviceProxies.size();
+  if (!CanBeOnTime(aJob, occurrence, aStep, aNow) && 2 * idle < nodes) {
+    // Jobs that can be on time need the nodes more.
     return;
   }
-  const auto decisionTime = DecisionTime(*policy, workers.size());
-  const auto timeout =
-    decisionTime * static_cast<std::int64_t>(proxy->mOpenQueries.size() + 1) + kAnswerMargin;
-  advice.mOpenQueries.push_back({ proxy->mNode, aNow + timeout, workers });
-  const bool mayHaveMore = advice.mOpenQueries.size() < MaxOpenQueries(step);
-  advice.mNextQuery = mayHaveMore ? aNow : aNow + kQueryRetryDelay;
-  aState.mPlacementNeeded = aState.mPlacementNeeded || mayHaveMore;
-  proxy->mOpenQueries.push_back(aNow + timeout);
-  Log(aOut,
-      "advice.asked",
-      absl::StrCat(aJob.mJob.Id(), ".", aOccurrence, ".", aStep),
-      absl::StrCat("through=",
-                   proxy->mNode,
-                   " workers=",
-                   workers.size(),
-                   " ahead=",
-                   proxy->mOpenQueries.size() - 1,
-                   " takes_ms=",
-                   decisionTime.Milliseconds()));
-  auto query = by::RequestAdvice::Create({ .mJob = aJob.mJob.Id(),
-                                           .mOccurrence = aOccurrence,
-                                           .mStep = aStep,
-                                           .mWorkers = std::move(workers),
-                                           .mTimeout = timeout })
-                 .value();
-  if (proxy->mNode == aState.mNode) {
-    Emit(aOut, std::move(query));
-    return;
+  const auto selected = SelectWorkers(aState, aJob, aOccurrence, aStep, *policy, aCandidates, aNow);
+  auto next = selected.begin();
+  for (const auto size : SplitQueries(CostOf(*policy), selected.size(), idle, nodes)) {
+    const auto last = next + static_cast<std::ptrdiff_t>(size);
+    if (!SendQuery(aState, aJob, aOccurrence, aStep, advice, { next, last }, aNow, aOut)) {
+      break;
+    }
+    next = last;
+    advice.mNextQuery = aNow + kQueryRetryDelay;
   }
-  Emit(
-    aOut,
-    SendToMember::Create({ .mNode = proxy->mNode,
-                           .mMessage = LinkMessage::Create({ .mBody = std::move(query) }).value() })
-      .value());
 }
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -23,17 +23,29 @@
             Time aNow,
             Effects& aOut);
 
-/// @returns whether a step may have another open query and its last one is old enough.
+/// @returns whether a step has no open query and its last round is old enough.
 bool
-MayQueryAdvice(const JobStep& aStep, const StepAdvice& aAdvice, Time aNow);
+MayQueryAdvice(const StepAdvice& aAdvice, Time aNow);
+
+/// @returns the share of queried workers that the service allows for the steps of a job's queue.
+double
+AllowedShareOf(const CellState& aState, const JobRow& aJob);
+
+/// Counts an answer on workers that were not known to be allowed.
+void
+UpdateAllowedShare(CellState& aState,
+                   const JobRow& aJob,
+                   std::size_t aQueried,
+                   std::size_t aAllowed);
 
 /// @returns whether a node is free to send a query.
 bool
 CanQueryAdvice(const CellState& aState, Time aNow);
 
 /// Closes the query on a step that listed certain workers, so that its node is free for another.
-void
-CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers);
+/// @returns whether the query was open and its deadline has not passed.
+bool
+CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers, Time aNow);
 
 /// @returns whether a ticket stays valid long enough to be used.
 bool
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -10,9 +10,11 @@
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/Room.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
 #include "by_placement/ResourceMath.h"
+#include "by_queueing/GangHold.h"
 
 namespace by::detail {
 
@@ -22,6 +24,8 @@
 constexpr std::size_t kMaxStepsPerPass = 400;
 /// A placement pass leaves a pool after this many steps without capacity there.
 constexpr std::size_t kMaxMissesPerPass = 60;
+/// A placement pass leaves the gangs of a pool after this many that can't start, in addition.
+constexpr std::size_t kMaxWaitingGangsPerPass = 60;
 /// Advice queries per placement pass and pool, since selecting the workers to ask for takes long.
 constexpr std::size_t kMaxQueriesPerPass = 4;
 /// Minimum interval between passes, so that many events share one.
@@ -33,29 +37,19 @@
 /// expected to need: declared times are off by about a fifth, and a step waits for its slowest
 /// task.
 constexpr double kSpeedMargin = 2.0;
+/// How long room may be held before the gang that it is held for can start; about as long as a
+/// ticket is valid.
+constexpr Time kHoldTime = Time::FromMilliseconds(1500);
+/// Interval between two lines of the log that say why a step waits.
+constexpr Time kWaitReportInterval = Time::FromMilliseconds(1000);
+/// A gang counts as on time until this part of its declared time after its latest start.
+constexpr std::int64_t kLateStartDivisor = 4;
 /// How long a worker that the registry dropped stays usable while it answers; its entry may
 /// reappear.
 constexpr Time kRegistryGrace = Time::FromMilliseconds(2000);
 
 using Candidates = std::vector<WorkerRow*>;
 
-bool
-IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow)
-{
-  const bool isListed = aWorker.mRegistered || (aWorker.mDeregisteredAt > Time() &&
-                                                aNow < aWorker.mDeregisteredAt + kRegistryGrace);
-  if (!isListed || aWorker.mRegistration.Draining() || aWorker.mEvacuating ||
-      aWorker.mRegistration.Pool() != aPool || aWorker.mHealth != WorkerHealth::Reachable ||
-      aWorker.mPollFailures > 0) {
-    return false;
-  }
-  if (aWorker.mQuarantinedUntil > Time()) {
-    // After its quarantine a worker is probed with one run at a time.
-    return aNow >= aWorker.mQuarantinedUntil && aWorker.mRuns.empty();
-  }
-  return true;
-}
-
 JobTaskKey
 TaskOf(const ReadyKey& aKey, std::uint32_t aIndex)
 {
@@ -66,37 +60,33 @@
     .value();
 }
 
-std::uint32_t
-CountRunsOfStep(const WorkerRow& aWorker, const JobTaskKey& aTask)
+/// The usable workers that the advice service allows for a step, by name.
+struct AllowedWorkers
 {
-  std::uint32_t n = 0;
-  const RunId first{ aTask.WithIndex(0), 0 };
-  for (auto it = aWorker.mRuns.lower_bound(first); it != aWorker.mRuns.end(); ++it) {
-    const auto& other = it->first.mTask;
-    if (other.Job() != aTask.Job() || other.Occurrence() != aTask.Occurrence() ||
-        other.Step() != aTask.Step()) {
-      break;
-    }
-    ++n;
-  }
-  return n;
-}
+  /// The workers that the step has valid tickets for.
+  Candidates mWithTicket;
+  /// All of them; their tickets can be renewed.
+  Candidates mAll;
+};
 
-/// @returns the usable workers that a step has valid tickets for, by name.
-Candidates
-TicketHolders(CellState& aState, const StepAdvice& aAdvice, const std::string& aPool, Time aNow)
+AllowedWorkers
+FindAllowedWorkers(CellState& aState,
+                   const StepAdvice& aAdvice,
+                   const std::string& aPool,
+                   Time aNow)
 {
-  Candidates holders;
+  AllowedWorkers allowed;
   for (const auto& [id, until] : aAdvice.mValidUntil) {
-    if (!IsTicketUsable(until, aNow)) {
+    const auto it = aState.mWorkers.find(id);
+    if (it == aState.mWorkers.end() || !IsUsable(it->second, aPool, aNow)) {
       continue;
     }
-    const auto it = aState.mWorkers.find(id);
-    if (it != aState.mWorkers.end() && IsUsable(it->second, aPool, aNow)) {
-      holders.push_back(&it->second);
+    allowed.mAll.push_back(&it->second);
+    if (IsTicketUsable(until, aNow)) {
+      allowed.mWithTicket.push_back(&it->second);
     }
   }
-  return holders;
+  return allowed;
 }
 
 /// The state of one placement pass over the ready steps.
@@ -109,6 +99,7 @@
   std::size_t mPlaced{ 0 };
   /// Steps without capacity, and advice queries, by pool, so that a full pool hides no other.
   std::map<std::string, std::size_t> mMisses{};
+  std::map<std::string, std::size_t> mWaitingGangs{};
   std::map<std::string, std::size_t> mQueries{};
 
   Candidates& Pool(const std::string& aPool)
@@ -121,21 +112,24 @@
   }
 };
 
-/// @returns an upper bound, by processor time, on the tasks of a step that the candidates can host;
-/// counting stops at a limit.
+/// Counts the tasks of a step that candidates have room for; counting stops at a limit.
 std::size_t
-CountSlots(const Candidates& aCandidates, const JobStep& aStep, std::size_t aLimit)
+CountSlots(const Pass& aPass,
+           const Candidates& aCandidates,
+           const JobStep& aStep,
+           const JobTaskKey& aTask,
+           const StepRow& aRow,
+           Time aLatestStart,
+           std::size_t aLimit)
 {
-  const auto cpu = EffectiveDemand(aStep).CpuMillis();
   std::size_t n = 0;
   for (const auto* worker : aCandidates) {
     if (n >= aLimit) {
       return n;
     }
-    if (!CanHost(*worker, aStep)) {
-      continue;
+    if (MayUseRoom(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
+      n += OutlookOf(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots;
     }
-    n += cpu == 0 ? aLimit : static_cast<std::size_t>(FreeCapacity(*worker).CpuMillis() / cpu);
   }
   return n;
 }
@@ -148,8 +142,10 @@
                const RackId* aRack)
 {
   const auto& job = aPass.mState.mJobs.at(aTask.Job());
-  const auto spare =
-    SpareFactor(job, job.mOccurrences.at(aTask.Occurrence()), aTask.Step(), aPass.mNow);
+  const auto& occurrence = job.mOccurrences.at(aTask.Occurrence());
+  const auto spare = SpareFactor(job, occurrence, aTask.Step(), aPass.mNow);
+  const auto& row = occurrence.mSteps[aTask.Step()];
+  const auto latestStart = LatestStart(job, occurrence, aTask.Step());
   WorkerRow* best = nullptr;
   std::pair<Suitability, std::int64_t> bestScore;
   for (auto* worker : aCandidates) {
@@ -159,6 +155,9 @@
     if (worker->mQuarantinedUntil > Time() && !worker->mRuns.empty()) {
       continue;
     }
+    if (!MayUseRoom(aPass.mState, *worker, aStep, row, latestStart, aPass.mNow)) {
+      continue;
+    }
     if (aStep.SpreadLimit() > 0 && CountRunsOfStep(*worker, aTask) >= aStep.SpreadLimit()) {
       continue;
     }
@@ -294,6 +293,96 @@
   }
 }
 
+/// Holds room for a gang that can't start yet on some of the workers that it may run on.
+/// @returns how many workers are held; none where the gang can't be expected to start soon.
+std::size_t
+HoldRoom(Pass& aPass,
+         const JobStep& aStep,
+         const JobTaskKey& aTask,
+         StepRow& aRow,
+         Time aLatestStart,
+         const Candidates& aCandidates)
+{
+  aRow.mHold = ++aPass.mState.mLastHold;
+  const auto soon = aPass.mNow + kHoldTime;
+  std::vector<HostOutlook> outlooks;
+  Candidates usable;
+  for (auto* worker : aCandidates) {
+    if (MayUseRoom(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
+      usable.push_back(worker);
+      outlooks.push_back(OutlookOf(*worker, aStep, aTask, soon, aPass.mNow));
+    }
+  }
+  const auto held = ChooseHeldWorkers(outlooks, aStep.Count());
+  for (const auto i : held) {
+    HoldWorker(aPass.mState, *usable[i], aRow.mHold, soon);
+  }
+  return held.size();
+}
+
+/// Says at most once in kWaitReportInterval why a step waits.
+void
+ReportWait(Pass& aPass,
+           const ReadyKey& aKey,
+           StepRow& aRow,
+           const JobStep& aStep,
+           Time aLatestStart,
+           const AllowedWorkers& aAllowed,
+           std::size_t aHeld)
+{
+  if (aPass.mNow < aRow.mNextWaitReport) {
+    return;
+  }
+  aRow.mNextWaitReport = aPass.mNow + kWaitReportInterval;
+  constexpr auto open = std::numeric_limits<std::size_t>::max();
+  const auto task = TaskOf(aKey, 0);
+  const auto room = CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, open);
+  const auto usable = CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, open);
+  const char* reason = room < aStep.Count() ? "room" : "advice";
+  Log(aPass.mOut,
+      "step.waiting",
+      absl::StrCat(aKey.mJob, ".", aKey.mOccurrence, ".", aKey.mStep),
+      absl::StrCat("for=",
+                   reason,
+                   " tasks=",
+                   aStep.Count(),
+                   " slots=",
+                   room,
+                   " slots_with_ticket=",
+                   usable,
+                   " allowed_workers=",
+                   aAllowed.mAll.size(),
+                   " held_workers=",
+                   aHeld,
+                   " until_latest_start_ms=",
+                   (aLatestStart - aPass.mNow).Milliseconds()));
+}
+
+/// Places what can be placed of a step.
+/// @returns whether there was room for it: for all members of a gang, or for one task.
+bool
+PlaceWaitingTasks(Pass& aPass,
+                  JobRow& aJob,
+                  const ReadyKey& aKey,
+                  Time aLatestStart,
+                  const Candidates& aCandidates)
+{
+  const auto& step = StepOf(aJob, aKey.mStep);
+  const auto& row = aJob.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
+  const std::size_t needed = step.Gang() ? step.Count() : 1;
+  if (CountSlots(aPass, aCandidates, step, TaskOf(aKey, 0), row, aLatestStart, needed) < needed) {
+    return false;
+  }
+  const auto placed = aPass.mPlaced;
+  if (step.Gang()) {
+    PlaceGang(aPass, aJob, aKey, aCandidates);
+  } else {
+    PlaceIndependentTasks(aPass, aJob, aKey, aCandidates);
+  }
+  RefreshStep(aPass.mState, aJob, aKey.mOccurrence, aKey.mStep);
+  return aPass.mPlaced > placed;
+}
+
 void
 PlaceStep(Pass& aPass, const ReadyKey& aKey)
 {
@@ -302,29 +391,31 @@
     return;
   }
   const auto& policy = PolicyOf(aPass.mState, *job);
-  if (aPass.mMisses[policy.Pool()] >= kMaxMissesPerPass) {
+  const auto& step = StepOf(*job, aKey.mStep);
+  auto& misses =
+    step.Gang() ? aPass.mWaitingGangs[policy.Pool()] : aPass.mMisses[policy.Pool()];
+  if (misses >= (step.Gang() ? kMaxWaitingGangsPerPass : kMaxMissesPerPass)) {
     return;
   }
+  const auto& occurrence = job->mOccurrences.at(aKey.mOccurrence);
   auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
+  const auto latestStart = LatestStart(*job, occurrence, aKey.mStep);
   const bool needsAdvice = policy.Advice().has_value();
-  const auto holders = needsAdvice
-                         ? TicketHolders(aPass.mState, row.mAdvice, policy.Pool(), aPass.mNow)
-                         : Candidates();
-  const auto& candidates = needsAdvice ? holders : aPass.Pool(policy.Pool());
-  const auto& step = StepOf(*job, aKey.mStep);
-  const std::size_t needed = step.Gang() ? step.Count() : 1;
-  if (CountSlots(candidates, step, needed) < needed) {
-    aPass.mMisses[policy.Pool()] += candidates.empty() ? 0 : 1;
-  } else {
-    if (step.Gang()) {
-      PlaceGang(aPass, *job, aKey, candidates);
-    } else {
-      PlaceIndependentTasks(aPass, *job, aKey, candidates);
+  const auto allowed = needsAdvice
+                         ? FindAllowedWorkers(aPass.mState, row.mAdvice, policy.Pool(), aPass.mNow)
+                         : AllowedWorkers();
+  const auto& candidates = needsAdvice ? allowed.mWithTicket : aPass.Pool(policy.Pool());
+  if (!PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
+    misses += candidates.empty() ? 0 : 1;
+    const bool mayHold = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
+    const auto held =
+      mayHold ? HoldRoom(aPass, step, TaskOf(aKey, 0), row, latestStart, needsAdvice ? allowed.mAll : candidates) : 0;
+    if (step.Gang() && needsAdvice) {
+      ReportWait(aPass, aKey, row, step, latestStart, allowed, held);
     }
-    RefreshStep(aPass.mState, *job, aKey.mOccurrence, aKey.mStep);
   }
   if (needsAdvice && row.mReady && aPass.mQueries[policy.Pool()] < kMaxQueriesPerPass &&
-      MayQueryAdvice(step, row.mAdvice, aPass.mNow)) {
+      MayQueryAdvice(row.mAdvice, aPass.mNow)) {
     ++aPass.mQueries[policy.Pool()];
     QueryAdvice(aPass.mState,
                 *job,
@@ -338,6 +429,23 @@
 
 } // namespace
 
+bool
+IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow)
+{
+  const bool isListed = aWorker.mRegistered || (aWorker.mDeregisteredAt > Time() &&
+                                                aNow < aWorker.mDeregisteredAt + kRegistryGrace);
+  if (!isListed || aWorker.mRegistration.Draining() || aWorker.mEvacuating ||
+      aWorker.mRegistration.Pool() != aPool || aWorker.mHealth != WorkerHealth::Reachable ||
+      aWorker.mPollFailures > 0) {
+    return false;
+  }
+  if (aWorker.mQuarantinedUntil > Time()) {
+    // After its quarantine a worker is probed with one run at a time.
+    return aNow >= aWorker.mQuarantinedUntil && aWorker.mRuns.empty();
+  }
+  return true;
+}
+
 bool
 HasLabel(const WorkerRow& aWorker, const std::string& aLabel)
 {
@@ -345,13 +453,26 @@
   return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
+Time
+LatestStart(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep)
+{
+  const auto objective = aJob.mObjective - aJob.mJob.Accepted();
+  return aOccurrence.mDue + objective - aOccurrence.mSteps[aStep].mCriticalPath;
+}
+
+bool
+CanBeOnTime(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow)
+{
+  return aOccurrence.mSteps[aStep].mUrgency == Urgency::OnTime &&
+         aNow < LatestStart(aJob, aOccurrence, aStep) +
+                  StepOf(aJob, aStep).Estimate() / kLateStartDivisor;
+}
+
 double
 SpareFactor(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow)
 {
   const auto estimate = StepOf(aJob, aStep).Estimate();
-  const auto objective = aJob.mObjective - aJob.mJob.Accepted();
-  const auto after = aOccurrence.mSteps[aStep].mCriticalPath - estimate;
-  const auto left = aOccurrence.mDue + objective - after - aNow;
+  const auto left = LatestStart(aJob, aOccurrence, aStep) + estimate - aNow;
   return static_cast<double>(left.Milliseconds()) /
          static_cast<double>(std::max<std::int64_t>(1, estimate.Milliseconds()));
 }
@@ -411,6 +532,7 @@
   }
   aState.mPlacementNeeded = false;
   aState.mNextPlacement = aNow + kPassInterval;
+  ++aState.mPlacementPass;
   Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
   for (const auto& key : aState.mReady) {
--- a/modules/by_cell/detail/Placement.h
+++ b/modules/by_cell/detail/Placement.h
@@ -11,6 +11,10 @@
 
 namespace by::detail {
 
+/// @returns whether a worker of a pool may be given new tasks.
+bool
+IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow);
+
 /// @returns the workers of a pool that may be given new tasks.
 std::vector<WorkerRow*>
 UsableWorkers(CellState& aState, const std::string& aPool, Time aNow);
@@ -33,6 +37,15 @@
 /// How well a worker suits a step; lower is better.
 using Suitability = std::pair<std::int64_t, std::int64_t>;
 
+/// @returns the latest start of a step with its job still on time.
+Time
+LatestStart(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep);
+
+/// @returns whether a job can still be on time if a step starts now. Declared times are rough, so
+/// that a step counts a little longer than until its latest start.
+bool
+CanBeOnTime(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow);
+
 /// Computes how many times its declared time a step may take with its job still on time.
 /// @returns the factor; zero or less where the job is late.
 double
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -54,7 +54,8 @@
 }
 
 /// Tells the nodes that have a link with this one who owns the cell. A node that can't reach the
-/// store learns it from them: the members of the last owner tell that owner, and it tells the others.
+/// store learns it from them: the members of the last owner tell that owner, and it tells the
+/// others.
 void
 AnnounceClaim(const EntryState& aState, const CellClaim& aClaim, Effects& aOut)
 {
@@ -243,8 +244,7 @@
                             !IsClaimOfThisNode(aState, *aState.mOwner);
     if (isOutdated) {
       Emit(aOut,
-           SendToMember::Create(
-             { .mNode = aEvent.Node(), .mMessage = MessageOf(*aState.mOwner) })
+           SendToMember::Create({ .mNode = aEvent.Node(), .mMessage = MessageOf(*aState.mOwner) })
              .value());
     }
   }
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -22,8 +22,8 @@
 /// since the last message of an owner that is not active. A newly elected node has already waited
 /// for the owner's group membership to expire.
 constexpr Time kOwnerLossTimeout = Time::FromMilliseconds(300);
-/// If the group has changed less than kRecentChange ago, an owner that has been silent for this long
-/// counts as lost: two of its heartbeats are missing.
+/// If the group has changed less than kRecentChange ago, an owner that has been silent for this
+/// long counts as lost: two of its heartbeats are missing.
 constexpr Time kElectedSilence = Time::FromMilliseconds(1100);
 constexpr Time kRecentChange = Time::FromMilliseconds(1500);
 /// Nodes that know that the owner is gone, leaving or without the store delay their claims by a
@@ -214,9 +214,9 @@
   if (MayOwnerRegainStore(aState, aNow)) {
     return;
   }
-  // A change of the group and a silent link together show sooner than either that the owner is gone:
-  // the store has not heard from some node either. An owner that is only slow loses the cell to a
-  // node that serves at once.
+  // A change of the group and a silent link together show sooner than either that the owner is
+  // gone: the store has not heard from some node either. An owner that is only slow loses the cell
+  // to a node that serves at once.
   const bool isSilent = aState.mLinkUp && aNow > aState.mOwnerHeardAt + kElectedSilence &&
                         aNow < aState.mGroupChangedAt + kRecentChange;
   if (isSilent) {
--- a/modules/by_placement/ResourceMath.cpp
+++ b/modules/by_placement/ResourceMath.cpp
@@ -85,6 +85,22 @@
   return true;
 }
 
+std::uint32_t
+CountFits(const Resources& aDemand, const Resources& aFree, std::uint32_t aLimit)
+{
+  const auto demand = AmountsOf(aDemand);
+  const auto available = AmountsOf(aFree);
+  auto fits = static_cast<std::int64_t>(aLimit);
+  for (std::size_t i = 0; i < kResourceKinds; ++i) {
+    if (demand[i] > 0) {
+      fits = std::min(fits, available[i] / demand[i]);
+    } else if (available[i] < 0) {
+      return 0;
+    }
+  }
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(fits, 0));
+}
+
 Resources
 EffectiveDemandOf(const Resources& aDeclared)
 {
--- a/modules/by_placement/ResourceMath.h
+++ b/modules/by_placement/ResourceMath.h
@@ -51,6 +51,10 @@
 bool
 Fits(const Resources& aRequested, const Resources& aFree);
 
+/// @returns how many times a demand fits into free resources, at most a limit.
+std::uint32_t
+CountFits(const Resources& aDemand, const Resources& aFree, std::uint32_t aLimit);
+
 /// @returns the resources to commit for a task that declares aDeclared: at least one slot, and no
 /// negative amounts.
 Resources
--- /dev/null
+++ b/modules/by_queueing/GangHold.cpp
@@ -0,0 +1,47 @@
+#include "by_queueing/GangHold.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace by {
+
+namespace {
+
+/// A task that has less time than this until its latest start is not kept waiting for a gang.
+constexpr Time kUrgentMargin = Time::FromMilliseconds(1000);
+
+/// More room than the gang needs is held by one in this many tasks, since some runs end later than
+/// expected.
+constexpr std::size_t kSpareDivisor = 2;
+
+} // namespace
+
+std::vector<std::size_t>
+ChooseHeldWorkers(std::span<const HostOutlook> aHosts, std::size_t aTasks)
+{
+  std::vector<std::size_t> order(aHosts.size());
+  std::iota(order.begin(), order.end(), 0);
+  // The workers with the most room need to be held for the shortest time.
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
+    return std::pair(aHosts[aLeft].mSlots, aHosts[aLeft].mSlotsSoon) >
+           std::pair(aHosts[aRight].mSlots, aHosts[aRight].mSlotsSoon);
+  });
+  std::size_t slots = 0;
+  for (std::size_t n = 0; n < order.size(); ++n) {
+    slots += aHosts[order[n]].mSlotsSoon;
+    if (slots >= aTasks + aTasks / kSpareDivisor) {
+      order.resize(n + 1);
+      break;
+    }
+  }
+  return slots >= aTasks ? order : std::vector<std::size_t>();
+}
+
+bool
+MayUseHeldRoom(Time aExpectedEnd, Time aLatestStart, Time aHeldUntil, Time aNow)
+{
+  const bool isUrgent = aNow <= aLatestStart && aLatestStart < aNow + kUrgentMargin;
+  return isUrgent || aExpectedEnd <= aHeldUntil;
+}
+
+} // namespace by
--- a/modules/by_queueing/by_queueing.h
+++ b/modules/by_queueing/by_queueing.h
@@ -7,4 +7,10 @@
 /// is held for gangs. docs/notes-queueing.md names the load pattern that each function answers.
 /// Dependencies: by_core.
 
+#include "by_queueing/AdviceCandidate.h"
+#include "by_queueing/AdviceCost.h"
+#include "by_queueing/AdviceRound.h"
+#include "by_queueing/GangHold.h"
+#include "by_queueing/GangRound.h"
+#include "by_queueing/HostOutlook.h"
 #include "by_queueing/RetryDelay.h"
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -369,8 +369,8 @@
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
 }
 
-// The node read the claim, found that it was not elected, and began again, 150 times a second, until
-// another node was elected after 1.7 s.
+// The node read the claim, found that it was not elected, and began again, 150 times a second,
+// until another node was elected after 1.7 s.
 TEST(Entry, NodeWhoseEarlierProcessOwnedTheCellWritesItsClaimWithoutAnElection)
 {
   EntryFixture node("n1");
--- /dev/null
+++ b/tests/by_queueing/GangHoldTest.cpp
@@ -0,0 +1,62 @@
+#include "by_queueing/by_queueing.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace by;
+
+namespace {
+
+constexpr Time kNow = Time::FromMilliseconds(100000);
+
+constexpr Time
+In(std::int64_t aMilliseconds)
+{
+  return kNow + Time::FromMilliseconds(aMilliseconds);
+}
+
+} // namespace
+
+/// Tasks that start alone took each piece of room as it appeared, so that gangs of higher priority
+/// waited for 5 to 20 s beside them.
+TEST_GROUP(GangHold){};
+
+TEST(GangHold, NothingIsHeldForAGangThatCannotStartSoon)
+{
+  CHECK(ChooseHeldWorkers(std::vector<HostOutlook>(10, { 0, 1 }), 11).empty());
+  CHECK(ChooseHeldWorkers({}, 1).empty());
+}
+
+TEST(GangHold, WorkersWithTheMostRoomAreHeld)
+{
+  const std::vector<HostOutlook> hosts{ { 0, 2 }, { 2, 2 }, { 0, 1 }, { 1, 2 } };
+  auto held = ChooseHeldWorkers(hosts, 2);
+  CHECK(held == (std::vector<std::size_t>{ 1, 3 }));
+}
+
+/// Some runs end later than expected, so that a little more is held than the gang needs.
+TEST(GangHold, HeldRoomExceedsTheNeedByHalfAtTheMost)
+{
+  const auto held = ChooseHeldWorkers(std::vector<HostOutlook>(100, { 0, 1 }), 20);
+  CHECK_EQUAL(30, held.size());
+  CHECK_EQUAL(22, ChooseHeldWorkers(std::vector<HostOutlook>(22, { 0, 1 }), 20).size());
+}
+
+TEST(GangHold, TaskThatEndsBeforeTheGangStartsUsesTheRoom)
+{
+  CHECK(MayUseHeldRoom(In(900), In(8000), In(1000), kNow));
+  CHECK_FALSE(MayUseHeldRoom(In(1100), In(8000), In(1000), kNow));
+}
+
+TEST(GangHold, TaskThatHasToStartNowUsesTheRoom)
+{
+  CHECK(MayUseHeldRoom(In(5000), In(900), In(1000), kNow));
+  CHECK_FALSE(MayUseHeldRoom(In(5000), In(1100), In(1000), kNow));
+}
+
+TEST(GangHold, TaskThatIsLateAnywayLeavesTheRoomToTheGang)
+{
+  CHECK_FALSE(MayUseHeldRoom(In(5000), In(-1), In(1000), kNow));
+}
