Let tasks with little time left use held room, and pass less often beside waiting gangs

Looking allowed workers up by name in a sorted map took most of a pass. Change: a task counts as short of time from half of its run before its latest start. A pass indexes the usable workers once, and the next pass comes later by a third of a millisecond for each waiting gang.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -25,11 +25,10 @@
        Time aRetryAfter,
        Effects& aOut)
 {
-  detail::Log(
-    aOut,
-    "job.refused",
-    aRequest.Job(),
-    absl::StrCat("reason=", aReason, " retry_after_ms=", aRetryAfter.Milliseconds()));
+  detail::Log(aOut,
+              "job.refused",
+              aRequest.Job(),
+              absl::StrCat("reason=", aReason, " retry_after_ms=", aRetryAfter.Milliseconds()));
   detail::ReplyRefused(aState, aCaller, aRetryAfter, aOut);
 }
 
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -130,17 +130,15 @@
   if (job == nullptr || job->mStored) {
     return;
   }
-  const auto retryAfter =
-    RetryDelayInOutage(StoreOutageAge(aState, aNow),
-                       SlackTime(job->mJob.Definition(), job->mJob.Queue()));
+  const auto retryAfter = RetryDelayInOutage(StoreOutageAge(aState, aNow),
+                                             SlackTime(job->mJob.Definition(), job->mJob.Queue()));
   for (const auto& caller : job->mSubmitters) {
     detail::ReplyRefused(aState, caller, retryAfter, aOut);
   }
-  detail::Log(
-    aOut,
-    "job.refused",
-    aJob,
-    absl::StrCat("reason=store out of reach retry_after_ms=", retryAfter.Milliseconds()));
+  detail::Log(aOut,
+              "job.refused",
+              aJob,
+              absl::StrCat("reason=store out of reach retry_after_ms=", retryAfter.Milliseconds()));
   detail::DiscardJob(aState, aJob, aNow, aOut);
 }
 
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -184,7 +184,10 @@
 }
 
 bool
-CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers, Time aNow)
+CloseAdviceQuery(CellState& aState,
+                 StepAdvice& aAdvice,
+                 const std::vector<std::string>& aWorkers,
+                 Time aNow)
 {
   auto& open = aAdvice.mOpenQueries;
   const auto query = std::find_if(open.begin(), open.end(), [&](const AdviceQuery& aQuery) {
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -45,7 +45,10 @@
 /// Closes the query on a step that listed certain workers, so that its node is free for another.
 /// @returns whether the query was open and its deadline has not passed.
 bool
-CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers, Time aNow);
+CloseAdviceQuery(CellState& aState,
+                 StepAdvice& aAdvice,
+                 const std::vector<std::string>& aWorkers,
+                 Time aNow);
 
 /// @returns whether a ticket stays valid long enough to be used.
 bool
--- a/modules/by_cell/detail/AdviceSelection.cpp
+++ b/modules/by_cell/detail/AdviceSelection.cpp
@@ -180,7 +180,8 @@
     aOptions.begin(), aOptions.end(), [](const Option& aOption) { return aOption.mIsAllowed; });
   const Options allowed(aOptions.begin(), middle);
   const Options unknown(middle, aOptions.end());
-  const auto round = PlanGangRound(CandidatesOf(allowed), CandidatesOf(unknown), aTasks, aFullQuery);
+  const auto round =
+    PlanGangRound(CandidatesOf(allowed), CandidatesOf(unknown), aTasks, aFullQuery);
   std::vector<std::string> names;
   AppendNames(allowed, round.mRenewed, names);
   AppendNames(unknown, round.mUnknown, names);
--- a/modules/by_cell/detail/Emit.cpp
+++ b/modules/by_cell/detail/Emit.cpp
@@ -39,10 +39,7 @@
 }
 
 void
-ReplyRefused(const CellState& aState,
-             const PendingCaller& aCaller,
-             Time aRetryAfter,
-             Effects& aOut)
+ReplyRefused(const CellState& aState, const PendingCaller& aCaller, Time aRetryAfter, Effects& aOut)
 {
   Reply(aState, aCaller, { .mOutcome = JobCallOutcome::Refused, .mRetryAfter = aRetryAfter }, aOut);
 }
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -4,7 +4,9 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <string_view>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Advice.h"
@@ -30,6 +32,9 @@
 constexpr std::size_t kMaxQueriesPerPass = 4;
 /// Minimum interval between passes, so that many events share one.
 constexpr Time kPassInterval = Time::FromMilliseconds(5);
+/// The interval grows by a millisecond for each so many waiting gangs, since they make up most of
+/// the time of a pass.
+constexpr std::int64_t kGangsPerMilli = 3;
 /// Workers whose slowness differs by less than this rank as equally fast, and free capacity decides
 /// between them.
 constexpr double kSpeedClassWidth = 0.15;
@@ -40,6 +45,8 @@
 /// How long room may be held before the gang that it is held for can start; about as long as a
 /// ticket is valid.
 constexpr Time kHoldTime = Time::FromMilliseconds(1500);
+/// Counts all slots.
+constexpr std::size_t kNoLimitOfSlots = std::numeric_limits<std::size_t>::max();
 /// Interval between two lines of the log that say why a step waits.
 constexpr Time kWaitReportInterval = Time::FromMilliseconds(1000);
 /// A gang counts as on time until this part of its declared time after its latest start.
@@ -69,47 +76,52 @@
   Candidates mAll;
 };
 
-AllowedWorkers
-FindAllowedWorkers(CellState& aState,
-                   const StepAdvice& aAdvice,
-                   const std::string& aPool,
-                   Time aNow)
-{
-  AllowedWorkers allowed;
-  for (const auto& [id, until] : aAdvice.mValidUntil) {
-    const auto it = aState.mWorkers.find(id);
-    if (it == aState.mWorkers.end() || !IsUsable(it->second, aPool, aNow)) {
-      continue;
-    }
-    allowed.mAll.push_back(&it->second);
-    if (IsTicketUsable(until, aNow)) {
-      allowed.mWithTicket.push_back(&it->second);
-    }
-  }
-  return allowed;
-}
-
 /// The state of one placement pass over the ready steps.
 struct Pass
 {
   CellState& mState;
   Time mNow;
   Effects& mOut;
+  /// The usable workers of each pool, by name, and an index of them.
   std::map<std::string, Candidates> mPools;
+  std::map<std::string, absl::flat_hash_map<std::string_view, WorkerRow*>> mPoolIndexes{};
   std::size_t mPlaced{ 0 };
   /// Steps without capacity, and advice queries, by pool, so that a full pool hides no other.
   std::map<std::string, std::size_t> mMisses{};
   std::map<std::string, std::size_t> mWaitingGangs{};
   std::map<std::string, std::size_t> mQueries{};
 
-  Candidates& Pool(const std::string& aPool)
+  const Candidates& Pool(const std::string& aPool)
   {
     auto [it, isNew] = mPools.try_emplace(aPool);
     if (isNew) {
       it->second = UsableWorkers(mState, aPool, mNow);
+      auto& index = mPoolIndexes[aPool];
+      for (auto* worker : it->second) {
+        index.emplace(worker->mRegistration.Id(), worker);
+      }
     }
     return it->second;
   }
+
+  /// @returns the usable workers of a pool that the advice service allows for a step.
+  AllowedWorkers FindAllowed(const std::string& aPool, const StepAdvice& aAdvice)
+  {
+    Pool(aPool);
+    const auto& index = mPoolIndexes.at(aPool);
+    AllowedWorkers allowed;
+    for (const auto& [id, until] : aAdvice.mValidUntil) {
+      const auto it = index.find(id);
+      if (it == index.end()) {
+        continue;
+      }
+      allowed.mAll.push_back(it->second);
+      if (IsTicketUsable(until, mNow)) {
+        allowed.mWithTicket.push_back(it->second);
+      }
+    }
+    return allowed;
+  }
 };
 
 /// Counts the tasks of a step that candidates have room for; counting stops at a limit.
@@ -334,10 +346,11 @@
     return;
   }
   aRow.mNextWaitReport = aPass.mNow + kWaitReportInterval;
-  constexpr auto open = std::numeric_limits<std::size_t>::max();
   const auto task = TaskOf(aKey, 0);
-  const auto room = CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, open);
-  const auto usable = CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, open);
+  const auto room =
+    CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, kNoLimitOfSlots);
+  const auto usable =
+    CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, kNoLimitOfSlots);
   const char* reason = room < aStep.Count() ? "room" : "advice";
   Log(aPass.mOut,
       "step.waiting",
@@ -392,8 +405,7 @@
   }
   const auto& policy = PolicyOf(aPass.mState, *job);
   const auto& step = StepOf(*job, aKey.mStep);
-  auto& misses =
-    step.Gang() ? aPass.mWaitingGangs[policy.Pool()] : aPass.mMisses[policy.Pool()];
+  auto& misses = step.Gang() ? aPass.mWaitingGangs[policy.Pool()] : aPass.mMisses[policy.Pool()];
   if (misses >= (step.Gang() ? kMaxWaitingGangsPerPass : kMaxMissesPerPass)) {
     return;
   }
@@ -401,15 +413,17 @@
   auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
   const auto latestStart = LatestStart(*job, occurrence, aKey.mStep);
   const bool needsAdvice = policy.Advice().has_value();
-  const auto allowed = needsAdvice
-                         ? FindAllowedWorkers(aPass.mState, row.mAdvice, policy.Pool(), aPass.mNow)
-                         : AllowedWorkers();
+  const auto allowed =
+    needsAdvice ? aPass.FindAllowed(policy.Pool(), row.mAdvice) : AllowedWorkers();
   const auto& candidates = needsAdvice ? allowed.mWithTicket : aPass.Pool(policy.Pool());
   if (!PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
     misses += candidates.empty() ? 0 : 1;
     const bool mayHold = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
     const auto held =
-      mayHold ? HoldRoom(aPass, step, TaskOf(aKey, 0), row, latestStart, needsAdvice ? allowed.mAll : candidates) : 0;
+      mayHold
+        ? HoldRoom(
+            aPass, step, TaskOf(aKey, 0), row, latestStart, needsAdvice ? allowed.mAll : candidates)
+        : 0;
     if (step.Gang() && needsAdvice) {
       ReportWait(aPass, aKey, row, step, latestStart, allowed, held);
     }
@@ -531,7 +545,6 @@
     return 0;
   }
   aState.mPlacementNeeded = false;
-  aState.mNextPlacement = aNow + kPassInterval;
   ++aState.mPlacementPass;
   Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
@@ -541,9 +554,15 @@
       break;
     }
   }
+  std::size_t gangs = 0;
   for (const auto& key : keys) {
     PlaceStep(pass, key);
   }
+  for (const auto& [pool, waiting] : pass.mWaitingGangs) {
+    gangs += waiting;
+  }
+  aState.mNextPlacement = aNow + kPassInterval +
+                          Time::FromMilliseconds(static_cast<std::int64_t>(gangs) / kGangsPerMilli);
   return pass.mPlaced;
 }
 
--- a/modules/by_cell/detail/Room.cpp
+++ b/modules/by_cell/detail/Room.cpp
@@ -79,8 +79,7 @@
   }
   const auto run = std::llround(static_cast<double>(aStep.Estimate().Milliseconds()) *
                                 std::max(1.0, aWorker.mSlowness));
-  return MayUseHeldRoom(
-    aNow + Time::FromMilliseconds(run), aLatestStart, aWorker.mHeldUntil, aNow);
+  return MayUseHeldRoom(aNow + Time::FromMilliseconds(run), aLatestStart, aWorker.mHeldUntil, aNow);
 }
 
 } // namespace by::detail
--- a/modules/by_jobs/CriticalPaths.cpp
+++ b/modules/by_jobs/CriticalPaths.cpp
@@ -44,8 +44,8 @@
 Time
 ObjectiveTime(const JobDefinition& aDefinition, const QueuePolicy& aQueue)
 {
-  const auto allowed = std::llround(
-    aQueue.SlowdownLimit() * static_cast<double>(LongestPath(aDefinition).Milliseconds()));
+  const auto allowed = std::llround(aQueue.SlowdownLimit() *
+                                    static_cast<double>(LongestPath(aDefinition).Milliseconds()));
   return Time::FromMilliseconds(allowed) + aQueue.Slack();
 }
 
--- a/modules/by_queueing/GangHold.cpp
+++ b/modules/by_queueing/GangHold.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/// A task that has less time than this until its latest start is not kept waiting for a gang.
+/// A task that has less time than this, or than half of its run, until its latest start is not kept
+/// waiting for a gang: the room that it gets then may be on a slower worker.
 constexpr Time kUrgentMargin = Time::FromMilliseconds(1000);
 
 /// More room than the gang needs is held by one in this many tasks, since some runs end later than
@@ -40,7 +41,8 @@
 bool
 MayUseHeldRoom(Time aExpectedEnd, Time aLatestStart, Time aHeldUntil, Time aNow)
 {
-  const bool isUrgent = aNow <= aLatestStart && aLatestStart < aNow + kUrgentMargin;
+  const auto margin = std::max(kUrgentMargin, (aExpectedEnd - aNow) / 2);
+  const bool isUrgent = aNow <= aLatestStart && aLatestStart < aNow + margin;
   return isUrgent || aExpectedEnd <= aHeldUntil;
 }
 
--- a/modules/by_queueing/GangHold.h
+++ b/modules/by_queueing/GangHold.h
@@ -19,7 +19,7 @@
 ChooseHeldWorkers(std::span<const HostOutlook> aHosts, std::size_t aTasks);
 
 /// @returns whether a task may use room that is held for a gang: it ends before the gang is
-/// expected to start, or has to start now to meet its job's objective.
+/// expected to start, or has to start soon to meet its job's objective.
 /// @param aExpectedEnd when the task would end.
 /// @param aLatestStart the latest start of the task with its job still on time.
 /// @param aHeldUntil when the gang is expected to start.
