Believe a told claim only without the store, and the store before it

Cause, by reading: a node followed any claim that a peer told it of. One message with an epoch that nobody has claimed would have kept every node from the owner until their processes ended, since an older epoch is never followed. Change: a node that reaches the store ignores what it is told and reads claims itself. A node without the store follows a told claim until the store says otherwise, and then the store's, with a line owner.unconfirmed. Tests: ClaimNotices, NodeThatReachesTheStoreReadsClaimsItself and ClaimOfTheStoreReplacesOneThatWasTold, both fail without the change.

--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -209,7 +209,7 @@
   } else if (const auto* orders = std::get_if<RelayOrders>(&body)) {
     PerformRelayOrders(*orders, aOut);
   } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
-    TakeClaim(aState, *claim, aNow, aOut);
+    TakeToldClaim(aState, *claim, aNow, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
     HandleHeartbeat(aState, *heartbeat, aNow, aOut);
   }
@@ -238,7 +238,7 @@
   } else if (std::holds_alternative<LinkHeartbeat>(body)) {
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
   } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
-    TakeClaim(aState, *claim, aNow, aOut);
+    TakeToldClaim(aState, *claim, aNow, aOut);
   } else if (const auto* hello = std::get_if<LinkHello>(&body)) {
     const bool isOutdated = aState.mOwner && hello->Epoch() < aState.mOwner->Epoch() &&
                             !IsClaimOfThisNode(aState, *aState.mOwner);
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -1,6 +1,7 @@
 #include "by_entry/detail/Ownership.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -145,6 +146,20 @@
   Emit(aOut, WriteClaim::Create({ .mClaim = std::move(claim), .mEnd = aEvent.End() }).value());
 }
 
+/// Follows the owner that a claim names if it is newer, and steps down if this node is an earlier
+/// one.
+void
+TakeClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
+{
+  if (!aState.mOwner || aState.mOwner->Epoch() < aClaim.Epoch()) {
+    FollowOwner(aState, aClaim, aNow, aOut);
+  }
+  if (aClaim.Epoch() > aState.mEpoch && !IsClaimOfThisProcess(aState, aClaim) &&
+      (aState.mPhase == OwnerPhase::Owner || aState.mPhase == OwnerPhase::Loading)) {
+    StepDown(aState, "another node claimed the cell", aNow, aOut);
+  }
+}
+
 } // namespace
 
 void
@@ -286,15 +301,14 @@
 }
 
 void
-TakeClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
+TakeToldClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
 {
-  if (!aState.mOwner || aState.mOwner->Epoch() < aClaim.Epoch()) {
-    FollowOwner(aState, aClaim, aNow, aOut);
-  }
-  if (aClaim.Epoch() > aState.mEpoch && !IsClaimOfThisProcess(aState, aClaim) &&
-      (aState.mPhase == OwnerPhase::Owner || aState.mPhase == OwnerPhase::Loading)) {
-    StepDown(aState, "another node claimed the cell", aNow, aOut);
+  const bool isNewer = !aState.mOwner || aState.mOwner->Epoch() < aClaim.Epoch();
+  if (aState.mStoreLostAt == Time::Never() || !isNewer) {
+    return;
   }
+  TakeClaim(aState, aClaim, aNow, aOut);
+  aState.mOwnerWasTold = true;
 }
 
 void
@@ -311,7 +325,14 @@
     return;
   }
   const auto& claim = aEvent.Claim();
-  if (claim) {
+  if (claim && std::exchange(aState.mOwnerWasTold, false) &&
+      claim->Epoch() < aState.mOwner->Epoch()) {
+    Log(aOut,
+        "owner.unconfirmed",
+        absl::StrCat("epoch ", aState.mOwner->Epoch()),
+        absl::StrCat("node=", aState.mOwner->Node(), " stored_epoch=", claim->Epoch()));
+    FollowOwner(aState, *claim, aNow, aOut);
+  } else if (claim) {
     TakeClaim(aState, *claim, aNow, aOut);
   }
   if (aState.mPhase != OwnerPhase::ReadingClaim) {
--- a/modules/by_entry/detail/Ownership.h
+++ b/modules/by_entry/detail/Ownership.h
@@ -23,10 +23,10 @@
 void
 ClaimIfOwnerLost(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Takes note of a claim that this node or another one has read: follows a newer owner, and steps
-/// down if this node is an earlier one.
+/// Takes note of a claim that another node has read. A node that reaches the store reads claims
+/// itself; any other one follows the newer owner, until the store says otherwise.
 void
-TakeClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut);
+TakeToldClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut);
 
 /// Handles the newest claim: follows its owner and steps down for it, or continues this node's own
 /// claim.
--- a/tests/by_entry/ClaimNoticesTest.cpp
+++ b/tests/by_entry/ClaimNoticesTest.cpp
@@ -51,6 +51,11 @@
     Take<SendToMember>();
   }
 
+  void LoseStore()
+  {
+    Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered, .mSent = mNow }).value());
+  }
+
   void Receive(const std::string& aNode, LinkMessage aMessage)
   {
     Deliver(
@@ -75,6 +80,11 @@
     Take<ReadClaim>();
   }
 
+  void LoseStore()
+  {
+    Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered, .mSent = mNow }).value());
+  }
+
   /// Delivers a heartbeat of the owner.
   void Beat()
   {
@@ -112,6 +122,7 @@
 TEST(ClaimNotices, OwnerThatLearnsOfANewerClaimStepsDownAndTellsItsOtherMembers)
 {
   Owner owner;
+  owner.LoseStore();
   owner.Receive("m1", MessageOf(ClaimOfNode(4, "n3")));
   CHECK(owner.mState.mPhase == OwnerPhase::Member);
   CHECK_FALSE(owner.Take<ConnectToOwner>().empty());
@@ -121,6 +132,7 @@
 TEST(ClaimNotices, MemberFollowsTheOwnerThatItIsTold)
 {
   Member member;
+  member.LoseStore();
   member.Take<ConnectToOwner>();
   member.Deliver(FromOwner::Create({ .mMessage = MessageOf(ClaimOfNode(4, "n3")) }).value());
   const auto connects = member.Take<ConnectToOwner>();
@@ -131,17 +143,45 @@
 TEST(ClaimNotices, OlderClaimChangesNothing)
 {
   Member member;
+  member.LoseStore();
   member.Take<ConnectToOwner>();
   member.Deliver(FromOwner::Create({ .mMessage = MessageOf(ClaimOfNode(2, "n3")) }).value());
   CHECK(member.Take<ConnectToOwner>().empty());
   Owner owner;
+  owner.LoseStore();
   owner.Receive("m1", MessageOf(ClaimOfNode(2, "n3")));
   CHECK(owner.mState.mPhase == OwnerPhase::Owner);
 }
 
+TEST(ClaimNotices, NodeThatReachesTheStoreReadsClaimsItself)
+{
+  Member member;
+  member.Take<ConnectToOwner>();
+  member.Deliver(FromOwner::Create({ .mMessage = MessageOf(ClaimOfNode(4, "n3")) }).value());
+  CHECK(member.Take<ConnectToOwner>().empty());
+  Owner owner;
+  owner.Receive("m1", MessageOf(ClaimOfNode(4, "n3")));
+  CHECK(owner.mState.mPhase == OwnerPhase::Owner);
+}
+
+// A message that names an epoch which nobody has claimed must not keep a node from the owner.
+TEST(ClaimNotices, ClaimOfTheStoreReplacesOneThatWasTold)
+{
+  Member member;
+  member.LoseStore();
+  member.Deliver(FromOwner::Create({ .mMessage = MessageOf(ClaimOfNode(4000, "n3")) }).value());
+  member.Take<ConnectToOwner>();
+  member.Deliver(
+    ClaimRead::Create({ .mOutcome = StoreOutcome::Done, .mClaim = ClaimOfNode(3, "n2"), .mEnd = 3 })
+      .value());
+  CHECK_EQUAL(1, member.Take<ConnectToOwner>().size());
+  CHECK_EQUAL(3, member.mState.mOwner->Epoch());
+}
+
 TEST(ClaimNotices, NodeThatLinksToAnEarlierOwnerIsToldOfTheNewOne)
 {
   Owner owner;
+  owner.LoseStore();
   owner.Receive("m1", MessageOf(ClaimOfNode(4, "n3")));
   owner.Take<SendToMember>();
   owner.Deliver(MemberChanged::Create({ .mNode = "m4", .mUp = true }).value());
