Split the placement pass and the suitability of workers from Placement

PlacementPass holds the state of a pass, the slots it counts, the room it holds and what it reports; Suitability rates workers for a step.

--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -8,7 +8,7 @@
 #include "by_cell/detail/AdviceSelection.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
-#include "by_cell/detail/Placement.h"
+#include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
 #include "by_queueing/AdviceRound.h"
 
--- a/modules/by_cell/detail/AdviceSelection.cpp
+++ b/modules/by_cell/detail/AdviceSelection.cpp
@@ -4,8 +4,8 @@
 #include <tuple>
 
 #include "by_cell/detail/Advice.h"
-#include "by_cell/detail/Placement.h"
 #include "by_cell/detail/Room.h"
+#include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
 #include "by_queueing/AdviceRound.h"
 #include "by_queueing/GangRound.h"
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -4,19 +4,18 @@
 #include <cmath>
 #include <limits>
 #include <map>
-#include <string_view>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/PlacementPass.h"
 #include "by_cell/detail/Room.h"
 #include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
 #include "by_placement/ResourceMath.h"
-#include "by_queueing/GangHold.h"
 
 namespace by::detail {
 
@@ -35,119 +34,9 @@
 /// The interval grows by a millisecond for each so many waiting gangs, since they make up most of
 /// the time of a pass.
 constexpr std::int64_t kGangsPerMilli = 3;
-/// Workers whose slowness differs by less than this rank as equally fast, and free capacity decides
-/// between them.
-constexpr double kSpeedClassWidth = 0.15;
-/// A worker is fast enough for a step if the step has this many times the time that the worker is
-/// expected to need: declared times are off by about a fifth, and a step waits for its slowest
-/// task.
-constexpr double kSpeedMargin = 2.0;
-/// How long room may be held before the gang that it is held for can start; about as long as a
-/// ticket is valid.
-constexpr Time kHoldTime = Time::FromMilliseconds(1500);
-/// Counts all slots.
-constexpr std::size_t kNoLimitOfSlots = std::numeric_limits<std::size_t>::max();
-/// Interval between two lines of the log that say why a step waits.
-constexpr Time kWaitReportInterval = Time::FromMilliseconds(1000);
-/// A gang counts as on time until this part of its declared time after its latest start.
-constexpr std::int64_t kLateStartDivisor = 4;
-/// How long a worker that the registry dropped stays usable while it answers; its entry may
-/// reappear.
-constexpr Time kRegistryGrace = Time::FromMilliseconds(2000);
-
-using Candidates = std::vector<WorkerRow*>;
-
-JobTaskKey
-TaskOf(const ReadyKey& aKey, std::uint32_t aIndex)
-{
-  return JobTaskKey::Create({ .mJob = aKey.mJob,
-                              .mOccurrence = aKey.mOccurrence,
-                              .mStep = aKey.mStep,
-                              .mIndex = aIndex })
-    .value();
-}
-
-/// The usable workers that the advice service allows for a step, by name.
-struct AllowedWorkers
-{
-  /// The workers that the step has valid tickets for.
-  Candidates mWithTicket;
-  /// All of them; their tickets can be renewed.
-  Candidates mAll;
-};
-
-/// The state of one placement pass over the ready steps.
-struct Pass
-{
-  CellState& mState;
-  Time mNow;
-  Effects& mOut;
-  /// The usable workers of each pool, by name, and an index of them.
-  std::map<std::string, Candidates> mPools;
-  std::map<std::string, absl::flat_hash_map<std::string_view, WorkerRow*>> mPoolIndexes{};
-  std::size_t mPlaced{ 0 };
-  /// Steps without capacity, and advice queries, by pool, so that a full pool hides no other.
-  std::map<std::string, std::size_t> mMisses{};
-  std::map<std::string, std::size_t> mWaitingGangs{};
-  std::map<std::string, std::size_t> mQueries{};
-
-  const Candidates& Pool(const std::string& aPool)
-  {
-    auto [it, isNew] = mPools.try_emplace(aPool);
-    if (isNew) {
-      it->second = UsableWorkers(mState, aPool, mNow);
-      auto& index = mPoolIndexes[aPool];
-      for (auto* worker : it->second) {
-        index.emplace(worker->mRegistration.Id(), worker);
-      }
-    }
-    return it->second;
-  }
-
-  /// @returns the usable workers of a pool that the advice service allows for a step.
-  AllowedWorkers FindAllowed(const std::string& aPool, const StepAdvice& aAdvice)
-  {
-    Pool(aPool);
-    const auto& index = mPoolIndexes.at(aPool);
-    AllowedWorkers allowed;
-    for (const auto& [id, until] : aAdvice.mValidUntil) {
-      const auto it = index.find(id);
-      if (it == index.end()) {
-        continue;
-      }
-      allowed.mAll.push_back(it->second);
-      if (IsTicketUsable(until, mNow)) {
-        allowed.mWithTicket.push_back(it->second);
-      }
-    }
-    return allowed;
-  }
-};
-
-/// Counts the tasks of a step that candidates have room for; counting stops at a limit.
-std::size_t
-CountSlots(const Pass& aPass,
-           const Candidates& aCandidates,
-           const JobStep& aStep,
-           const JobTaskKey& aTask,
-           const StepRow& aRow,
-           Time aLatestStart,
-           std::size_t aLimit)
-{
-  std::size_t n = 0;
-  for (const auto* worker : aCandidates) {
-    if (n >= aLimit) {
-      return n;
-    }
-    if (MayUseRoom(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
-      n += OutlookOf(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots;
-    }
-  }
-  return n;
-}
 
 WorkerRow*
-FindBestWorker(Pass& aPass,
+FindBestWorker(PlacementPass& aPass,
                const Candidates& aCandidates,
                const JobStep& aStep,
                const JobTaskKey& aTask,
@@ -184,7 +73,11 @@
 }
 
 void
-Assign(Pass& aPass, JobRow& aJob, const JobTaskKey& aTask, WorkerRow& aWorker, std::uint32_t aRun)
+Assign(PlacementPass& aPass,
+       JobRow& aJob,
+       const JobTaskKey& aTask,
+       WorkerRow& aWorker,
+       std::uint32_t aRun)
 {
   ChangeProgress(aPass.mState, aTask, [&](auto& aFields) {
     aFields.mPhase = JobTaskPhase::Assigned;
@@ -211,7 +104,7 @@
 }
 
 void
-PlaceIndependentTasks(Pass& aPass,
+PlaceIndependentTasks(PlacementPass& aPass,
                       JobRow& aJob,
                       const ReadyKey& aKey,
                       const Candidates& aCandidates)
@@ -236,7 +129,7 @@
 /// Finds a worker for each gang member, while the capacity for the earlier members is reserved.
 /// @returns the workers in the order of the members; fewer than members where capacity is short.
 std::vector<WorkerRow*>
-FindGangWorkers(Pass& aPass,
+FindGangWorkers(PlacementPass& aPass,
                 const JobRow& aJob,
                 const ReadyKey& aKey,
                 const Candidates& aCandidates,
@@ -275,7 +168,7 @@
 }
 
 void
-PlaceGang(Pass& aPass, JobRow& aJob, const ReadyKey& aKey, const Candidates& aCandidates)
+PlaceGang(PlacementPass& aPass, JobRow& aJob, const ReadyKey& aKey, const Candidates& aCandidates)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
   std::vector<WorkerRow*> hosts;
@@ -305,76 +198,10 @@
   }
 }
 
-/// Holds room for a gang that can't start yet on some of the workers that it may run on.
-/// @returns how many workers are held; none where the gang can't be expected to start soon.
-std::size_t
-HoldRoom(Pass& aPass,
-         const JobStep& aStep,
-         const JobTaskKey& aTask,
-         StepRow& aRow,
-         Time aLatestStart,
-         const Candidates& aCandidates)
-{
-  aRow.mHold = ++aPass.mState.mLastHold;
-  const auto soon = aPass.mNow + kHoldTime;
-  std::vector<HostOutlook> outlooks;
-  Candidates usable;
-  for (auto* worker : aCandidates) {
-    if (MayUseRoom(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
-      usable.push_back(worker);
-      outlooks.push_back(OutlookOf(*worker, aStep, aTask, soon, aPass.mNow));
-    }
-  }
-  const auto held = ChooseHeldWorkers(outlooks, aStep.Count());
-  for (const auto i : held) {
-    HoldWorker(aPass.mState, *usable[i], aRow.mHold, soon);
-  }
-  return held.size();
-}
-
-/// Says at most once in kWaitReportInterval why a step waits.
-void
-ReportWait(Pass& aPass,
-           const ReadyKey& aKey,
-           StepRow& aRow,
-           const JobStep& aStep,
-           Time aLatestStart,
-           const AllowedWorkers& aAllowed,
-           std::size_t aHeld)
-{
-  if (aPass.mNow < aRow.mNextWaitReport) {
-    return;
-  }
-  aRow.mNextWaitReport = aPass.mNow + kWaitReportInterval;
-  const auto task = TaskOf(aKey, 0);
-  const auto room =
-    CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, kNoLimitOfSlots);
-  const auto usable =
-    CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, kNoLimitOfSlots);
-  const char* reason = room < aStep.Count() ? "room" : "advice";
-  Log(aPass.mOut,
-      "step.waiting",
-      absl::StrCat(aKey.mJob, ".", aKey.mOccurrence, ".", aKey.mStep),
-      absl::StrCat("for=",
-                   reason,
-                   " tasks=",
-                   aStep.Count(),
-                   " slots=",
-                   room,
-                   " slots_with_ticket=",
-                   usable,
-                   " allowed_workers=",
-                   aAllowed.mAll.size(),
-                   " held_workers=",
-                   aHeld,
-                   " until_latest_start_ms=",
-                   (aLatestStart - aPass.mNow).Milliseconds()));
-}
-
 /// Places what can be placed of a step.
 /// @returns whether there was room for it: for all members of a gang, or for one task.
 bool
-PlaceWaitingTasks(Pass& aPass,
+PlaceWaitingTasks(PlacementPass& aPass,
                   JobRow& aJob,
                   const ReadyKey& aKey,
                   Time aLatestStart,
@@ -397,7 +224,7 @@
 }
 
 void
-PlaceStep(Pass& aPass, const ReadyKey& aKey)
+PlaceStep(PlacementPass& aPass, const ReadyKey& aKey)
 {
   auto* job = FindJob(aPass.mState, aKey.mJob);
   if (job == nullptr) {
@@ -414,8 +241,8 @@
   const auto latestStart = LatestStart(*job, occurrence, aKey.mStep);
   const bool needsAdvice = policy.Advice().has_value();
   const auto allowed =
-    needsAdvice ? aPass.FindAllowed(policy.Pool(), row.mAdvice) : AllowedWorkers();
-  const auto& candidates = needsAdvice ? allowed.mWithTicket : aPass.Pool(policy.Pool());
+    needsAdvice ? FindAllowed(aPass, policy.Pool(), row.mAdvice) : AllowedWorkers();
+  const auto& candidates = needsAdvice ? allowed.mWithTicket : PoolOf(aPass, policy.Pool());
   if (!PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
     misses += candidates.empty() ? 0 : 1;
     const bool mayHold = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
@@ -435,7 +262,7 @@
                 *job,
                 aKey.mOccurrence,
                 aKey.mStep,
-                aPass.Pool(policy.Pool()),
+                PoolOf(aPass, policy.Pool()),
                 aPass.mNow,
                 aPass.mOut);
   }
@@ -443,100 +270,6 @@
 
 } // namespace
 
-bool
-IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow)
-{
-  const bool isListed = aWorker.mRegistered || (aWorker.mDeregisteredAt > Time() &&
-                                                aNow < aWorker.mDeregisteredAt + kRegistryGrace);
-  if (!isListed || aWorker.mRegistration.Draining() || aWorker.mEvacuating ||
-      aWorker.mRegistration.Pool() != aPool || aWorker.mHealth != WorkerHealth::Reachable ||
-      aWorker.mPollFailures > 0) {
-    return false;
-  }
-  if (aWorker.mQuarantinedUntil > Time()) {
-    // After its quarantine a worker is probed with one run at a time.
-    return aNow >= aWorker.mQuarantinedUntil && aWorker.mRuns.empty();
-  }
-  return true;
-}
-
-bool
-HasLabel(const WorkerRow& aWorker, const std::string& aLabel)
-{
-  const auto& labels = aWorker.mRegistration.Labels();
-  return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
-}
-
-Time
-LatestStart(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep)
-{
-  const auto objective = aJob.mObjective - aJob.mJob.Accepted();
-  return aOccurrence.mDue + objective - aOccurrence.mSteps[aStep].mCriticalPath;
-}
-
-bool
-CanBeOnTime(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow)
-{
-  return aOccurrence.mSteps[aStep].mUrgency == Urgency::OnTime &&
-         aNow < LatestStart(aJob, aOccurrence, aStep) +
-                  StepOf(aJob, aStep).Estimate() / kLateStartDivisor;
-}
-
-double
-SpareFactor(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow)
-{
-  const auto estimate = StepOf(aJob, aStep).Estimate();
-  const auto left = LatestStart(aJob, aOccurrence, aStep) + estimate - aNow;
-  return static_cast<double>(left.Milliseconds()) /
-         static_cast<double>(std::max<std::int64_t>(1, estimate.Milliseconds()));
-}
-
-Suitability
-SuitabilityOf(const CellState& aState,
-              const WorkerRow& aWorker,
-              const JobStep& aStep,
-              double aSpare)
-{
-  auto slowness = aWorker.mSlowness;
-  if (!aStep.DataRack().IsEmpty() && aStep.DataRack() != aWorker.mRegistration.Rack()) {
-    slowness *= aState.mSettings.RemoteSlowdown();
-  }
-  const auto speed = std::llround(slowness / kSpeedClassWidth);
-  const bool isQuickEnough = slowness * kSpeedMargin <= aSpare;
-  return isQuickEnough ? Suitability{ 0, -speed } : Suitability{ 1, speed };
-}
-
-std::vector<WorkerRow*>
-UsableWorkers(CellState& aState, const std::string& aPool, Time aNow)
-{
-  std::vector<WorkerRow*> usable;
-  for (auto& [id, worker] : aState.mWorkers) {
-    if (IsUsable(worker, aPool, aNow)) {
-      usable.push_back(&worker);
-    }
-  }
-  return usable;
-}
-
-bool
-Interferes(const WorkerRow& aWorker, const JobStep& aStep)
-{
-  const bool isLatencySensitive = aStep.TailTarget() > Time();
-  if (!isLatencySensitive && !aStep.Scavenging()) {
-    return false;
-  }
-  return std::any_of(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aEntry) {
-    return isLatencySensitive ? aEntry.second.mIsScavenging : aEntry.second.mIsLatencySensitive;
-  });
-}
-
-bool
-CanHost(const WorkerRow& aWorker, const JobStep& aStep)
-{
-  return HasLabel(aWorker, aStep.RequiredLabel()) &&
-         Fits(EffectiveDemand(aStep), FreeCapacity(aWorker)) && !Interferes(aWorker, aStep);
-}
-
 std::size_t
 PlaceTasks(CellState& aState, Time aNow, Effects& aOut)
 {
@@ -546,7 +279,7 @@
   }
   aState.mPlacementNeeded = false;
   ++aState.mPlacementPass;
-  Pass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
+  PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
   for (const auto& key : aState.mReady) {
     keys.push_back(key);
--- /dev/null
+++ b/modules/by_cell/detail/PlacementPass.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "by_cell/CellState.h"
+#include "by_cell/Effects.h"
+#include "by_schema/JobStep.h"
+
+namespace by::detail {
+
+using Candidates = std::vector<WorkerRow*>;
+
+/// The usable workers that the advice service allows for a step, by name.
+struct AllowedWorkers
+{
+  /// The workers that the step has valid tickets for.
+  Candidates mWithTicket;
+  /// All of them; their tickets can be renewed.
+  Candidates mAll;
+};
+
+/// The state of one placement pass over the ready steps.
+struct PlacementPass
+{
+  CellState& mState;
+  Time mNow;
+  Effects& mOut;
+  /// The usable workers of each pool, by name, and an index of them.
+  std::map<std::string, Candidates> mPools;
+  std::map<std::string, absl::flat_hash_map<std::string_view, WorkerRow*>> mPoolIndexes{};
+  std::size_t mPlaced{ 0 };
+  /// Steps without capacity, and advice queries, by pool, so that a full pool hides no other.
+  std::map<std::string, std::size_t> mMisses{};
+  std::map<std::string, std::size_t> mWaitingGangs{};
+  std::map<std::string, std::size_t> mQueries{};
+};
+
+/// @returns the usable workers of a pool, by name.
+const Candidates&
+PoolOf(PlacementPass& aPass, const std::string& aPool);
+
+/// @returns the usable workers of a pool that the advice service allows for a step.
+AllowedWorkers
+FindAllowed(PlacementPass& aPass, const std::string& aPool, const StepAdvice& aAdvice);
+
+/// @returns the key of a task of a ready step.
+JobTaskKey
+TaskOf(const ReadyKey& aKey, std::uint32_t aIndex);
+
+/// Counts the tasks of a step that candidates have room for; counting stops at a limit.
+std::size_t
+CountSlots(const PlacementPass& aPass,
+           const Candidates& aCandidates,
+           const JobStep& aStep,
+           const JobTaskKey& aTask,
+           const StepRow& aRow,
+           Time aLatestStart,
+           std::size_t aLimit);
+
+/// Holds room for a gang that can't start yet on some of the workers that it may run on.
+/// @returns how many workers are held; none where the gang can't be expected to start soon.
+std::size_t
+HoldRoom(PlacementPass& aPass,
+         const JobStep& aStep,
+         const JobTaskKey& aTask,
+         StepRow& aRow,
+         Time aLatestStart,
+         const Candidates& aCandidates);
+
+/// Logs why a step waits, at most once a second.
+void
+ReportWait(PlacementPass& aPass,
+           const ReadyKey& aKey,
+           StepRow& aRow,
+           const JobStep& aStep,
+           Time aLatestStart,
+           const AllowedWorkers& aAllowed,
+           std::size_t aHeld);
+
+} // namespace by::detail
--- a/modules/by_cell/detail/Room.cpp
+++ b/modules/by_cell/detail/Room.cpp
@@ -1,9 +1,9 @@
 #include "by_cell/detail/Room.h"
+#include "by_cell/detail/Suitability.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "by_cell/detail/Placement.h"
 #include "by_cell/detail/PollTimes.h"
 #include "by_cell/detail/Tables.h"
 #include "by_placement/ResourceMath.h"
