Never count tasks that last as late

Cause, by reading: a task of a service that ends is started again long after its job's objective. Change: steps that last can always be on time, and may use held room. Tests, both fail without the change: GangHoldInCell, TaskThatLastsIsNotKeptWaiting; Advice, TaskThatLastsIsQueriedAlsoWhileFewNodesAreIdle.

--- a/modules/by_cell/detail/Room.cpp
+++ b/modules/by_cell/detail/Room.cpp
@@ -74,7 +74,7 @@
            Time aNow)
 {
   if (aWorker.mHeldInPass == 0 || aWorker.mHeldInPass != aState.mPlacementPass ||
-      aWorker.mHold == aRow.mHold) {
+      aWorker.mHold == aRow.mHold || aStep.LongRunning()) {
     return true;
   }
   const auto run = std::llround(static_cast<double>(aStep.Estimate().Milliseconds()) *
--- a/modules/by_cell/detail/Suitability.cpp
+++ b/modules/by_cell/detail/Suitability.cpp
@@ -59,9 +59,12 @@
 bool
 CanBeOnTime(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow)
 {
+  const auto& step = StepOf(aJob, aStep);
+  if (step.LongRunning()) {
+    return true;
+  }
   return aOccurrence.mSteps[aStep].mUrgency == Urgency::OnTime &&
-         aNow < LatestStart(aJob, aOccurrence, aStep) +
-                  StepOf(aJob, aStep).Estimate() / kLateStartDivisor;
+         aNow < LatestStart(aJob, aOccurrence, aStep) + step.Estimate() / kLateStartDivisor;
 }
 
 double
--- a/tests/by_cell/AdviceTest.cpp
+++ b/tests/by_cell/AdviceTest.cpp
@@ -164,3 +164,21 @@
   cell.AdvanceTime(kPause);
   CHECK_EQUAL(0, cell.CountRuns("w1"));
 }
+
+// A task of a service whose job was submitted long ago is as urgent as any other.
+TEST(Advice, TaskThatLastsIsQueriedAlsoWhileFewNodesAreIdle)
+{
+  AdvisedCell cell(12, 8);
+  for (int n = 0; n < 6; ++n) {
+    cell.mCell.mAdviceProxies[n].mOpenQueries.push_back(cell.mNow + Time::FromSeconds(60));
+  }
+  auto service = CellFixture::Step(1);
+  service.mLongRunning = true;
+  cell.SubmitUnstored("service", { service });
+  const auto first = cell.TakeQueries();
+  CHECK_EQUAL(1, first.size());
+  cell.mNow = cell.mNow + Time::FromSeconds(20);
+  cell.Answer("service", first.front().second.Workers(), {});
+  cell.AdvanceTime(Time::FromMilliseconds(900));
+  CHECK_EQUAL(1, cell.TakeQueries().size());
+}
--- a/tests/by_cell/GangHoldTest.cpp
+++ b/tests/by_cell/GangHoldTest.cpp
@@ -114,6 +114,22 @@
   CHECK_EQUAL(1, cell.CountStarts("loose"));
 }
 
+// A task of a service that has ended is missed until it runs again, however old its job is.
+TEST(GangHoldInCell, TaskThatLastsIsNotKeptWaiting)
+{
+  FullCell cell;
+  cell.SubmitGang(4);
+  cell.mQueue = cell.mQueue.WithPriority(0).WithPathPrefix("/service/");
+  auto service = CellFixture::Step(1);
+  service.mLongRunning = true;
+  service.mEstimate = Time::FromSeconds(60);
+  cell.Submit("service", { service });
+  cell.TakeStarts();
+  cell.mNow = cell.mNow + Time::FromMilliseconds(500);
+  cell.EndRun();
+  CHECK_EQUAL(1, cell.CountStarts("service"));
+}
+
 TEST(GangHoldInCell, NothingIsHeldForAGangWiderThanThePool)
 {
   FullCell cell;
