Call the capacity that is kept for a gang a reservation, and other words of the field

Found on reading the change as a newcomer: it spoke of rooms that are held, of tasks that start alone or last, and of told claims. The glossary already had gang reservation; independent and long-running tasks are named so elsewhere. Renamed: GangHold to GangReservation, MayUseHeldRoom to MayBackfill, HostOutlook to SlotForecast, Room to StepCapacity, TakeToldClaim to TakePeerClaim; keys reserved_workers and for=capacity of step.waiting, which no released log has. No behaviour changes: by_cell, by_entry and by_queueing pass with the same numbers of tests and checks.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -94,8 +94,8 @@
   bool mPlacementNeeded{ false };
   /// The number of the last placement pass; passes are numbered from 1.
   std::uint64_t mPlacementPass{ 0 };
-  /// The number of the last hold of workers' room for a gang.
-  std::uint64_t mLastHold{ 0 };
+  /// The number of the last gang reservation.
+  std::uint64_t mLastReservation{ 0 };
   /// The earliest time of the next placement pass.
   Time mNextPlacement{};
   /// When the periodic checks last ran, and the last pass over all workers.
--- a/modules/by_cell/StepRow.h
+++ b/modules/by_cell/StepRow.h
@@ -23,8 +23,8 @@
   /// Its key among the ready steps; empty while none of its tasks can be placed.
   std::optional<ReadyKey> mReady;
   StepAdvice mAdvice;
-  /// The number of its last hold of workers' room; zero before the first.
-  std::uint64_t mHold{ 0 };
+  /// The number of its last gang reservation; zero before the first.
+  std::uint64_t mReservation{ 0 };
   /// When the log may next say why the step waits.
   Time mNextWaitReport{};
 };
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -61,11 +61,11 @@
   Time mQuarantinedUntil{};
   /// The ratio of the actual to the declared duration of its tasks, as a moving average.
   double mSlowness{ 1.0 };
-  /// The last placement pass that held its room for a gang, the number of the hold, and when the
-  /// gang is expected to start.
-  std::uint64_t mHeldInPass{ 0 };
-  std::uint64_t mHold{ 0 };
-  Time mHeldUntil{};
+  /// The last placement pass that reserved its free capacity for a gang, the number of the
+  /// reservation, and when the gang is expected to start.
+  std::uint64_t mReservedInPass{ 0 };
+  std::uint64_t mReservation{ 0 };
+  Time mReservedUntil{};
 };
 
 } // namespace by
--- a/modules/by_cell/detail/AdviceSelection.cpp
+++ b/modules/by_cell/detail/AdviceSelection.cpp
@@ -4,7 +4,7 @@
 #include <tuple>
 
 #include "by_cell/detail/Advice.h"
-#include "by_cell/detail/Room.h"
+#include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
 #include "by_queueing/AdviceRound.h"
@@ -18,7 +18,7 @@
 constexpr std::size_t kUsualQueriedWorkers = 30;
 /// How long the tickets of a round should be usable together.
 constexpr Time kUseTime = Time::FromMilliseconds(300);
-/// The share of a ticket's validity after which the room of a queried worker counts.
+/// The share of a ticket's validity after which the capacity of a queried worker counts.
 constexpr std::int64_t kValidityDivisor = 2;
 /// Less than this part of a step's waiting tasks is not worth a query.
 constexpr std::size_t kFewTasksDivisor = 4;
@@ -54,7 +54,7 @@
   /// A ticket that expires before this time is renewed by the round, since a gang needs all of its
   /// tickets at the same time.
   Time mRenewed;
-  /// When the room of a worker counts.
+  /// When the free capacity of a worker is forecast for.
   Time mSoon;
 };
 
@@ -81,7 +81,7 @@
   }
 }
 
-/// @returns the workers that are not denied and will have room when an answer arrives.
+/// @returns the workers that are not denied and will have capacity when an answer arrives.
 Options
 ListOptions(const Subject& aSubject,
             const std::vector<WorkerRow*>& aCandidates,
@@ -96,13 +96,13 @@
   for (const auto* worker : aCandidates) {
     const auto& id = worker->mRegistration.Id();
     if (row.mAdvice.mDeniedWorkers.contains(id) || HasTicket(row.mAdvice, id, aTimes.mRenewed) ||
-        !MayUseRoom(state, *worker, step, row, latestStart, now)) {
+        !MayUseCapacity(state, *worker, step, row, latestStart, now)) {
       continue;
     }
-    const auto outlook = OutlookOf(*worker, step, task, aTimes.mSoon, now);
+    const auto forecast = ForecastSlots(*worker, step, task, aTimes.mSoon, now);
     const bool isAllowed = row.mAdvice.mTickets.contains(id);
-    if (outlook.mSlotsSoon > 0) {
-      options.push_back({ { outlook.mSlots, outlook.mSlotsSoon, isAllowed ? 1.0 : share },
+    if (forecast.mSlotsSoon > 0) {
+      options.push_back({ { forecast.mSlots, forecast.mSlotsSoon, isAllowed ? 1.0 : share },
                           isAllowed,
                           worker,
                           SuitabilityOf(state, *worker, step, spare) });
@@ -112,8 +112,8 @@
   return options;
 }
 
-/// @returns how many waiting tasks of a step the workers with a ticket have no room for. A gang
-/// needs the room now; a task that starts alone can wait for it while the ticket is valid.
+/// @returns how many waiting tasks of a step the workers with a ticket have no capacity for.
+/// A gang needs it now; an independent task can wait for it while the ticket is valid.
 std::size_t
 CountTasksWithoutTicket(const Subject& aSubject, const RoundTimes& aTimes)
 {
@@ -131,14 +131,14 @@
     const auto worker = state.mWorkers.find(id);
     if (tasks == 0 || !IsTicketUsable(until, aTimes.mRenewed) || worker == state.mWorkers.end() ||
         !IsUsable(worker->second, pool, now) ||
-        !MayUseRoom(state, worker->second, step, row, latestStart, now)) {
+        !MayUseCapacity(state, worker->second, step, row, latestStart, now)) {
       continue;
     }
     const auto soon = step.Gang() ? now : aTimes.mSoon;
-    const auto outlook = OutlookOf(worker->second, step, task, soon, now);
-    tasks -= std::min<std::size_t>(tasks, outlook.mSlotsSoon);
+    const auto forecast = ForecastSlots(worker->second, step, task, soon, now);
+    tasks -= std::min<std::size_t>(tasks, forecast.mSlotsSoon);
   }
-  // The last few tasks that start alone wait for the workers with a ticket.
+  // The last few independent tasks wait for the workers with a ticket.
   return step.Gang() || tasks * kFewTasksDivisor >= waiting ? tasks : 0;
 }
 
@@ -160,7 +160,7 @@
   }
 }
 
-/// A gang needs room for all of its tasks at the same time, so workers with much room come first.
+/// A gang needs capacity for all tasks at the same time, so workers with much of it come first.
 std::vector<std::string>
 SelectForGang(Options aOptions, std::size_t aTasks, std::size_t aFullQuery)
 {
@@ -188,8 +188,8 @@
   return names;
 }
 
-/// A task that starts alone takes the worker that suits it best, so that workers with much room
-/// stay free. While no worker has room there is nothing to ask.
+/// An independent task takes the worker that suits it best, so that workers with much
+/// capacity stay free. While no worker has capacity there is nothing to query.
 std::vector<std::string>
 SelectForTasks(Options aOptions, std::size_t aTasks)
 {
--- a/modules/by_cell/detail/AdviceSelection.h
+++ b/modules/by_cell/detail/AdviceSelection.h
@@ -12,8 +12,8 @@
 AdviceCost
 CostOf(const AdvicePolicy& aPolicy);
 
-/// Selects the workers that the next round of queries on a step lists: those that will have room
-/// and are not denied. Empty where no query would help.
+/// Selects the workers that the next round of queries on a step lists: those that will have
+/// capacity and are not denied. Empty where no query would help.
 /// @param aCandidates the workers that may be given new tasks, by name.
 std::vector<std::string>
 SelectWorkers(const CellState& aState,
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -11,8 +11,8 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/PlacementPass.h"
-#include "by_cell/detail/Room.h"
 #include "by_cell/detail/Runs.h"
+#include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
 #include "by_placement/ResourceMath.h"
@@ -25,7 +25,8 @@
 constexpr std::size_t kMaxStepsPerPass = 400;
 /// A placement pass leaves a pool after this many steps without capacity there.
 constexpr std::size_t kMaxMissesPerPass = 60;
-/// A placement pass leaves the gangs of a pool after this many that can't start, in addition.
+/// A placement pass leaves the gangs of a pool after this many that can't start, beside the steps
+/// without capacity.
 constexpr std::size_t kMaxWaitingGangsPerPass = 60;
 /// Advice queries per placement pass and pool, since selecting the workers to ask for takes long.
 constexpr std::size_t kMaxQueriesPerPass = 4;
@@ -56,7 +57,7 @@
     if (worker->mQuarantinedUntil > Time() && !worker->mRuns.empty()) {
       continue;
     }
-    if (!MayUseRoom(aPass.mState, *worker, aStep, row, latestStart, aPass.mNow)) {
+    if (!MayUseCapacity(aPass.mState, *worker, aStep, row, latestStart, aPass.mNow)) {
       continue;
     }
     if (aStep.SpreadLimit() > 0 && CountRunsOfStep(*worker, aTask) >= aStep.SpreadLimit()) {
@@ -199,7 +200,7 @@
 }
 
 /// Places what can be placed of a step.
-/// @returns whether there was room for it: for all members of a gang, or for one task.
+/// @returns whether there was capacity for it: for all members of a gang, or for one task.
 bool
 PlaceWaitingTasks(PlacementPass& aPass,
                   JobRow& aJob,
@@ -245,14 +246,14 @@
   const auto& candidates = needsAdvice ? allowed.mWithTicket : PoolOf(aPass, policy.Pool());
   if (!PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
     misses += candidates.empty() ? 0 : 1;
-    const bool mayHold = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
-    const auto held =
-      mayHold
-        ? HoldRoom(
+    const bool mayReserve = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
+    const auto reserved =
+      mayReserve
+        ? ReserveForGang(
             aPass, step, TaskOf(aKey, 0), row, latestStart, needsAdvice ? allowed.mAll : candidates)
         : 0;
     if (step.Gang() && needsAdvice) {
-      ReportWait(aPass, aKey, row, step, latestStart, allowed, held);
+      ReportWait(aPass, aKey, row, step, latestStart, allowed, reserved);
     }
   }
   if (needsAdvice && row.mReady && aPass.mQueries[policy.Pool()] < kMaxQueriesPerPass &&
--- a/modules/by_cell/detail/PlacementPass.cpp
+++ b/modules/by_cell/detail/PlacementPass.cpp
@@ -6,19 +6,19 @@
 
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
-#include "by_cell/detail/Room.h"
+#include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
-#include "by_queueing/GangHold.h"
+#include "by_queueing/GangReservation.h"
 
 namespace by::detail {
 
 namespace {
 
-/// How long room may be held before the gang that it is held for can start; about as long as a
-/// ticket is valid.
-constexpr Time kHoldTime = Time::FromMilliseconds(1500);
-/// Counts all slots.
-constexpr std::size_t kNoLimitOfSlots = std::numeric_limits<std::size_t>::max();
+/// How far ahead a gang's start may lie for capacity to be reserved; about as long as a ticket is
+/// valid.
+constexpr Time kReservationTime = Time::FromMilliseconds(1500);
+/// A limit that no count reaches.
+constexpr std::size_t kUnlimitedSlots = std::numeric_limits<std::size_t>::max();
 /// Interval between two lines of the log that say why a step waits.
 constexpr Time kWaitReportInterval = Time::FromMilliseconds(1000);
 
@@ -81,36 +81,36 @@
     if (n >= aLimit) {
       return n;
     }
-    if (MayUseRoom(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
-      n += OutlookOf(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots;
+    if (MayUseCapacity(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
+      n += ForecastSlots(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots;
     }
   }
   return n;
 }
 
 std::size_t
-HoldRoom(PlacementPass& aPass,
-         const JobStep& aStep,
-         const JobTaskKey& aTask,
-         StepRow& aRow,
-         Time aLatestStart,
-         const Candidates& aCandidates)
+ReserveForGang(PlacementPass& aPass,
+               const JobStep& aStep,
+               const JobTaskKey& aTask,
+               StepRow& aRow,
+               Time aLatestStart,
+               const Candidates& aCandidates)
 {
-  aRow.mHold = ++aPass.mState.mLastHold;
-  const auto soon = aPass.mNow + kHoldTime;
-  std::vector<HostOutlook> outlooks;
+  aRow.mReservation = ++aPass.mState.mLastReservation;
+  const auto soon = aPass.mNow + kReservationTime;
+  std::vector<SlotForecast> forecasts;
   Candidates usable;
   for (auto* worker : aCandidates) {
-    if (MayUseRoom(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
+    if (MayUseCapacity(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
       usable.push_back(worker);
-      outlooks.push_back(OutlookOf(*worker, aStep, aTask, soon, aPass.mNow));
+      forecasts.push_back(ForecastSlots(*worker, aStep, aTask, soon, aPass.mNow));
     }
   }
-  const auto held = ChooseHeldWorkers(outlooks, aStep.Count());
-  for (const auto i : held) {
-    HoldWorker(aPass.mState, *usable[i], aRow.mHold, soon);
+  const auto reserved = ChooseReservedWorkers(forecasts, aStep.Count());
+  for (const auto i : reserved) {
+    ReserveWorker(aPass.mState, *usable[i], aRow.mReservation, soon);
   }
-  return held.size();
+  return reserved.size();
 }
 
 void
@@ -120,18 +120,18 @@
            const JobStep& aStep,
            Time aLatestStart,
            const AllowedWorkers& aAllowed,
-           std::size_t aHeld)
+           std::size_t aReserved)
 {
   if (aPass.mNow < aRow.mNextWaitReport) {
     return;
   }
   aRow.mNextWaitReport = aPass.mNow + kWaitReportInterval;
   const auto task = TaskOf(aKey, 0);
-  const auto room =
-    CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, kNoLimitOfSlots);
+  const auto slots =
+    CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, kUnlimitedSlots);
   const auto usable =
-    CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, kNoLimitOfSlots);
-  const char* reason = room < aStep.Count() ? "room" : "advice";
+    CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, kUnlimitedSlots);
+  const char* reason = slots < aStep.Count() ? "capacity" : "advice";
   Log(aPass.mOut,
       "step.waiting",
       absl::StrCat(aKey.mJob, ".", aKey.mOccurrence, ".", aKey.mStep),
@@ -140,13 +140,13 @@
                    " tasks=",
                    aStep.Count(),
                    " slots=",
-                   room,
+                   slots,
                    " slots_with_ticket=",
                    usable,
                    " allowed_workers=",
                    aAllowed.mAll.size(),
-                   " held_workers=",
-                   aHeld,
+                   " reserved_workers=",
+                   aReserved,
                    " until_latest_start_ms=",
                    (aLatestStart - aPass.mNow).Milliseconds()));
 }
--- a/modules/by_cell/detail/PlacementPass.h
+++ b/modules/by_cell/detail/PlacementPass.h
@@ -53,7 +53,7 @@
 JobTaskKey
 TaskOf(const ReadyKey& aKey, std::uint32_t aIndex);
 
-/// Counts the tasks of a step that candidates have room for; counting stops at a limit.
+/// Counts the tasks of a step that candidates have capacity for; counting stops at a limit.
 std::size_t
 CountSlots(const PlacementPass& aPass,
            const Candidates& aCandidates,
@@ -63,15 +63,16 @@
            Time aLatestStart,
            std::size_t aLimit);
 
-/// Holds room for a gang that can't start yet on some of the workers that it may run on.
-/// @returns how many workers are held; none where the gang can't be expected to start soon.
+/// Reserves the free capacity of some workers for a gang that can't start yet.
+/// @param aCandidates the workers that the gang may run on.
+/// @returns how many workers are reserved; none where the gang can't be expected to start soon.
 std::size_t
-HoldRoom(PlacementPass& aPass,
-         const JobStep& aStep,
-         const JobTaskKey& aTask,
-         StepRow& aRow,
-         Time aLatestStart,
-         const Candidates& aCandidates);
+ReserveForGang(PlacementPass& aPass,
+               const JobStep& aStep,
+               const JobTaskKey& aTask,
+               StepRow& aRow,
+               Time aLatestStart,
+               const Candidates& aCandidates);
 
 /// Logs why a step waits, at most once a second.
 void
@@ -81,6 +82,6 @@
            const JobStep& aStep,
            Time aLatestStart,
            const AllowedWorkers& aAllowed,
-           std::size_t aHeld);
+           std::size_t aReserved);
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Room.cpp
+++ b/modules/by_cell/detail/StepCapacity.cpp
@@ -1,4 +1,4 @@
-#include "by_cell/detail/Room.h"
+#include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
 
 #include <algorithm>
@@ -7,7 +7,7 @@
 #include "by_cell/detail/PollTimes.h"
 #include "by_cell/detail/Tables.h"
 #include "by_placement/ResourceMath.h"
-#include "by_queueing/GangHold.h"
+#include "by_queueing/GangReservation.h"
 
 namespace by::detail {
 
@@ -27,12 +27,12 @@
   return n;
 }
 
-HostOutlook
-OutlookOf(const WorkerRow& aWorker,
-          const JobStep& aStep,
-          const JobTaskKey& aTask,
-          Time aSoon,
-          Time aNow)
+SlotForecast
+ForecastSlots(const WorkerRow& aWorker,
+              const JobStep& aStep,
+              const JobTaskKey& aTask,
+              Time aSoon,
+              Time aNow)
 {
   if (!HasLabel(aWorker, aStep.RequiredLabel()) || Interferes(aWorker, aStep)) {
     return {};
@@ -58,28 +58,29 @@
 }
 
 void
-HoldWorker(const CellState& aState, WorkerRow& aWorker, std::uint64_t aHold, Time aUntil)
+ReserveWorker(const CellState& aState, WorkerRow& aWorker, std::uint64_t aReservation, Time aUntil)
 {
-  aWorker.mHold = aHold;
-  aWorker.mHeldInPass = aState.mPlacementPass;
-  aWorker.mHeldUntil = aUntil;
+  aWorker.mReservation = aReservation;
+  aWorker.mReservedInPass = aState.mPlacementPass;
+  aWorker.mReservedUntil = aUntil;
 }
 
 bool
-MayUseRoom(const CellState& aState,
-           const WorkerRow& aWorker,
-           const JobStep& aStep,
-           const StepRow& aRow,
-           Time aLatestStart,
-           Time aNow)
+MayUseCapacity(const CellState& aState,
+               const WorkerRow& aWorker,
+               const JobStep& aStep,
+               const StepRow& aRow,
+               Time aLatestStart,
+               Time aNow)
 {
-  if (aWorker.mHeldInPass == 0 || aWorker.mHeldInPass != aState.mPlacementPass ||
-      aWorker.mHold == aRow.mHold || aStep.LongRunning()) {
+  if (aWorker.mReservedInPass == 0 || aWorker.mReservedInPass != aState.mPlacementPass ||
+      aWorker.mReservation == aRow.mReservation || aStep.LongRunning()) {
     return true;
   }
   const auto run = std::llround(static_cast<double>(aStep.Estimate().Milliseconds()) *
                                 std::max(1.0, aWorker.mSlowness));
-  return MayUseHeldRoom(aNow + Time::FromMilliseconds(run), aLatestStart, aWorker.mHeldUntil, aNow);
+  return MayBackfill(
+    aNow + Time::FromMilliseconds(run), aLatestStart, aWorker.mReservedUntil, aNow);
 }
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Suitability.h
+++ b/modules/by_cell/detail/Suitability.h
@@ -41,8 +41,8 @@
 LatestStart(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep);
 
 /// @returns whether a job can still be on time if a step starts now. Declared times are rough, so
-/// that a step counts a little longer than until its latest start. Tasks that last are never late,
-/// since they are missed until they run again.
+/// that a step counts a little longer than until its latest start. Long-running tasks are never
+/// late, since they are missed until they run again.
 bool
 CanBeOnTime(const JobRow& aJob, const OccurrenceRow& aOccurrence, std::uint32_t aStep, Time aNow);
 
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -77,8 +77,8 @@
 
   /// The newest claim that was read; empty until one is read.
   std::optional<CellClaim> mOwner;
-  /// Whether another node told this one of that claim, and the store has not confirmed it.
-  bool mOwnerWasTold{ false };
+  /// Whether that claim came from a peer and the store has not confirmed it.
+  bool mOwnerUnconfirmed{ false };
   /// When the newest claim was read.
   Time mOwnerKnownAt{};
   /// Whether the link to the owner is up.
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -53,9 +53,8 @@
          aNow;
 }
 
-/// Tells the nodes that have a link with this one who owns the cell. A node that can't reach the
-/// store learns it from them: the members of the last owner tell that owner, and it tells the
-/// others.
+/// Sends a claim to the nodes that have a link with this one, for those that can't reach the store:
+/// the members of the last owner send it to that owner, which sends it to its other members.
 void
 AnnounceClaim(const EntryState& aState, const CellClaim& aClaim, Effects& aOut)
 {
@@ -209,7 +208,7 @@
   } else if (const auto* orders = std::get_if<RelayOrders>(&body)) {
     PerformRelayOrders(*orders, aOut);
   } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
-    TakeToldClaim(aState, *claim, aNow, aOut);
+    TakePeerClaim(aState, *claim, aNow, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
     HandleHeartbeat(aState, *heartbeat, aNow, aOut);
   }
@@ -238,7 +237,7 @@
   } else if (std::holds_alternative<LinkHeartbeat>(body)) {
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
   } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
-    TakeToldClaim(aState, *claim, aNow, aOut);
+    TakePeerClaim(aState, *claim, aNow, aOut);
   } else if (const auto* hello = std::get_if<LinkHello>(&body)) {
     const bool isOutdated = aState.mOwner && hello->Epoch() < aState.mOwner->Epoch() &&
                             !IsClaimOfThisNode(aState, *aState.mOwner);
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -301,14 +301,14 @@
 }
 
 void
-TakeToldClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
+TakePeerClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
 {
   const bool isNewer = !aState.mOwner || aState.mOwner->Epoch() < aClaim.Epoch();
   if (aState.mStoreLostAt == Time::Never() || !isNewer) {
     return;
   }
   TakeClaim(aState, aClaim, aNow, aOut);
-  aState.mOwnerWasTold = true;
+  aState.mOwnerUnconfirmed = true;
 }
 
 void
@@ -325,7 +325,7 @@
     return;
   }
   const auto& claim = aEvent.Claim();
-  if (claim && std::exchange(aState.mOwnerWasTold, false) &&
+  if (claim && std::exchange(aState.mOwnerUnconfirmed, false) &&
       claim->Epoch() < aState.mOwner->Epoch()) {
     Log(aOut,
         "owner.unconfirmed",
--- a/modules/by_entry/detail/Ownership.h
+++ b/modules/by_entry/detail/Ownership.h
@@ -23,10 +23,10 @@
 void
 ClaimIfOwnerLost(EntryState& aState, Time aNow, Effects& aOut);
 
-/// Takes note of a claim that another node has read. A node that reaches the store reads claims
+/// Handles a claim that a peer has read. A node that reaches the store reads claims
 /// itself; any other one follows the newer owner, until the store says otherwise.
 void
-TakeToldClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut);
+TakePeerClaim(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut);
 
 /// Handles the newest claim: follows its owner and steps down for it, or continues this node's own
 /// claim.
--- a/modules/by_queueing/AdviceCandidate.h
+++ b/modules/by_queueing/AdviceCandidate.h
@@ -8,8 +8,7 @@
 /// A worker that an advice query can list.
 struct AdviceCandidate
 {
-  /// The number of tasks of the step that it has room for, and that it will have room for when the
-  /// answer arrives.
+  /// The number of tasks of the step that fit on it now, and when the answer arrives.
   std::uint32_t mSlots{ 0 };
   std::uint32_t mSlotsSoon{ 0 };
   /// The probability that the service allows it to run the step.
--- a/modules/by_queueing/AdviceRound.h
+++ b/modules/by_queueing/AdviceRound.h
@@ -8,7 +8,7 @@
 
 namespace by {
 
-/// Maximum number of workers that one query lists.
+/// Maximum number of workers that the service accepts in one query.
 inline constexpr std::size_t kMaxQueriedWorkers = 100;
 
 /// @returns how long the service takes to answer a query that lists a number of workers.
@@ -19,7 +19,7 @@
 std::size_t
 FullQuerySize(const AdviceCost& aCost);
 
-/// @returns how many workers to list for tasks that start alone, each wherever there is room first.
+/// @returns how many workers to list for independent tasks.
 std::size_t
 CountWorkersForTasks(std::size_t aCandidates, std::size_t aTasks);
 
--- a/modules/by_queueing/GangHold.cpp
+++ b/modules/by_queueing/GangReservation.cpp
@@ -1,4 +1,4 @@
-#include "by_queueing/GangHold.h"
+#include "by_queueing/GangReservation.h"
 
 #include <algorithm>
 #include <numeric>
@@ -8,21 +8,21 @@
 namespace {
 
 /// A task that has less time than this, or than half of its run, until its latest start is not kept
-/// waiting for a gang: the room that it gets then may be on a slower worker.
+/// waiting for a gang: the capacity that is free then may be on a slower worker.
 constexpr Time kUrgentMargin = Time::FromMilliseconds(1000);
 
-/// More room than the gang needs is held by one in this many tasks, since some runs end later than
-/// expected.
+/// The reservation exceeds the gang's need by one in this many tasks, since some runs end later
+/// than expected.
 constexpr std::size_t kSpareDivisor = 2;
 
 } // namespace
 
 std::vector<std::size_t>
-ChooseHeldWorkers(std::span<const HostOutlook> aHosts, std::size_t aTasks)
+ChooseReservedWorkers(std::span<const SlotForecast> aHosts, std::size_t aTasks)
 {
   std::vector<std::size_t> order(aHosts.size());
   std::iota(order.begin(), order.end(), 0);
-  // The workers with the most room need to be held for the shortest time.
+  // The workers with the most free capacity are reserved for the shortest time.
   std::stable_sort(order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
     return std::pair(aHosts[aLeft].mSlots, aHosts[aLeft].mSlotsSoon) >
            std::pair(aHosts[aRight].mSlots, aHosts[aRight].mSlotsSoon);
@@ -39,11 +39,11 @@
 }
 
 bool
-MayUseHeldRoom(Time aExpectedEnd, Time aLatestStart, Time aHeldUntil, Time aNow)
+MayBackfill(Time aExpectedEnd, Time aLatestStart, Time aReservedUntil, Time aNow)
 {
   const auto margin = std::max(kUrgentMargin, (aExpectedEnd - aNow) / 2);
   const bool isUrgent = aNow <= aLatestStart && aLatestStart < aNow + margin;
-  return isUrgent || aExpectedEnd <= aHeldUntil;
+  return isUrgent || aExpectedEnd <= aReservedUntil;
 }
 
 } // namespace by
--- a/modules/by_queueing/GangRound.cpp
+++ b/modules/by_queueing/GangRound.cpp
@@ -7,19 +7,19 @@
 
 namespace {
 
-/// Other steps take part of the room while the answer is awaited.
+/// Other steps take part of the capacity while the answer is awaited.
 constexpr double kContentionFactor = 1.25;
-/// Room that runs still occupy counts as this part, since other steps wait for it too.
+/// Capacity that runs still occupy counts as this part, since other steps wait for it too.
 constexpr double kOccupiedWeight = 0.25;
 /// The unknown workers cover the tasks with this many standard deviations to spare, about nine
 /// times in ten.
 constexpr double kMarginDeviations = 1.3;
-/// Tickets are renewed once this part of the room is free.
+/// Tickets are renewed once this part of the slots is free.
 constexpr double kRenewalShare = 0.7;
 /// Maximum number of unknown workers in a round.
 constexpr std::size_t kMaxUnknownWorkers = 200;
 
-/// @returns the room on a worker, with less weight for what is still occupied.
+/// @returns the slots on a worker, with less weight for what is still occupied.
 double
 WeightedSlots(const AdviceCandidate& aWorker, std::size_t aTasks)
 {
@@ -81,7 +81,7 @@
     return { .mRenewed = CountRenewed(aAllowed, tasks) };
   }
   if (weighted >= kContentionFactor * tasks) {
-    // Enough workers are known; what is missing is room.
+    // Enough workers are known; what is missing is capacity.
     return {};
   }
   const auto unknown = CountUnknown(aUnknown, weighted, aTasks);
--- a/modules/by_queueing/GangRound.h
+++ b/modules/by_queueing/GangRound.h
@@ -23,11 +23,11 @@
 ///
 /// Load pattern: in a full pool a gang waits for seconds while tickets expire. Which workers are
 /// allowed does not change, so that queries are worth their time for two purposes only: to learn of
-/// enough workers that room can be held on, and to renew tickets once there is room.
+/// enough workers to reserve capacity on, and to renew tickets once capacity is free.
 /// @param aAllowed the workers that were allowed before, without those whose tickets stay valid;
-///   those with the most room first.
+///   those with the most capacity first.
 /// @param aUnknown the workers that are not known yet, the best first.
-/// @param aTasks the tasks that the workers with valid tickets have no room for.
+/// @param aTasks the tasks that the workers with valid tickets have no capacity for.
 /// @param aFullQuery the number of workers that doubles the time of a query. A round that only
 ///   learns lists at least as many, since its fixed time is paid anyway.
 GangRound
--- a/tests/by_cell/AdviceTest.cpp
+++ b/tests/by_cell/AdviceTest.cpp
@@ -114,7 +114,7 @@
   }
 }
 
-TEST(Advice, FullPoolIsNotQueriedForTasksThatStartAlone)
+TEST(Advice, FullPoolIsNotQueriedForIndependentTasks)
 {
   AdvisedCell cell(2);
   auto other = cell.mQueue.WithAdvice(std::nullopt).WithPathPrefix("/other/");
@@ -166,7 +166,7 @@
 }
 
 // A task of a service whose job was submitted long ago is as urgent as any other.
-TEST(Advice, TaskThatLastsIsQueriedAlsoWhileFewNodesAreIdle)
+TEST(Advice, LongRunningTaskIsQueriedAlsoWhileFewNodesAreIdle)
 {
   AdvisedCell cell(12, 8);
   for (int n = 0; n < 6; ++n) {
--- a/tests/by_cell/GangHoldTest.cpp
+++ b/tests/by_cell/GangReservationTest.cpp
@@ -69,11 +69,11 @@
 
 } // namespace
 
-/// Load pattern: a burst of gangs beside many tasks that start alone, in a full pool. The tasks
+/// Load pattern: a burst of gangs beside many independent tasks, in a full pool. The tasks
 /// took each piece of room as it appeared, and the gangs, of higher priority, waited for 5 to 20 s.
-TEST_GROUP(GangHoldInCell){};
+TEST_GROUP(GangReservationInCell){};
 
-TEST(GangHoldInCell, RoomAddsUpForAGangBesideTasksOfLowerPriority)
+TEST(GangReservationInCell, CapacityAddsUpForAGangBesideTasksOfLowerPriority)
 {
   FullCell cell;
   cell.SubmitGang(4);
@@ -86,7 +86,7 @@
   CHECK_EQUAL(4, cell.CountStarts("gang"));
 }
 
-TEST(GangHoldInCell, RoomBeyondWhatTheGangNeedsIsUsed)
+TEST(GangReservationInCell, CapacityBeyondWhatTheGangNeedsIsUsed)
 {
   FullCell cell;
   cell.SubmitGang(2);
@@ -103,7 +103,7 @@
   CHECK_EQUAL(kSlots - 2, loose);
 }
 
-TEST(GangHoldInCell, TaskThatHasToStartSoonIsNotKeptWaiting)
+TEST(GangReservationInCell, TaskThatHasToStartSoonIsNotKeptWaiting)
 {
   FullCell cell;
   cell.SubmitGang(4);
@@ -115,7 +115,7 @@
 }
 
 // A task of a service that has ended is missed until it runs again, however old its job is.
-TEST(GangHoldInCell, TaskThatLastsIsNotKeptWaiting)
+TEST(GangReservationInCell, LongRunningTaskIsNotKeptWaiting)
 {
   FullCell cell;
   cell.SubmitGang(4);
@@ -130,7 +130,7 @@
   CHECK_EQUAL(1, cell.CountStarts("service"));
 }
 
-TEST(GangHoldInCell, NothingIsHeldForAGangWiderThanThePool)
+TEST(GangReservationInCell, NothingIsReservedForAGangWiderThanThePool)
 {
   FullCell cell;
   cell.SubmitGang(kSlots + 1);
--- a/tests/by_entry/ClaimNoticesTest.cpp
+++ b/tests/by_entry/ClaimNoticesTest.cpp
@@ -165,7 +165,7 @@
 }
 
 // A message that names an epoch which nobody has claimed must not keep a node from the owner.
-TEST(ClaimNotices, ClaimOfTheStoreReplacesOneThatWasTold)
+TEST(ClaimNotices, ClaimOfTheStoreReplacesThatOfAPeer)
 {
   Member member;
   member.LoseStore();
--- a/tests/by_queueing/AdviceRoundTest.cpp
+++ b/tests/by_queueing/AdviceRoundTest.cpp
@@ -69,7 +69,7 @@
   }
 }
 
-TEST(AdviceRound, TasksThatStartAloneListSpareWorkers)
+TEST(AdviceRound, IndependentTasksListSpareWorkers)
 {
   CHECK_EQUAL(6, CountWorkersForTasks(100, 1));
   CHECK_EQUAL(24, CountWorkersForTasks(100, 10));
--- a/tests/by_queueing/GangRoundTest.cpp
+++ b/tests/by_queueing/GangRoundTest.cpp
@@ -31,13 +31,13 @@
   CHECK(round.mUnknown >= 28 && round.mUnknown <= 50);
 }
 
-TEST(GangRound, NothingIsQueriedWhileOnlyRoomIsMissing)
+TEST(GangRound, NothingIsQueriedWhileOnlyCapacityIsMissing)
 {
   const auto allowed = Workers(60, 0, 3, 1.0);
   CHECK(PlanGangRound(allowed, Workers(100, 0, 3, kShare), 20, kFullQuery) == GangRound());
 }
 
-TEST(GangRound, TicketsAreRenewedOnceThereIsRoom)
+TEST(GangRound, TicketsAreRenewedOnceThereIsCapacity)
 {
   auto allowed = Workers(10, 2, 3, 1.0);
   const auto full = Workers(50, 0, 3, 1.0);
