--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -7,6 +7,7 @@
 
 #include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Advice.h"
+#include "by_cell/detail/ChangedRecords.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
@@ -18,99 +19,6 @@
 
 namespace {
 
-KeyedRecord
-MakeKeyedRecord(std::string aKey, CellRecord aRecord)
-{
-  return KeyedRecord::Create({ .mKey = std::move(aKey), .mRecord = std::move(aRecord) }).value();
-}
-
-template<class Body>
-CellRecord
-MakeCellRecord(Body aBody)
-{
-  return CellRecord::Create({ .mBody = std::move(aBody) }).value();
-}
-
-/// @returns the progress as it is recorded; where a done task ran no longer matters.
-TaskProgress
-MakeRecordedProgress(const TaskProgress& aProgress)
-{
-  if (aProgress.Phase() != JobTaskPhase::Done) {
-    return aProgress;
-  }
-  return TaskProgress::Create({ .mPhase = aProgress.Phase(),
-                                .mRun = aProgress.Run(),
-                                .mFailedRuns = aProgress.FailedRuns() })
-    .value();
-}
-
-void
-AddJobRecords(CellState& aState, AppendBatch& aBatch)
-{
-  for (const auto& id : aState.mNewJobs) {
-    if (const auto* job = detail::FindJob(aState, id)) {
-      aBatch.mRecords.push_back(MakeKeyedRecord(JobRecordKey(id), MakeCellRecord(job->mJob)));
-      aBatch.mJobs.push_back(id);
-    }
-  }
-  aState.mNewJobs.clear();
-}
-
-void
-AddProgressRecords(CellState& aState, AppendBatch& aBatch)
-{
-  for (const auto& key : aState.mNewProgress) {
-    auto* occurrence = detail::FindOccurrence(aState, key.Job(), key.Occurrence());
-    if (occurrence == nullptr) {
-      continue;
-    }
-    const auto index = occurrence->mSteps[key.Step()].mFirst + key.Index();
-    auto& task = occurrence->mTasks[index];
-    task.mRecorded = true;
-    auto record = TaskRecord::Create({ .mJob = key.Job(),
-                                       .mOccurrence = key.Occurrence(),
-                                       .mIndex = index,
-                                       .mProgress = MakeRecordedProgress(task.mProgress) })
-                    .value();
-    aBatch.mRecords.push_back(MakeKeyedRecord(TaskRecordKey(key.Job(), key.Occurrence(), index),
-                                              MakeCellRecord(std::move(record))));
-  }
-  aState.mNewProgress.clear();
-}
-
-void
-AddOutcomeRecords(CellState& aState, AppendBatch& aBatch)
-{
-  for (const auto& id : aState.mNewOutcomes) {
-    const auto it = aState.mOutcomes.find(id);
-    if (it != aState.mOutcomes.end()) {
-      aBatch.mRecords.push_back(MakeKeyedRecord(
-        OutcomeRecordKey(id),
-        MakeCellRecord(JobOutcome::Create(
-                         { .mJob = id, .mState = it->second.mState, .mEnded = it->second.mEnded })
-                         .value())));
-      aBatch.mOutcomes.push_back(id);
-    }
-  }
-  aState.mNewOutcomes.clear();
-  for (auto& key : aState.mDeletedKeys) {
-    aBatch.mRecords.push_back(KeyedRecord::Create({ .mKey = std::move(key) }).value());
-  }
-  aState.mDeletedKeys.clear();
-}
-
-void
-AddMaintenanceRecords(CellState& aState, AppendBatch& aBatch)
-{
-  for (const auto& [wave, machine] : aState.mNewMaintenance) {
-    aBatch.mRecords.push_back(MakeKeyedRecord(
-      MaintenanceRecordKey(wave, machine),
-      MakeCellRecord(MaintenanceRecord::Create({ .mWave = wave, .mMachine = machine }).value())));
-    aBatch.mMaintenance.emplace_back(wave, machine);
-  }
-  aState.mNewMaintenance.clear();
-}
-
 void
 SendBatch(const CellState& aState, AppendBatch& aBatch, Time aNow, Effects& aOut)
 {
@@ -325,10 +233,7 @@
     return;
   }
   AppendBatch batch = std::exchange(aState.mNextBatch, {});
-  AddJobRecords(aState, batch);
-  AddProgressRecords(aState, batch);
-  AddOutcomeRecords(aState, batch);
-  AddMaintenanceRecords(aState, batch);
+  detail::AddChangedRecords(aState, batch);
   if (batch.mRecords.empty()) {
     aState.mNextBatch = std::move(batch);
     return;
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/GroupMembership.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
--- /dev/null
+++ b/modules/by_entry/detail/GroupMembership.cpp
@@ -0,0 +1,76 @@
+#include "by_entry/detail/GroupMembership.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "by_cell/detail/Emit.h"
+
+namespace by::detail {
+
+namespace {
+
+/// Delay before a failed join request is retried.
+constexpr Time kJoinRetryDelay = Time::FromMilliseconds(100);
+
+std::string
+MemberName(const EntryState& aState)
+{
+  return absl::StrCat(aState.mSettings.Node(), "/", aState.mSettings.Incarnation());
+}
+
+} // namespace
+
+void
+RenewMembership(EntryState& aState, Time aNow, Effects& aOut)
+{
+  if (aState.mJoinInFlight || aNow < aState.mNextJoin || aState.mStopping || !aState.mConfig) {
+    return;
+  }
+  aState.mJoinInFlight = true;
+  aState.mNextJoin = aNow + aState.mSettings.JoinInterval();
+  Emit(aOut,
+       JoinGroup::Create({ .mMember = MemberName(aState),
+                           .mGeneration = aState.mGeneration,
+                           .mMembershipTtl = aState.mSettings.MembershipTtl() })
+         .value());
+}
+
+void
+HandleGroupJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut)
+{
+  aState.mJoinInFlight = false;
+  if (aEvent.Outcome() != StoreOutcome::Done) {
+    aState.mStoreFailedAt = aNow;
+    aState.mStoreLostAt = std::min(aState.mStoreLostAt, aNow);
+    aState.mNextJoin = aNow + kJoinRetryDelay;
+    if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
+      Log(aOut,
+          "group.lost",
+          MemberName(aState),
+          absl::StrCat("outcome=",
+                       std::string(ToString(aEvent.Outcome())),
+                       " silent_ms=",
+                       (aNow - aState.mJoinedAt).Milliseconds()));
+    }
+    return;
+  }
+  aState.mStoreLostAt = Time::Never();
+  if (aState.mGeneration != aEvent.Generation() || aState.mElected != aEvent.Elected()) {
+    Log(aOut,
+        "group.changed",
+        MemberName(aState),
+        absl::StrCat("generation=", aEvent.Generation(), " chosen=", aEvent.Elected()));
+  }
+  if (aState.mGeneration != aEvent.Generation()) {
+    aState.mGroupChangedAt = aNow;
+  }
+  aState.mGeneration = aEvent.Generation();
+  aState.mElected = aEvent.Elected();
+  aState.mJoinedAt = std::max(aState.mJoinedAt, aEvent.Sent());
+  if (aState.mCell && aState.mElected) {
+    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aEvent.Sent());
+  }
+}
+
+} // namespace by::detail
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -16,8 +16,7 @@
 
 namespace {
 
-/// Delay before a failed step of acquiring the cell, or a join request after the group membership
-/// has expired, is retried.
+/// Delay before a failed step of acquiring the cell is retried.
 constexpr Time kClaimRetryDelay = Time::FromMilliseconds(100);
 /// The owner counts as lost once its link has been down for this long, or once this long has passed
 /// since the last message of an owner that is not active. A newly elected node has already waited
@@ -48,12 +47,6 @@
 /// each other from claiming the cell from each other endlessly.
 constexpr Time kPreemptiveClaimInterval = Time::FromMilliseconds(3000);
 
-std::string
-MemberName(const EntryState& aState)
-{
-  return absl::StrCat(aState.mSettings.Node(), "/", aState.mSettings.Incarnation());
-}
-
 bool
 IsClaimOfThisProcess(const EntryState& aState, const CellClaim& aClaim)
 {
@@ -162,58 +155,6 @@
 
 } // namespace
 
-void
-RenewMembership(EntryState& aState, Time aNow, Effects& aOut)
-{
-  if (aState.mJoinInFlight || aNow < aState.mNextJoin || aState.mStopping || !aState.mConfig) {
-    return;
-  }
-  aState.mJoinInFlight = true;
-  aState.mNextJoin = aNow + aState.mSettings.JoinInterval();
-  Emit(aOut,
-       JoinGroup::Create({ .mMember = MemberName(aState),
-                           .mGeneration = aState.mGeneration,
-                           .mMembershipTtl = aState.mSettings.MembershipTtl() })
-         .value());
-}
-
-void
-HandleGroupJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut)
-{
-  aState.mJoinInFlight = false;
-  if (aEvent.Outcome() != StoreOutcome::Done) {
-    aState.mStoreFailedAt = aNow;
-    aState.mStoreLostAt = std::min(aState.mStoreLostAt, aNow);
-    aState.mNextJoin = aNow + kClaimRetryDelay;
-    if (aState.mJoinedAt > Time() && aNow > aState.mJoinedAt + aState.mSettings.MembershipTtl()) {
-      Log(aOut,
-          "group.lost",
-          MemberName(aState),
-          absl::StrCat("outcome=",
-                       std::string(ToString(aEvent.Outcome())),
-                       " silent_ms=",
-                       (aNow - aState.mJoinedAt).Milliseconds()));
-    }
-    return;
-  }
-  aState.mStoreLostAt = Time::Never();
-  if (aState.mGeneration != aEvent.Generation() || aState.mElected != aEvent.Elected()) {
-    Log(aOut,
-        "group.changed",
-        MemberName(aState),
-        absl::StrCat("generation=", aEvent.Generation(), " chosen=", aEvent.Elected()));
-  }
-  if (aState.mGeneration != aEvent.Generation()) {
-    aState.mGroupChangedAt = aNow;
-  }
-  aState.mGeneration = aEvent.Generation();
-  aState.mElected = aEvent.Elected();
-  aState.mJoinedAt = std::max(aState.mJoinedAt, aEvent.Sent());
-  if (aState.mCell && aState.mElected) {
-    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aEvent.Sent());
-  }
-}
-
 void
 ClaimIfOwnerLost(EntryState& aState, Time aNow, Effects& aOut)
 {
--- a/modules/by_entry/detail/Ownership.h
+++ b/modules/by_entry/detail/Ownership.h
@@ -5,18 +5,9 @@
 #include "by_schema/CellLoaded.h"
 #include "by_schema/ClaimRead.h"
 #include "by_schema/ClaimWritten.h"
-#include "by_schema/GroupJoined.h"
 
 namespace by::detail {
 
-/// Sends a join request when the group membership is due for renewal.
-void
-RenewMembership(EntryState& aState, Time aNow, Effects& aOut);
-
-/// Handles the group's answer, which says whether this node is elected to claim the cell.
-void
-HandleGroupJoined(EntryState& aState, const GroupJoined& aEvent, Time aNow, Effects& aOut);
-
 /// Claims the cell if its owner is lost. The elected node also claims when no other node is known
 /// as the owner, when it cannot reach the owner or when the owner is inactive; other nodes claim
 /// only when the owner is known to be gone, leaving or without the store.
