Order the ends of tasks in the test of the backend client by the test itself

Seen: EachStartGetsItsOwnAnswerWhateverTheOrder failed 2 of 150 runs beside a build, with t6 before t7. Cause: the order of the ends followed from run times 5 ms apart on the real clock; a process that waits for a processor between two starts turns it round, and the client is right to hand answers on as they come. Change: the stand-in can finish a task, and the test finishes all eight in reverse and checks the order of each, not only of the first.

--- a/standins/backend_server/BackendService.cpp
+++ b/standins/backend_server/BackendService.cpp
@@ -131,6 +131,14 @@
   aSession->Answer(kOk, "{}");
 }
 
+void
+BackendService::Finish(const TaskId& aTask)
+{
+  if (const auto ended = FinishTask(mState, aTask, MachineNow())) {
+    AnswerEnded(*ended);
+  }
+}
+
 absl::Status
 BackendService::Turn(const BackendSwitch& aSwitch)
 {
--- a/standins/backend_server/BackendService.h
+++ b/standins/backend_server/BackendService.h
@@ -34,6 +34,9 @@
   /// @returns OK, or the error of the port of a server that was dead.
   absl::Status Turn(const BackendSwitch& aSwitch);
 
+  /// Lets a running task end before its time, and answers its start.
+  void Finish(const TaskId& aTask);
+
   /// @returns what was counted.
   BackendCounters Counters() const;
 
--- a/standins/backend_server/ServerFunctions.cpp
+++ b/standins/backend_server/ServerFunctions.cpp
@@ -238,6 +238,15 @@
   return results;
 }
 
+std::optional<TaskResult>
+FinishTask(ServerState& aServer, const TaskId& aTask, Time aNow)
+{
+  if (!aServer.mRunning.contains(aTask)) {
+    return std::nullopt;
+  }
+  return EndTask(aServer, aTask, TaskState::Succeeded, "", aNow);
+}
+
 std::optional<TaskResult>
 ActOnTask(ServerState& aServer, const TaskCommand& aCommand, Time aNow)
 {
--- a/standins/backend_server/ServerFunctions.h
+++ b/standins/backend_server/ServerFunctions.h
@@ -29,6 +29,11 @@
 std::vector<TaskResult>
 EndDueTasks(ServerState& aServer, Time aNow);
 
+/// Lets a running task end before its time.
+/// @returns its result; nothing where it does not run.
+std::optional<TaskResult>
+FinishTask(ServerState& aServer, const TaskId& aTask, Time aNow);
+
 /// Stops, checkpoints, throttles or resumes a task; a command under a lower epoch is ignored.
 /// @returns the task's result where it ended.
 std::optional<TaskResult>
--- a/tests/by_backend/BackendClientTest.cpp
+++ b/tests/by_backend/BackendClientTest.cpp
@@ -95,15 +95,19 @@
 
 TEST(BackendClient, EachStartGetsItsOwnAnswerWhateverTheOrder)
 {
+  // The test ends the tasks itself, the last one first: ends that follow from run times come in
+  // another order where the process waits for a processor meanwhile.
   Lease();
   RunUntil([this] { return !mLeases.empty(); });
   for (int n = 0; n < 8; ++n) {
-    Start(absl::StrCat("t", n), absl::StrCat("run_ms=", 40 - 5 * n, ";work"));
+    Start(absl::StrCat("t", n), "run_ms=30000;work");
   }
-  RunUntil([this] { return mAnswers.size() == 8; });
-  STRCMP_EQUAL("t7", mAnswers.front().Result().Task().Text().c_str());
-  for (const auto& answer : mAnswers) {
-    const auto& result = answer.Result();
+  RunUntil([this] { return mService->Counters().Running() == 8; });
+  for (int n = 7; n >= 0; --n) {
+    mService->Finish(TaskId(absl::StrCat("t", n)));
+    RunUntil([&] { return mAnswers.size() == 8U - static_cast<std::size_t>(n); });
+    const auto& result = mAnswers.back().Result();
+    STRCMP_EQUAL(absl::StrCat("t", n).c_str(), result.Task().Text().c_str());
     CHECK(result.State() == TaskState::Succeeded);
     STRCMP_CONTAINS(absl::StrCat(result.Task().Text(), ":").c_str(), result.Payload().c_str());
   }
