Split appends that are too large for one call

A batch of more than about 1 MB, as it collects while the owner stalls, can't be stored within its 800 ms at 10 Mbit/s and is sent again unchanged for as long as the owner lives, and one of more than the store's limit of a call is refused for good. Change: the records of a batch are split in their order by append_limit (256 KB by default); what follows the storing (answers, starts, acknowledged ends) waits for the last part. Once a part is stored, a refusal of a later one is never passed on as a refusal of the job. Since an owner can now be lost between the outcome of a job and the deletion of its records, a successor deletes the records of ended jobs; without that, a job would run again once its outcome is no longer kept.

--- a/modules/by_cell/AppendBatch.h
+++ b/modules/by_cell/AppendBatch.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,11 +15,15 @@
 
 namespace by {
 
-/// Records that one call appends to the store, with the actions to take once they are stored.
+/// Records that are appended to the store, with the actions to take once all of them are stored.
 struct AppendBatch
 {
   std::uint64_t mSequence{ 0 };
+  /// The records of the current call.
   std::vector<KeyedRecord> mRecords;
+  /// The records of the calls that follow it, in order, where one call can't carry them all. The
+  /// actions below follow the last call.
+  std::deque<std::vector<KeyedRecord>> mFurtherRecords;
   /// Jobs whose acceptance is recorded in the batch; their submitters are answered once it is
   /// stored.
   std::vector<std::string> mJobs;
@@ -38,7 +43,8 @@
   Time mLastSent{};
   /// Whether a call with the batch has not been answered or timed out yet.
   bool mCallInFlight{ false };
-  /// Whether a call with the batch went unanswered, so that the store may hold the records.
+  /// Whether a call went unanswered or an earlier one has succeeded, so that the store may hold
+  /// records of the batch.
   bool mUncertain{ false };
   /// Whether the waiting callers have been answered that the outcome is uncertain.
   bool mUncertaintyReported{ false };
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -1,12 +1,14 @@
 #include "by_cell/HandleStore.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Advice.h"
+#include "by_cell/detail/AppendSize.h"
 #include "by_cell/detail/ChangedRecords.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
@@ -167,10 +169,50 @@
 void
 RemoveJobRecords(AppendBatch& aBatch, const absl::flat_hash_set<std::string>& aJobs)
 {
-  std::erase_if(aBatch.mRecords, [&](const KeyedRecord& aRecord) {
+  const auto isOfJob = [&](const KeyedRecord& aRecord) {
     const auto* job = JobOfRecord(aRecord);
     return job != nullptr && aJobs.contains(*job);
-  });
+  };
+  std::erase_if(aBatch.mRecords, isOfJob);
+  for (auto& records : aBatch.mFurtherRecords) {
+    std::erase_if(records, isOfJob);
+  }
+  std::erase_if(aBatch.mFurtherRecords,
+                [](const std::vector<KeyedRecord>& aRecords) { return aRecords.empty(); });
+}
+
+std::vector<KeyedRecord>
+TakeNextRecords(AppendBatch& aBatch)
+{
+  auto records = std::move(aBatch.mFurtherRecords.front());
+  aBatch.mFurtherRecords.pop_front();
+  return records;
+}
+
+/// Sends the next call of a batch of which the store holds the earlier ones.
+void
+SendFurtherRecords(CellState& aState, AppendBatch& aBatch, Time aNow, Effects& aOut)
+{
+  aBatch.mRecords = TakeNextRecords(aBatch);
+  aBatch.mSequence = aState.mNextSequence++;
+  aBatch.mUncertain = true;
+  SendBatch(aState, aBatch, aNow, aOut);
+}
+
+/// Notes that the store has answered an append.
+void
+ConfirmStore(CellState& aState, const AppendBatch& aBatch, Time aNow, Effects& aOut)
+{
+  if (aState.mStoreLostAt != Time::Never()) {
+    detail::Log(aOut,
+                "store.regained",
+                "append",
+                absl::StrCat("lost_for_ms=", (aNow - aState.mStoreLostAt).Milliseconds()));
+    aState.mPlacementNeeded = true;
+  }
+  aState.mStoreLostAt = Time::Never();
+  aState.mStoreRejects = false;
+  aState.mConfirmedAt = std::max(aState.mConfirmedAt, aBatch.mLastSent);
 }
 
 /// Handles a batch that the store rejected as a whole: submitters are refused, and the other
@@ -190,6 +232,9 @@
     }
   }
   RemoveJobRecords(batch, refused);
+  if (batch.mRecords.empty() && !batch.mFurtherRecords.empty()) {
+    batch.mRecords = TakeNextRecords(batch);
+  }
   if (batch.mRecords.empty()) {
     aState.mNextSequence = batch.mSequence;
     auto& ends = aState.mNextBatch.mEnds;
@@ -238,6 +283,10 @@
     aState.mNextBatch = std::move(batch);
     return;
   }
+  auto parts = detail::SplitRecords(std::move(batch.mRecords), aState.mSettings.AppendLimit());
+  batch.mFurtherRecords.assign(std::make_move_iterator(parts.begin()),
+                               std::make_move_iterator(parts.end()));
+  batch.mRecords = TakeNextRecords(batch);
   batch.mSequence = aState.mNextSequence++;
   batch.mFirstSent = aNow;
   aState.mInFlight = std::move(batch);
@@ -255,18 +304,13 @@
   inFlight.mCallInFlight = false;
   switch (aEvent.Outcome()) {
     case StoreOutcome::Done: {
+      ConfirmStore(aState, inFlight, aNow, aOut);
+      if (!inFlight.mFurtherRecords.empty()) {
+        SendFurtherRecords(aState, inFlight, aNow, aOut);
+        return;
+      }
       const auto batch = std::move(inFlight);
       aState.mInFlight.reset();
-      if (aState.mStoreLostAt != Time::Never()) {
-        detail::Log(aOut,
-                    "store.regained",
-                    "append",
-                    absl::StrCat("lost_for_ms=", (aNow - aState.mStoreLostAt).Milliseconds()));
-        aState.mPlacementNeeded = true;
-      }
-      aState.mStoreLostAt = Time::Never();
-      aState.mStoreRejects = false;
-      aState.mConfirmedAt = std::max(aState.mConfirmedAt, batch.mLastSent);
       aState.mNextAppend = batch.mLastSent + aState.mSettings.AppendInterval();
       AcceptStoredJobs(aState, batch, aNow, aOut);
       AnswerStoredOutcomes(aState, batch, aOut);
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -115,6 +115,41 @@
   RestoreTask(*detail::FindJob(aState, aRecord.Job()), task, aRecord.Progress());
 }
 
+/// @returns the job that a record accepts or whose progress it describes, or nullptr.
+const std::string*
+JobOfRecord(const CellRecord& aRecord)
+{
+  const auto& body = aRecord.Body();
+  if (const auto* job = std::get_if<Job>(&body)) {
+    return &job->Id();
+  }
+  if (const auto* occurrence = std::get_if<OccurrenceProgress>(&body)) {
+    return &occurrence->Job();
+  }
+  const auto* task = std::get_if<TaskRecord>(&body);
+  return task == nullptr ? nullptr : &task->Job();
+}
+
+/// Deletes the records of jobs that have ended. An owner that is lost between two appends of one
+/// batch leaves them beside the outcome; once the outcome is no longer kept they would bring the
+/// job back.
+void
+DropRecordsOfEndedJobs(CellState& aState, const std::vector<KeyedRecord>& aRecords, Effects& aOut)
+{
+  for (const auto& record : aRecords) {
+    const auto* job = record.Record() ? JobOfRecord(*record.Record()) : nullptr;
+    if (job != nullptr && !aState.mJobs.contains(*job)) {
+      aState.mDeletedKeys.push_back(record.Key());
+    }
+  }
+  if (!aState.mDeletedKeys.empty()) {
+    detail::Log(aOut,
+                "records.dropped",
+                absl::StrCat("epoch ", aState.mEpoch),
+                absl::StrCat("records=", aState.mDeletedKeys.size(), " reason=their jobs ended"));
+  }
+}
+
 /// Derives which steps are done, and the runs on workers, from the progress of the tasks.
 void
 RestoreSteps(CellState& aState,
@@ -172,6 +207,7 @@
       accepted->Accepted() + ObjectiveTime(accepted->Definition(), accepted->Queue());
     detail::OpenDueOccurrences(state, job, aNow);
   }
+  DropRecordsOfEndedJobs(state, aRecords, aOut);
   for (const auto* occurrence : sorted.mOccurrences) {
     RestoreOccurrence(state, *occurrence);
   }
--- a/modules/by_schema/CellSettings.h
+++ b/modules/by_schema/CellSettings.h
@@ -78,6 +78,9 @@
     /// Number of workers up to which the owner sends all orders itself; with more workers, linked
     /// nodes relay them.
     std::uint64_t mDirectWorkerLimit{ 64 };
+    /// Maximum size of an append, so that it reaches the store within its time limit over a narrow
+    /// link; what exceeds it follows in further appends.
+    std::uint64_t mAppendLimit{ 262144 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -339,6 +342,17 @@
     return copy;
   }
 
+  /// Maximum size of an append, so that it reaches the store within its time limit over a narrow
+  /// link; what exceeds it follows in further appends.
+  std::uint64_t AppendLimit() const { return mFields.mAppendLimit; }
+  /// @returns a copy of this value with another AppendLimit.
+  [[nodiscard]] CellSettings WithAppendLimit(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mAppendLimit = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const CellSettings&, const CellSettings&) = default;
   friend auto operator<=>(const CellSettings&, const CellSettings&) = default;
 
--- a/tests/by_cell/RecordsTest.cpp
+++ b/tests/by_cell/RecordsTest.cpp
@@ -5,6 +5,7 @@
 
 #include "by_cell/CellFixture.h"
 #include "by_cell/TakeAll.h"
+#include "by_cell/detail/AppendSize.h"
 #include "by_jobs/by_jobs.h"
 
 #include <CppUTest/TestHarness.h>
@@ -190,3 +191,60 @@
   CHECK_EQUAL(1, next.Stored().size());
   CHECK(AreAllOutcomes(next.Stored()));
 }
+
+TEST(Records, LargeBatchIsSentInPartsAndActedOnOnceAllAreStored)
+{
+  // Guards against an append that can't reach the store within its time limit over a narrow link:
+  // it is sent again unchanged for as long as the owner lives, and nothing else is stored.
+  CellFixture cell(10);
+  cell.mCell.mSettings = cell.mCell.mSettings.WithAppendLimit(4096);
+  cell.SubmitUnstored("j", { CellFixture::Step(40) });
+  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
+  cell.Advance();
+  std::size_t calls = 0;
+  while (cell.mCell.mInFlight && !cell.mCell.mInFlight->mFurtherRecords.empty()) {
+    const auto& records = cell.mCell.mInFlight->mRecords;
+    CHECK(detail::SplitRecords(records, 4096).size() == 1);
+    cell.Store();
+    ++calls;
+    CHECK(cell.TakeReplies().empty());
+    CHECK(cell.TakeStarts().empty());
+  }
+  CHECK(calls > 0);
+  cell.Store();
+  CHECK(cell.TakeReplies().back().Outcome() == JobCallOutcome::Accepted);
+  CHECK_EQUAL(40, cell.TakeStarts().size());
+}
+
+TEST(Records, RefusalAfterAStoredPartIsNoRefusalOfTheJob)
+{
+  // The record of the job is stored by the first part. A refusal of the second one that was passed
+  // on would be false: the successor runs the job.
+  CellFixture cell(10);
+  cell.mCell.mSettings = cell.mCell.mSettings.WithAppendLimit(4096);
+  cell.SubmitUnstored("j", { CellFixture::Step(40) });
+  cell.mNow = cell.mNow + Time::FromMilliseconds(20);
+  cell.Advance();
+  cell.Store();
+  cell.Store(StoreOutcome::Refused);
+  CHECK(cell.TakeReplies().empty());
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(500));
+  CHECK(cell.TakeReplies().back().Outcome() == JobCallOutcome::Accepted);
+}
+
+TEST(Records, SuccessorDropsTheRecordsThatAnEndedJobLeft)
+{
+  // The owner is lost after the part of a batch with the outcome and before that with the
+  // deletions. Once the outcome is no longer kept, a later owner would run the job again.
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(2) });
+  const auto left = cell.mRecords;
+  cell.Call(JobCallKind::Cancel, "j");
+  cell.StoreAll();
+  CHECK_EQUAL(1, cell.Stored().size());
+  cell.mRecords.insert(cell.mRecords.end(), left.begin(), left.end());
+  auto next = cell.Successor();
+  next.StoreAll();
+  CHECK_EQUAL(1, next.Stored().size());
+  CHECK(AreAllOutcomes(next.Stored()));
+}
