--- a/modules/by_client/detail/CallTable.cpp
+++ b/modules/by_client/detail/CallTable.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include "by_runtime/MachineClock.h"
+
 namespace by::detail {
 
 namespace {
@@ -37,7 +39,8 @@
                                     OpenCall{ .mCall = std::move(aCall),
                                               .mHandler = std::move(aHandler),
                                               .mTimer = boost::asio::steady_timer(mContext),
-                                              .mConnection = nullptr });
+                                              .mConnection = nullptr,
+                                              .mSent = MachineNow() });
   error_code ec;
   boost::asio::ip::make_address(endpoint.Address(), ec);
   if (ec) {
@@ -64,7 +67,7 @@
   aCall.mTimer.async_wait([self = weak_from_this(), aNumber](error_code aError) {
     const auto table = self.lock();
     if (!aError && table) {
-      table->GiveUp(aNumber, "timed out");
+      table->TimeOut(aNumber);
     }
   });
 }
@@ -167,6 +170,28 @@
   PostEnd(aNumber, std::move(aReason));
 }
 
+void
+CallTable::TimeOut(std::uint64_t aNumber)
+{
+  if (const auto it = mCalls.find(aNumber); it != mCalls.end()) {
+    CloseSilent(it->second.mCall.Endpoint(), it->second.mSent);
+  }
+  GiveUp(aNumber, "timed out");
+}
+
+void
+CallTable::CloseSilent(const Endpoint& aEndpoint, Time aSince)
+{
+  auto& pool = mPools[aEndpoint];
+  pool.mOpen -= std::erase_if(pool.mIdle, [aSince](const auto& aIdle) {
+    const bool isSilent = aIdle->AnsweredAt() <= aSince;
+    if (isSilent) {
+      aIdle->CloseIdle();
+    }
+    return isSilent;
+  });
+}
+
 void
 CallTable::PostEnd(std::uint64_t aNumber, std::string aDetail)
 {
--- a/modules/by_client/detail/CallTable.h
+++ b/modules/by_client/detail/CallTable.h
@@ -24,6 +24,7 @@
   HttpClient::Handler mHandler;
   boost::asio::steady_timer mTimer;
   std::shared_ptr<HttpConnection> mConnection;
+  Time mSent;
 };
 
 /// The connections to one endpoint.
@@ -59,6 +60,10 @@
                   const HttpResult& aResult,
                   bool aReusable);
   void KeepIdle(const Endpoint& aEndpoint, const std::shared_ptr<HttpConnection>& aConnection);
+  void TimeOut(std::uint64_t aNumber);
+  /// Closes the unused connections that have not answered since a time. A call that timed out is a
+  /// sign that connections have fallen silent without a reset.
+  void CloseSilent(const Endpoint& aEndpoint, Time aSince);
   void PostEnd(std::uint64_t aNumber, std::string aDetail);
   void End(std::uint64_t aNumber, const HttpResult& aResult);
 
--- a/modules/by_client/detail/HttpConnection.cpp
+++ b/modules/by_client/detail/HttpConnection.cpp
@@ -8,6 +8,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_runtime/MachineClock.h"
+
 namespace by::detail {
 
 namespace {
@@ -122,6 +124,7 @@
 void
 HttpConnection::Succeed()
 {
+  mAnsweredAt = MachineNow();
   auto response = mParser->release();
   mParser.reset();
   const bool reusable = response.keep_alive() && mSocket.is_open();
@@ -184,6 +187,14 @@
   ended();
 }
 
+void
+HttpConnection::CloseIdle()
+{
+  mEnded = nullptr;
+  mStage = Stage::Closed;
+  Close("");
+}
+
 void
 HttpConnection::Close(std::string aReason)
 {
--- a/modules/by_client/detail/HttpConnection.h
+++ b/modules/by_client/detail/HttpConnection.h
@@ -38,6 +38,12 @@
   /// Waits unused, until the server closes the connection or the idle timeout passes.
   void WatchIdle(Ended aEnded);
 
+  /// Closes the connection while it is unused; Ended is not called.
+  void CloseIdle();
+
+  /// @returns when the last answer arrived.
+  Time AnsweredAt() const { return mAnsweredAt; }
+
   /// Closes the connection; a running call ends with the reason as its detail.
   void Close(std::string aReason);
 
@@ -64,6 +70,7 @@
   HttpClientSettings mSettings;
   Stage mStage{ Stage::Closed };
   std::uint64_t mIdlePeriod{ 0 };
+  Time mAnsweredAt{};
   std::string mCloseReason;
   boost::beast::flat_buffer mBuffer;
   boost::beast::http::request<boost::beast::http::string_body> mRequest;
--- a/tests/by_client/HttpClientTest.cpp
+++ b/tests/by_client/HttpClientTest.cpp
@@ -150,6 +150,21 @@
   CHECK(mResults.at(number).Outcome() == CallOutcome::Completed);
 }
 
+/// Connections that fell silent together were tried one after another, each until its call timed
+/// out.
+TEST(HttpClient, TimedOutCallClosesTheUnusedConnectionsThatMayBeSilentToo)
+{
+  Send(Call("/echo", "x"));
+  Send(Call("/echo", "y"));
+  RunUntilAnswered(2);
+  LONGS_EQUAL(2, mServer->OpenConnections());
+  Send(Call("/hang", "z", 50));
+  RunUntilAnswered(3);
+  while (mServer->OpenConnections() > 0) {
+    mContext.run_one();
+  }
+}
+
 TEST(HttpClient, ConnectionsBeyondTheServersLimitAreRefusedWithAStatusCode)
 {
   mServer = WebServer::Create(mContext, AnyPort(), 1, Handle).value();
