Refuse at once without an owner and a store, and keep a stopping owner meanwhile

Cause: a call waits 800 ms for an owner although none can claim the cell without the store; a stopping owner steps down after 2 s although nobody can follow it.

--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -12,6 +12,7 @@
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
 #include "by_jobs/CriticalPaths.h"
+#include "by_queueing/OwnerWait.h"
 #include "by_queueing/RetryDelay.h"
 
 namespace by::detail {
@@ -98,6 +99,14 @@
   return aState.mPhase == OwnerPhase::Owner || (aState.mLinkUp && aState.mOwnerActive);
 }
 
+/// @returns how long a call waits for an owner that it can be forwarded to.
+Time
+OwnerWait(const EntryState& aState, Time aNow)
+{
+  const auto age = aState.mStoreLostAt == Time::Never() ? Time() : aNow - aState.mStoreLostAt;
+  return OwnerWaitInOutage(age, aState.mSettings.OwnerWait());
+}
+
 /// @returns when the node stops waiting for the owner's answer to a call.
 Time
 AnswerDeadline(const EntryState& aState, const OpenCall& aCall)
@@ -269,7 +278,7 @@
   std::erase_if(aState.mCalls, [&](const auto& aEntry) {
     const auto& call = aEntry.second;
     const bool wasForwarded = call.mForwardedTo || call.mPossibleRuns > 0;
-    const auto wait = wasForwarded ? aState.mSettings.AnswerWait() : aState.mSettings.OwnerWait();
+    const auto wait = wasForwarded ? aState.mSettings.AnswerWait() : OwnerWait(aState, aNow);
     if (aNow < call.mArrived + wait && aNow < call.mDeadline) {
       return false;
     }
--- a/modules/by_entry/detail/Stopping.cpp
+++ b/modules/by_entry/detail/Stopping.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-/// A stopping owner stays active until another node claims the cell, for at most this long.
+/// A stopping owner stays active until another node claims the cell, for at most this long while
+/// the store answers. Without the store no node can claim the cell.
 constexpr Time kHandoffTimeout = Time::FromMilliseconds(2000);
 /// Time reserved for sending the last answers before the process exits.
 constexpr Time kAnswerFlushTime = Time::FromMilliseconds(700);
@@ -58,7 +59,9 @@
   if (!aState.mStopping || aState.mExited) {
     return;
   }
-  if (aState.mPhase != OwnerPhase::Member && aNow >= aState.mStopRequestedAt + kHandoffTimeout) {
+  const bool canBeClaimed = !aState.mCell || aState.mCell->mStoreLostAt == Time::Never();
+  if (aState.mPhase != OwnerPhase::Member && canBeClaimed &&
+      aNow >= aState.mStopRequestedAt + kHandoffTimeout) {
     StepDown(aState, "planned stop", aNow, aOut);
   }
   const bool isDrained = aNow >= aState.mStopRequestedAt + aState.mSettings.DrainTime();
--- a/modules/by_queueing/by_queueing.h
+++ b/modules/by_queueing/by_queueing.h
@@ -3,14 +3,15 @@
 /// Module by_queueing
 ///
 /// Purpose: queueing, rejection and placement under overload, as functions of plain values: when
-/// rejected callers return, which workers an advice query lists, and which capacity is reserved for
-/// gangs. docs/notes-queueing.md names the load pattern that each function answers.
-/// Dependencies: by_core.
+/// rejected callers return, how long a request waits without an owner, which workers an advice
+/// query lists, and which capacity is reserved for gangs. docs/notes-queueing.md names the load
+/// pattern that each function answers. Dependencies: by_core.
 
 #include "by_queueing/AdviceCandidate.h"
 #include "by_queueing/AdviceCost.h"
 #include "by_queueing/AdviceRound.h"
 #include "by_queueing/GangReservation.h"
 #include "by_queueing/GangRound.h"
+#include "by_queueing/OwnerWait.h"
 #include "by_queueing/RetryDelay.h"
 #include "by_queueing/SlotForecast.h"
