--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -71,6 +71,20 @@
   CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
 }
 
+// The owner left during an outage of the store, and no node could claim the cell. Callers were held
+// until their deadline passed instead of being told at once to come back.
+TEST(Entry, RequestWithoutAnOwnerAndAStoreIsRefusedAtOnce)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered }).value());
+  node.Advance(Time::FromMilliseconds(400));
+  node.SendCall(1, JobCallKind::Submit, kJobPath);
+  node.Advance(Time::FromMilliseconds(50));
+  CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
+}
+
 TEST(Entry, ForwardedSubmissionIsNeverReportedAsNotRun)
 {
   EntryFixture node;
@@ -202,6 +216,24 @@
   CHECK_EQUAL(1, node.Take<ExitEntry>().size());
 }
 
+// The owner stepped down 2 s after a SIGTERM although no node could claim the cell without the
+// store, so that nobody renewed the leases of running tasks, and they expired.
+TEST(Entry, StoppingOwnerStaysWhileNoNodeCanClaimTheCell)
+{
+  EntryFixture node;
+  node.Configure();
+  node.BecomeOwner(3);
+  node.SendCall(1, JobCallKind::Submit, kJobPath);
+  node.Deliver(
+    CellAppended::Create({ .mEpoch = 3, .mSequence = 1, .mOutcome = StoreOutcome::Unanswered })
+      .value());
+  node.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  node.Advance(Time::FromMilliseconds(4000));
+  CHECK(node.mState.mPhase == OwnerPhase::Owner);
+  node.Advance(Time::FromMilliseconds(1500));
+  CHECK_EQUAL(1, node.Take<ExitEntry>().size());
+}
+
 TEST(Entry, StoppingNodeIsNotReadyAndAnswersItsOpenCalls)
 {
   EntryFixture node;
