Claim no cell while this node cannot reach the store

Cause: an owner that reports the store as lost releases the cell to any node, also to those that have lost the store too.

--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -11,6 +11,7 @@
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
+#include "by_queueing/OwnerWait.h"
 
 namespace by::detail {
 
@@ -165,14 +166,16 @@
       aState.mJoinedAt == Time()) {
     return;
   }
+  const bool isStoreAway =
+    aState.mStoreLostAt != Time::Never() && IsOutage(aNow - aState.mStoreLostAt);
+  if (isStoreAway || MayOwnerRegainStore(aState, aNow)) {
+    return;
+  }
   const bool hasNoOtherOwner = !aState.mOwner || aState.mOwner->Node() == aState.mSettings.Node();
   const bool isUnreachable = !aState.mLinkUp && aNow > aState.mLinkDownAt + kOwnerLossTimeout;
   const bool isInactive = aState.mLinkUp && !aState.mOwnerActive &&
                           aNow > aState.mOwnerHeardAt + kOwnerLossTimeout &&
                           aNow > aState.mOwnerKnownAt + kOwnerLoadTimeout;
-  if (MayOwnerRegainStore(aState, aNow)) {
-    return;
-  }
   // A change of the group and a silent link together show sooner than either that the owner is
   // gone: the store has not heard from some node either. An owner that is only slow loses the cell
   // to a node that serves at once.
--- a/modules/by_queueing/OwnerWait.cpp
+++ b/modules/by_queueing/OwnerWait.cpp
@@ -9,10 +9,16 @@
 
 } // namespace
 
+bool
+IsOutage(Time aOutageAge)
+{
+  return aOutageAge >= kOutageAge;
+}
+
 Time
 OwnerWaitInOutage(Time aOutageAge, Time aWait)
 {
-  return aOutageAge < kOutageAge ? aWait : Time();
+  return IsOutage(aOutageAge) ? Time() : aWait;
 }
 
 } // namespace by
--- a/modules/by_queueing/OwnerWait.h
+++ b/modules/by_queueing/OwnerWait.h
@@ -4,6 +4,11 @@
 
 namespace by {
 
+/// @returns whether failed calls to the store are an outage and not a single lost answer.
+/// @param aOutageAge how long this node has not reached the store; zero while it does.
+bool
+IsOutage(Time aOutageAge);
+
 /// Chooses how long a request waits at a node that has no owner to forward it to.
 ///
 /// Load pattern: the owner stops or is lost while the store is away. No node can claim the cell
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -375,6 +375,27 @@
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
 }
 
+// All nodes of a fleet tried to claim the cell during an outage of the whole store, each with reads
+// that had a time limit of 2 s, so that the first of them noticed the return late.
+TEST(Entry, NodeWithoutTheStoreDoesNotTryToClaim)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  for (int n = 0; n < 20; ++n) {
+    node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered }).value());
+    node.Deliver(
+      FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+    node.Advance(Time::FromMilliseconds(100));
+  }
+  CHECK(node.Take<ReadClaim>().empty());
+  node.Join(true);
+  node.Advance(Time::FromMilliseconds(600));
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
+
 TEST(Entry, NodeThatReachesTheStoreClaimsAtOnceFromAnOwnerThatDoesNot)
 {
   EntryFixture node;
