--- a/modules/by_cli/RunTool.cpp
+++ b/modules/by_cli/RunTool.cpp
@@ -12,6 +12,7 @@
 #include "by_cli/FormatResult.h"
 #include "by_cli/HelpText.h"
 #include "by_cli/ParseArguments.h"
+#include "by_cli/RunTrace.h"
 #include "by_client/BlockingCall.h"
 #include "by_settings/ReadSettings.h"
 
@@ -88,6 +89,9 @@
   if (std::holds_alternative<VersionCommand>(command->Body())) {
     return Printed(absl::StrCat("bergamotyard ", aEnvironment.mVersion, "\n"));
   }
+  if (const auto* trace = std::get_if<TraceCommand>(&command->Body())) {
+    return RunTrace(*trace);
+  }
   const auto file = ReadFile(FileOf(*command));
   if (!file.ok()) {
     return FormatFault(file.status());
--- a/modules/by_cli/detail/CommandForms.cpp
+++ b/modules/by_cli/detail/CommandForms.cpp
@@ -231,6 +231,25 @@
   return DumpCommand::Create({ .mBrief = aLine.mOptions.count("brief") > 0 }).value();
 }
 
+void
+AddTraceOptions(cxxopts::Options& aOptions)
+{
+  aOptions.add_options()("json", "Prints one JSON object")("brief", "Leaves out the log lines");
+}
+
+absl::StatusOr<CommandBody>
+ParseTrace(const ParsedLine& aLine)
+{
+  if (aLine.mOperands.size() < 2 || aLine.mOperands.front().empty()) {
+    return absl::InvalidArgumentError("needs a JOB and at least one FILE, see --help");
+  }
+  return TraceCommand::Create({ .mJob = aLine.mOperands.front(),
+                                .mFiles = { aLine.mOperands.begin() + 1, aLine.mOperands.end() },
+                                .mJson = aLine.mOptions.count("json") > 0,
+                                .mBrief = aLine.mOptions.count("brief") > 0 })
+    .value();
+}
+
 void
 AddNodeOptions(cxxopts::Options& aOptions, const CommandForm& aForm)
 {
@@ -320,6 +339,13 @@
       kShortCall,
       AddDumpOptions,
       ParseDump },
+    { "trace",
+      "JOB FILE...",
+      "Explains from the logs of nodes what became of a job",
+      false,
+      kShortCall,
+      AddTraceOptions,
+      ParseTrace },
   };
   return kForms;
 }
--- a/modules/by_schema/ToolCommand.h
+++ b/modules/by_schema/ToolCommand.h
@@ -23,6 +23,7 @@
 #include "by_schema/StatusCommand.h"
 #include "by_schema/SubmitCommand.h"
 #include "by_schema/ToolOptions.h"
+#include "by_schema/TraceCommand.h"
 #include "by_schema/VersionCommand.h"
 
 namespace by {
@@ -50,7 +51,8 @@
                  ConfigStatusCommand,
                  NodesCommand,
                  DrainCommand,
-                 DumpCommand>
+                 DumpCommand,
+                 TraceCommand>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -94,7 +96,8 @@
                      ConfigStatusCommand,
                      NodesCommand,
                      DrainCommand,
-                     DumpCommand>&
+                     DumpCommand,
+                     TraceCommand>&
   Body() const
   {
     return mFields.mBody;
@@ -113,7 +116,8 @@
                                                   ConfigStatusCommand,
                                                   NodesCommand,
                                                   DrainCommand,
-                                                  DumpCommand> aValue) const
+                                                  DumpCommand,
+                                                  TraceCommand> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -274,6 +274,7 @@
 #include "by_schema/ToolCommand.h"
 #include "by_schema/ToolOptions.h"
 #include "by_schema/ToolOutput.h"
+#include "by_schema/TraceCommand.h"
 #include "by_schema/VersionCommand.h"
 #include "by_schema/VmDescription.h"
 #include "by_schema/VmList.h"
