--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -71,6 +71,20 @@
   CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
 }
 
+// The owner left during an outage of the store, and no node could claim the cell. Callers were held
+// until their deadline passed instead of being told at once to come back.
+TEST(Entry, RequestWithoutAnOwnerAndAStoreIsRefusedAtOnce)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered }).value());
+  node.Advance(Time::FromMilliseconds(400));
+  node.SendCall(1, JobCallKind::Submit, kJobPath);
+  node.Advance(Time::FromMilliseconds(50));
+  CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Refused });
+}
+
 TEST(Entry, ForwardedSubmissionIsNeverReportedAsNotRun)
 {
   EntryFixture node;
@@ -202,6 +216,24 @@
   CHECK_EQUAL(1, node.Take<ExitEntry>().size());
 }
 
+// The owner stepped down 2 s after a SIGTERM although no node could claim the cell without the
+// store, so that nobody renewed the leases of running tasks, and they expired.
+TEST(Entry, StoppingOwnerStaysWhileNoNodeCanClaimTheCell)
+{
+  EntryFixture node;
+  node.Configure();
+  node.BecomeOwner(3);
+  node.SendCall(1, JobCallKind::Submit, kJobPath);
+  node.Deliver(
+    CellAppended::Create({ .mEpoch = 3, .mSequence = 1, .mOutcome = StoreOutcome::Unanswered })
+      .value());
+  node.Deliver(StopRequested::Create({ .mGrace = Time::FromSeconds(6) }).value());
+  node.Advance(Time::FromMilliseconds(4000));
+  CHECK(node.mState.mPhase == OwnerPhase::Owner);
+  node.Advance(Time::FromMilliseconds(1500));
+  CHECK_EQUAL(1, node.Take<ExitEntry>().size());
+}
+
 TEST(Entry, StoppingNodeIsNotReadyAndAnswersItsOpenCalls)
 {
   EntryFixture node;
@@ -343,6 +375,27 @@
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
 }
 
+// All nodes of a fleet tried to claim the cell during an outage of the whole store, each with reads
+// that had a time limit of 2 s, so that the first of them noticed the return late.
+TEST(Entry, NodeWithoutTheStoreDoesNotTryToClaim)
+{
+  EntryFixture node;
+  node.Configure();
+  node.SetRemoteOwner(3);
+  node.Join(true);
+  auto lost = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true, .mStoreLost = true }).value();
+  for (int n = 0; n < 20; ++n) {
+    node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Unanswered }).value());
+    node.Deliver(
+      FromOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = lost }).value() }).value());
+    node.Advance(Time::FromMilliseconds(100));
+  }
+  CHECK(node.Take<ReadClaim>().empty());
+  node.Join(true);
+  node.Advance(Time::FromMilliseconds(600));
+  CHECK_EQUAL(1, node.Take<ReadClaim>().size());
+}
+
 TEST(Entry, NodeThatReachesTheStoreClaimsAtOnceFromAnOwnerThatDoesNot)
 {
   EntryFixture node;
@@ -394,9 +447,10 @@
   node.Configure();
   node.SetRemoteOwner(3);
   node.Join(false);
-  node.Advance(Time::FromMilliseconds(1150));
+  node.Advance(Time::FromMilliseconds(900));
   CHECK(node.Take<ReadClaim>().empty());
   node.Join(true);
+  node.Advance(Time::FromMilliseconds(50));
   CHECK_EQUAL(1, node.Take<ReadClaim>().size());
 }
 
@@ -432,6 +486,24 @@
   CHECK(!node.mState.mOwnerLostStore);
 }
 
+// A hundred nodes that try to join ten times a second wrote a thousand lines a second during an
+// outage of the store.
+TEST(Entry, ExpiredMembershipIsLoggedOnce)
+{
+  EntryFixture node;
+  node.Configure();
+  node.Join(false);
+  int lines = 0;
+  for (int n = 0; n < 40; ++n) {
+    node.Advance(Time::FromMilliseconds(150));
+    node.Deliver(GroupJoined::Create({ .mOutcome = StoreOutcome::Refused }).value());
+    for (const auto& line : node.Take<LogLine>()) {
+      lines += line.Event() == "group.lost" ? 1 : 0;
+    }
+  }
+  CHECK_EQUAL(1, lines);
+}
+
 TEST(Entry, FailedJoinIsNotRepeatedAtOnce)
 {
   EntryFixture node;
