Decode counts and numbers of damaged messages without harm

Seen: a test that damages valid messages 20,000 times. Cause: cereal resizes a vector to the count that the bytes name before it reads an element, so that 20 bytes can take all memory of a node of 160 MB, and a process over its limit is killed; and a number that is not finite was decoded, which then compares unequal to itself in each table. Change: vectors are read element by element and texts by their bytes, both refused if the count exceeds what is left; numbers that are not finite are refused. The bytes that are written do not change.

--- a/modules/by_wire/detail/ByteReader.h
+++ b/modules/by_wire/detail/ByteReader.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <bit>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <cstring>
+#include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 #include <cereal/cereal.hpp>
 
@@ -41,6 +44,8 @@
       mBytes.remove_prefix(aSize);
     }
   }
+  /// @returns the number of bytes that are left.
+  std::size_t Left() const { return mBytes.size(); }
   /// @returns whether every byte was read.
   bool IsAtEnd() const { return mBytes.empty(); }
 
@@ -54,6 +59,11 @@
 load(ByteReader& aArchive, T& aValue)
 {
   aArchive.Read(&aValue, sizeof(aValue));
+  if constexpr (std::is_floating_point_v<T>) {
+    if (!std::isfinite(aValue)) {
+      throw cereal::Exception("a number is not finite");
+    }
+  }
 }
 
 template<class T>
@@ -63,6 +73,37 @@
   aArchive(aValue.size);
 }
 
+/// Reads a vector element by element, since the count comes from the bytes too: storage for all
+/// elements that a damaged count names could exceed the memory of the process.
+template<class T, class A>
+void
+load(ByteReader& aArchive, std::vector<T, A>& aValue)
+{
+  constexpr std::size_t kLeastSize = std::is_arithmetic_v<T> ? sizeof(T) : 1;
+  cereal::size_type count = 0;
+  aArchive(cereal::make_size_tag(count));
+  if (count > aArchive.Left() / kLeastSize) {
+    throw cereal::Exception("a count exceeds the bytes");
+  }
+  aValue.clear();
+  for (cereal::size_type i = 0; i < count; ++i) {
+    aArchive(aValue.emplace_back());
+  }
+}
+
+/// Reads a text; its length comes from the bytes too.
+inline void
+load(ByteReader& aArchive, std::string& aValue)
+{
+  cereal::size_type size = 0;
+  aArchive(cereal::make_size_tag(size));
+  if (size > aArchive.Left()) {
+    throw cereal::Exception("a length exceeds the bytes");
+  }
+  aValue.resize(static_cast<std::size_t>(size));
+  aArchive.Read(aValue.data(), aValue.size());
+}
+
 template<class T>
 void
 load(ByteReader& aArchive, cereal::NameValuePair<T>& aValue)
--- a/tests/by_links/RecordCodecTest.cpp
+++ b/tests/by_links/RecordCodecTest.cpp
@@ -1,7 +1,9 @@
 // Nodes of two versions read the same log and talk over the same links. If an encoder writes other
 // bytes than the stream archive of cereal did, a successor can't restore the cell.
 
+#include <algorithm>
 #include <cstdint>
+#include <random>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -13,6 +15,7 @@
 #include "absl/strings/escaping.h"
 
 #include "by_links/by_links.h"
+#include "by_wire/BinaryCodec.h"
 #include "by_wire/generated/cell_cereal.h"
 
 using namespace by;
@@ -101,10 +104,90 @@
   };
 }
 
+/// Counts how often it is created.
+struct CountedValue
+{
+  CountedValue() { ++sCreated; }
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mValue);
+  }
+
+  std::uint32_t mValue{ 0 };
+  static inline std::size_t sCreated = 0;
+};
+
+/// Changes bytes in the ways in which a damaged or hostile peer does: single bytes, counts, cuts
+/// and joined messages.
+std::string
+Damage(std::string aBytes, const std::string& aOther, std::mt19937& aRandom)
+{
+  const auto draw = [&](std::size_t aLimit) {
+    return aRandom() % std::max<std::size_t>(1, aLimit);
+  };
+  for (auto changes = 1 + draw(3); changes > 0 && !aBytes.empty(); --changes) {
+    const auto at = draw(aBytes.size());
+    switch (draw(5)) {
+      case 0:
+        aBytes[at] = static_cast<char>(draw(256));
+        break;
+      case 1:
+        aBytes.resize(at);
+        break;
+      case 2:
+        aBytes.insert(at, aOther.substr(draw(aOther.size())));
+        break;
+      case 3:
+        aBytes.replace(at, std::min<std::size_t>(8, aBytes.size() - at), 8, '\xff');
+        break;
+      default:
+        aBytes.erase(at, 1 + draw(8));
+    }
+  }
+  return aBytes;
+}
+
 } // namespace
 
 TEST_GROUP(RecordCodec){};
 
+/// A count in a damaged message made the decoder create that many elements before it read one.
+TEST(RecordCodec, CountBeyondTheBytesCreatesNothing)
+{
+  auto bytes = EncodeBinary(std::vector<std::uint32_t>{ 1, 2, 3 });
+  bytes.replace(1, 4, std::string("\x40\x42\x0f\x00", 4));
+  CountedValue::sCreated = 0;
+  CHECK_FALSE(DecodeBinary<std::vector<CountedValue>>(bytes).ok());
+  CHECK(CountedValue::sCreated <= bytes.size());
+  CHECK_FALSE(DecodeBinary<std::vector<std::uint32_t>>(bytes).ok());
+  CHECK_FALSE(DecodeBinary<std::string>(bytes).ok());
+}
+
+/// What can be decoded of damaged bytes is a value like any other; the rest is an error.
+TEST(RecordCodec, DamagedBytesAreAnErrorOrAValue)
+{
+  std::mt19937 random(20261205);
+  std::vector<std::string> valid;
+  for (const auto& message : Messages()) {
+    valid.push_back(EncodeMessage(message));
+  }
+  for (const auto& record : Records()) {
+    valid.push_back(EncodeRecord(record));
+  }
+  for (int n = 0; n < 20000; ++n) {
+    const auto& first = valid[random() % valid.size()];
+    const auto bytes = Damage(first, valid[random() % valid.size()], random);
+    if (const auto message = DecodeMessage(bytes); message.ok()) {
+      CHECK(DecodeMessage(EncodeMessage(*message)).value() == *message);
+    }
+    if (const auto record = DecodeRecord(bytes); record.ok()) {
+      CHECK(DecodeRecord(EncodeRecord(*record)).value() == *record);
+    }
+  }
+}
+
 TEST(RecordCodec, BytesAreThoseOfTheStreamArchive)
 {
   CHECK(ReferenceBytes(Claim()) == EncodeClaim(Claim()));
