Let an unexpected error cost one event and not the process

Cause: neither the control thread nor the traffic thread caught what a handler throws, so that std::terminate ended the process, and a successor that met the same entry ended too; a reload that threw also left signals unwatched. Change: a step logs event.failed and drops the event; an owner discards its cell, whose tables may be inconsistent, and claims it again; handlers of the traffic thread and single effects are guarded (handler.failed); the next signal is awaited before one is handled.

--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/ErrorRecovery.h"
 #include "by_entry/detail/GroupMembership.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
@@ -200,6 +201,18 @@
   RemoveAnsweredCalls(aState, aOut);
 }
 
+/// Runs a part of a step. An unexpected error ends that part, and the node goes on.
+template<class Part>
+void
+RunGuarded(EntryState& aState, Time aNow, Effects& aOut, const Part& aPart)
+{
+  try {
+    aPart();
+  } catch (const std::exception& error) {
+    detail::RecoverFromError(aState, error.what(), aNow, aOut);
+  }
+}
+
 } // namespace
 
 EntryState
@@ -223,18 +236,18 @@
   bool isFinished = true;
   for (const auto& event : aEvents) {
     const auto handled = out.size();
-    HandleEvent(aState, event, aNow, out);
+    RunGuarded(aState, aNow, out, [&] { HandleEvent(aState, event, aNow, out); });
     // A later event must not answer the same call again.
     RemoveAnsweredCalls(aState, out, handled);
     // A cell that a newer owner has taken over handles no further events.
     const bool isFenced = !aState.mExited && aState.mCell && aState.mCell->mFenced;
     if (isFenced) {
-      FinishStep(aState, aNow, out);
+      RunGuarded(aState, aNow, out, [&] { FinishStep(aState, aNow, out); });
     }
     isFinished = isFenced || aState.mExited;
   }
   if (!isFinished) {
-    FinishStep(aState, aNow, out);
+    RunGuarded(aState, aNow, out, [&] { FinishStep(aState, aNow, out); });
   }
   return out;
 }
--- a/modules/by_entry/StepEntry.h
+++ b/modules/by_entry/StepEntry.h
@@ -13,7 +13,8 @@
 EntryState
 MakeEntryState(const EntrySettings& aSettings);
 
-/// Handles one event: updates the state and returns the effects to be carried out.
+/// Handles one event: updates the state and returns the effects to be carried out. An unexpected
+/// error is logged and costs that event; it does not leave this function.
 /// @param aNow milliseconds since 1970 on a clock that never goes back.
 Effects
 StepEntry(EntryState& aState, const EntryEvent& aEvent, Time aNow);
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -121,9 +121,9 @@
           .value());
   WatchSignals();
   boost::asio::post(mTraffic, [this] { mPorts.mStart(); });
-  mTrafficThread = std::thread([this] { mTraffic.run(); });
+  mTrafficThread = std::thread([this] { RunUntilStopped(mTraffic, "traffic"); });
   Tick();
-  mControl.run();
+  RunUntilStopped(mControl, "control");
   mTraffic.stop();
   mTrafficThread.join();
   mPorts.mStop();
@@ -133,6 +133,30 @@
   return mClean;
 }
 
+void
+EntryDaemonBody::RunUntilStopped(boost::asio::io_context& aContext, const char* aThread)
+{
+  for (;;) {
+    try {
+      aContext.run();
+      return;
+    } catch (const std::exception& error) {
+      ReportError(aThread, error.what());
+    }
+  }
+}
+
+void
+EntryDaemonBody::ReportError(const char* aThread, const std::string& aError)
+{
+  boost::asio::post(mControl, [this, aThread, aError] {
+    Write(LogLine::Create({ .mEvent = "handler.failed",
+                            .mSubject = aThread,
+                            .mDetail = absl::StrCat("error=", aError) })
+            .value());
+  });
+}
+
 void
 EntryDaemonBody::Deliver(EntryEvent aEvent)
 {
@@ -237,7 +261,11 @@
   }
   boost::asio::post(mTraffic, [this, effects = std::move(forTraffic)] {
     for (const auto& effect : effects) {
-      PerformOnTraffic(effect);
+      try {
+        PerformOnTraffic(effect);
+      } catch (const std::exception& error) {
+        ReportError("traffic", error.what());
+      }
     }
   });
 }
@@ -304,12 +332,13 @@
     if (aError) {
       return;
     }
+    // The next signal is handled also if the handling of this one fails.
+    WatchSignals();
     if (aSignal == SIGHUP) {
       Reload();
     } else {
       Deliver(EventOf(StopRequested::Create({ .mGrace = mGrace }).value()));
     }
-    WatchSignals();
   });
 }
 
--- a/tests/by_entry/EntryTest.cpp
+++ b/tests/by_entry/EntryTest.cpp
@@ -337,6 +337,31 @@
   CHECK(!node.Take<ConnectToOwner>().empty());
 }
 
+// An error while a table of the cell was read ended the owner's process, and each successor that
+// met the same entry.
+TEST(Entry, OwnerWithAnInconsistentCellLoadsItAgain)
+{
+  EntryFixture node;
+  node.Configure();
+  node.BecomeOwner(3);
+  node.SendCall(1, JobCallKind::Submit, kJobPath);
+  auto& cell = *node.mState.mCell;
+  ReadyKey missing;
+  missing.mJob = cell.mJobs.begin()->first;
+  missing.mOccurrence = 99;
+  cell.mReady.insert(missing);
+  cell.mPlacementNeeded = true;
+  node.Advance(Time::FromMilliseconds(100));
+  const auto lines = node.Take<LogLine>();
+  CHECK(std::any_of(lines.begin(), lines.end(), [](const LogLine& aLine) {
+    return aLine.Event() == "event.failed";
+  }));
+  CHECK(node.mState.mPhase != OwnerPhase::Owner);
+  CHECK(node.TakeOutcomes().empty());
+  node.Advance(Time::FromSeconds(3));
+  CHECK(node.TakeOutcomes() == std::vector{ JobCallOutcome::Uncertain });
+}
+
 TEST(Entry, OwnerNotifiesMembersOfStoreLoss)
 {
   EntryFixture node;
