--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -181,6 +181,7 @@
                 [](const std::vector<KeyedRecord>& aRecords) { return aRecords.empty(); });
 }
 
+/// Removes the records of the next call from a batch and returns them.
 std::vector<KeyedRecord>
 TakeNextRecords(AppendBatch& aBatch)
 {
