Guard the traffic threads of both daemons by one function

The same cause elsewhere: bergamotyardd ran its traffic threads without a guard too, so that an error in the handler of one connection ended the process. RunGuarded of by_runtime serves both daemons; bergamotyardd logs the error. Its control thread is left as it is, since a step takes the whole state in and a failed one has lost it. A structured binding that the linter's compiler can't capture is replaced in by_trace.

--- a/modules/by_daemon/detail/DaemonBody.cpp
+++ b/modules/by_daemon/detail/DaemonBody.cpp
@@ -121,7 +121,9 @@
     mPlatform->ReadFrom(0);
     mPlatform->StartList();
   });
-  mTraffic.Start();
+  mTraffic.Start([this](const std::string& aError) {
+    mLogger.Error(LogPart::Node, absl::StrCat("A handler failed: ", aError, "."));
+  });
   Tick();
   mControl.run();
   mHttp->Stop();
--- a/modules/by_daemon/detail/TrafficThreads.cpp
+++ b/modules/by_daemon/detail/TrafficThreads.cpp
@@ -21,10 +21,10 @@
 }
 
 void
-TrafficThreads::Start()
+TrafficThreads::Start(const HandlerFailed& aFailed)
 {
   for (const auto& context : mContexts) {
-    mThreads.emplace_back([&context = *context] { context.run(); });
+    mThreads.emplace_back([&context = *context, aFailed] { RunGuarded(context, aFailed); });
   }
 }
 
--- a/modules/by_daemon/detail/TrafficThreads.h
+++ b/modules/by_daemon/detail/TrafficThreads.h
@@ -8,6 +8,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "by_runtime/GuardedRun.h"
+
 namespace by::detail {
 
 /// The threads that own connections, each with an io_context of its own.
@@ -22,7 +24,8 @@
   TrafficThreads& operator=(const TrafficThreads&) = delete;
 
   /// Starts the threads.
-  void Start();
+  /// @param aFailed told, on any of them, what a handler threw.
+  void Start(const HandlerFailed& aFailed);
   /// Stops and joins the threads.
   void Stop();
   /// @returns one of the contexts; any number will do.
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -16,6 +16,7 @@
 #include "by_entryd/detail/EventKind.h"
 #include "by_entryd/detail/LineText.h"
 #include "by_runtime/BootClock.h"
+#include "by_runtime/GuardedRun.h"
 #include "by_runtime/ThreadClock.h"
 
 namespace by::detail {
@@ -121,9 +122,11 @@
           .value());
   WatchSignals();
   boost::asio::post(mTraffic, [this] { mPorts.mStart(); });
-  mTrafficThread = std::thread([this] { RunUntilStopped(mTraffic, "traffic"); });
+  mTrafficThread = std::thread([this] {
+    RunGuarded(mTraffic, [this](const std::string& aError) { ReportError("traffic", aError); });
+  });
   Tick();
-  RunUntilStopped(mControl, "control");
+  RunGuarded(mControl, [this](const std::string& aError) { ReportError("control", aError); });
   mTraffic.stop();
   mTrafficThread.join();
   mPorts.mStop();
@@ -133,19 +136,6 @@
   return mClean;
 }
 
-void
-EntryDaemonBody::RunUntilStopped(boost::asio::io_context& aContext, const char* aThread)
-{
-  for (;;) {
-    try {
-      aContext.run();
-      return;
-    } catch (const std::exception& error) {
-      ReportError(aThread, error.what());
-    }
-  }
-}
-
 void
 EntryDaemonBody::ReportError(const char* aThread, const std::string& aError)
 {
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -44,9 +44,7 @@
   Effects StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow);
   void ReportDropped(const std::vector<EntryEvent>& aEvents);
   EntryEvent NextTickEvent();
-  /// Runs a thread's context until it is stopped. An unexpected error of a handler is logged and
-  /// ends that handler.
-  void RunUntilStopped(boost::asio::io_context& aContext, const char* aThread);
+  /// Logs an unexpected error of a handler.
   void ReportError(const char* aThread, const std::string& aError);
   void Perform(Effects aEffects);
   void PerformOnTraffic(const EntryEffect& aEffect);
--- a/modules/by_trace/JobTrace.cpp
+++ b/modules/by_trace/JobTrace.cpp
@@ -52,12 +52,12 @@
 StagesOf(const std::vector<LogRecord>& aRecords)
 {
   std::vector<TraceStage> stages;
-  for (const auto& [event, name] : kStages) {
+  for (const auto& stage : kStages) {
     const auto first = std::find_if(aRecords.begin(), aRecords.end(), [&](const auto& aRecord) {
-      return aRecord.mEvent == event;
+      return aRecord.mEvent == stage.mEvent;
     });
     if (first != aRecords.end()) {
-      stages.push_back({ name, first->mAt, first->mNode });
+      stages.push_back({ stage.mStage, first->mAt, first->mNode });
     }
   }
   std::stable_sort(stages.begin(), stages.end(), [](const auto& aLeft, const auto& aRight) {
