--- a/modules/by_client/detail/CallTable.h
+++ b/modules/by_client/detail/CallTable.h
@@ -24,6 +24,7 @@
   HttpClient::Handler mHandler;
   boost::asio::steady_timer mTimer;
   std::shared_ptr<HttpConnection> mConnection;
+  /// When the call was made.
   Time mSent;
 };
 
@@ -60,6 +61,7 @@
                   const HttpResult& aResult,
                   bool aReusable);
   void KeepIdle(const Endpoint& aEndpoint, const std::shared_ptr<HttpConnection>& aConnection);
+  /// Ends a call whose time limit has passed.
   void TimeOut(std::uint64_t aNumber);
   /// Closes the unused connections that have not answered since a time. A call that timed out is a
   /// sign that connections have fallen silent without a reset.
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -113,6 +113,8 @@
   Time mConnectedAt{};
   /// Nodes that currently have a link to this one, by name.
   std::map<std::string, MemberRow> mMembers;
+  /// The largest processor share among them; zero without any. [millicores]
+  std::uint32_t mLargestMemberShare{ 0 };
 
   /// Callers' unanswered requests, by call number.
   std::map<std::uint64_t, OpenCall> mCalls;
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -71,14 +71,14 @@
   }
 }
 
-std::uint32_t
-LargestMemberShare(const EntryState& aState)
+/// Heartbeats carry the largest share to each member, so that it is not searched for then.
+void
+UpdateLargestShare(EntryState& aState)
 {
-  std::uint32_t largest = 0;
+  aState.mLargestMemberShare = 0;
   for (const auto& [node, member] : aState.mMembers) {
-    largest = std::max(largest, member.mProcessorShare);
+    aState.mLargestMemberShare = std::max(aState.mLargestMemberShare, member.mProcessorShare);
   }
-  return largest;
 }
 
 void
@@ -234,6 +234,7 @@
     if (const auto* hello = std::get_if<LinkHello>(&body)) {
       it->second.mZone = hello->Zone();
       it->second.mProcessorShare = hello->ProcessorShare();
+      UpdateLargestShare(aState);
       RebalanceRelays(aState);
     }
   }
@@ -278,6 +279,7 @@
     }
   } else {
     aState.mMembers.erase(aEvent.Node());
+    UpdateLargestShare(aState);
   }
   if (!aState.mCell) {
     return;
@@ -313,7 +315,7 @@
                                            .mOwner = isOwner,
                                            .mStoreLost = HasLostStore(aState, aNow),
                                            .mOverloaded = IsOverloadedOwner(aState),
-                                           .mLargestShare = LargestMemberShare(aState) })
+                                           .mLargestShare = aState.mLargestMemberShare })
                      .value();
   Emit(
     aOut,
--- a/tests/by_entry/HandoverTest.cpp
+++ b/tests/by_entry/HandoverTest.cpp
@@ -112,6 +112,24 @@
   CHECK(owner.mState.mPhase == OwnerPhase::Owner);
 }
 
+TEST(Handover, HeartbeatsTellTheLargestShareOfTheMembers)
+{
+  SmallOwner owner;
+  const auto largestTold = [&] {
+    owner.Deliver(
+      FromMember::Create(
+        { .mNode = "m1", .mMessage = LinkMessage::Create({ .mBody = LinkHeartbeat() }).value() })
+        .value());
+    const auto sent = owner.Take<SendToMember>();
+    return std::get<LinkHeartbeat>(sent.back().Message().Body()).LargestShare();
+  };
+  owner.Link("m1", kMedium);
+  owner.Link("m2", kLarge);
+  CHECK(largestTold() == kLarge);
+  owner.Deliver(MemberChanged::Create({ .mNode = "m2", .mUp = false }).value());
+  CHECK(largestTold() == kMedium);
+}
+
 TEST(Handover, OwnerKeepsTheCellFromSlightlyLargerMembers)
 {
   SmallOwner owner;
