--- a/modules/by_trace/JobTrace.cpp
+++ b/modules/by_trace/JobTrace.cpp
@@ -79,6 +79,7 @@
     }
   }
   std::vector<TraceReason> reasons;
+  reasons.reserve(counts.size());
   for (const auto& [name, count] : counts) {
     reasons.push_back({ name.first, name.second, count });
   }
