Refuse a truth value that is neither 0 nor 1

Cause: the decoder copied the byte of a damaged message into a bool. Change: such a byte is an error of the message.

--- a/modules/by_wire/detail/ByteReader.h
+++ b/modules/by_wire/detail/ByteReader.h
@@ -58,6 +58,15 @@
 void
 load(ByteReader& aArchive, T& aValue)
 {
+  if constexpr (std::is_same_v<T, bool>) {
+    std::uint8_t byte = 0;
+    aArchive.Read(&byte, sizeof(byte));
+    if (byte > 1) {
+      throw cereal::Exception("a truth value is neither 0 nor 1");
+    }
+    aValue = byte == 1;
+    return;
+  }
   aArchive.Read(&aValue, sizeof(aValue));
   if constexpr (std::is_floating_point_v<T>) {
     if (!std::isfinite(aValue)) {
