--- a/modules/by_cli/RunTrace.cpp
+++ b/modules/by_cli/RunTrace.cpp
@@ -28,8 +28,8 @@
   std::uint64_t mUnreadable{ 0 };
 };
 
-/// Keeps the records of a job and of the cell. A line without the job's name or a cell event's
-/// prefix is not decoded, so that large logs are read at the speed of the disk.
+/// Keeps the records of a job and of the cell. A line with neither the job's name nor an event
+/// of the cell is not decoded, since decoding takes most of the time.
 void
 ScanLines(std::istream& aStream, const std::string& aJob, LogScan& aScan)
 {
--- a/modules/by_entry/detail/GroupMembership.cpp
+++ b/modules/by_entry/detail/GroupMembership.cpp
@@ -11,9 +11,11 @@
 
 namespace {
 
-/// Delay before a failed join request is retried, and interval between the requests while the owner
-/// is silent, whose removal from the group is noticed by them.
+/// Delay before a failed join request is retried.
 constexpr Time kJoinRetryDelay = Time::FromMilliseconds(100);
+/// Interval between join requests while the owner is silent: their answers show whether the group
+/// has removed it.
+constexpr Time kSilentJoinInterval = Time::FromMilliseconds(100);
 /// The owner counts as silent once its heartbeat is late by this.
 constexpr Time kLateHeartbeat = Time::FromMilliseconds(100);
 
@@ -36,7 +38,7 @@
 RenewMembership(EntryState& aState, Time aNow, Effects& aOut)
 {
   if (IsOwnerSilent(aState, aNow)) {
-    aState.mNextJoin = std::min(aState.mNextJoin, aState.mJoinSentAt + kJoinRetryDelay);
+    aState.mNextJoin = std::min(aState.mNextJoin, aState.mJoinSentAt + kSilentJoinInterval);
   }
   if (aState.mJoinInFlight || aNow < aState.mNextJoin || aState.mStopping || !aState.mConfig) {
     return;
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -9,6 +9,7 @@
 #include "by_cell/RestoreCell.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/ClaimDelay.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Links.h"
 #include "by_queueing/OwnerWait.h"
@@ -25,18 +26,12 @@
 constexpr Time kOwnerLossTimeout = Time::FromMilliseconds(300);
 /// If the group has changed less than kRecentChange ago, an owner counts as lost that has been
 /// silent for the interval of its heartbeats and this long.
-constexpr Time kElectedSilence = Time::FromMilliseconds(400);
+constexpr Time kSilenceMargin = Time::FromMilliseconds(400);
 constexpr Time kRecentChange = Time::FromMilliseconds(1500);
 /// Nodes that know that the owner is gone, leaving or without the store delay their claims by a
 /// number of steps derived from their incarnation, so that they seldom claim at the same time.
 constexpr std::int64_t kPreemptiveClaimStepMs = 15;
 constexpr std::uint64_t kPreemptiveClaimSteps = 8;
-/// Nodes with less processor time than a share claim a released cell later, so that a larger node
-/// becomes the owner where there is one. [millicores]
-constexpr std::uint32_t kSmallShare = 250;
-constexpr std::uint32_t kMediumShare = 500;
-constexpr Time kSmallShareDelay = Time::FromMilliseconds(150);
-constexpr Time kMediumShareDelay = Time::FromMilliseconds(75);
 /// Nodes notice a silent owner one after another, by at most this.
 constexpr Time kSilenceSkew = Time::FromMilliseconds(150);
 /// An owner that the store has not confirmed for this long reads the claim, at most this often.
@@ -57,19 +52,6 @@
          aClaim.Incarnation() == aState.mSettings.Incarnation();
 }
 
-/// @returns how long this node leaves the claim of a released cell to larger nodes. An elected node
-/// does not wait if the owner has left, since a cell without an owner costs more than a small one.
-Time
-ShareDelay(const EntryState& aState)
-{
-  const auto share = aState.mSettings.ProcessorShare();
-  const bool isLargest = aState.mLargestShare > 0 && share >= aState.mLargestShare;
-  if (share >= kMediumShare || isLargest || (aState.mElected && !aState.mLinkUp)) {
-    return {};
-  }
-  return share < kSmallShare ? kSmallShareDelay : kMediumShareDelay;
-}
-
 /// @returns whether an owner that reports the store as lost may just as well be hit by an outage
 /// that hit this node too, and may regain the store by itself.
 bool
@@ -181,7 +163,7 @@
   // to a node that serves at once.
   const bool isSilent =
     aState.mLinkUp &&
-    aNow > aState.mOwnerHeardAt + aState.mSettings.HeartbeatInterval() + kElectedSilence &&
+    aNow > aState.mOwnerHeardAt + aState.mSettings.HeartbeatInterval() + kSilenceMargin &&
     aNow < aState.mGroupChangedAt + kRecentChange;
   if (isSilent) {
     // The larger nodes see the same, or will soon, and claim the cell first.
--- a/modules/by_trace/LogRecord.cpp
+++ b/modules/by_trace/LogRecord.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Each is written by the owner or by a node that is about to be.
+/// Changes of the owner, and what an owner is exposed to.
 constexpr std::array<std::string_view, 8> kCellEvents{ "owner.claimed",      "owner.stepped_down",
                                                        "owner.handing_over", "cell.restored",
                                                        "node.overloaded",    "node.caught_up",
