Log each crash of a worker with the runs that may have caused it

Change: a process that ends without notice is logged as worker.crashed with the number of runs, those that may have caused it and how long the worker was silent; events_total counts it. No decision of the cell changes: the tests of by_cell pass as before.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,6 +19,7 @@
 #include "by_cell/OutcomeRow.h"
 #include "by_cell/ReadyKey.h"
 #include "by_cell/WaveRow.h"
+#include "by_cell/WorkerCrash.h"
 #include "by_cell/WorkerRow.h"
 #include "by_schema/CellSettings.h"
 #include "by_schema/ClusterConfig.h"
@@ -50,6 +52,12 @@
 
   /// Workers by name; ordered, so that equal inputs give equal decisions in every process.
   std::map<std::string, WorkerRow> mWorkers;
+  /// Recent crashes of workers, in the order in which they were noticed.
+  std::deque<WorkerCrash> mCrashes;
+  /// Workers that are out of reach and had runs, which may have crashed them.
+  std::set<std::string> mLostWorkers;
+  /// Whether the last placement pass left a trial waiting for workers.
+  bool mHasWaitingTrials{ false };
   /// Whether a complete list of the registry has been read.
   bool mRegistryRead{ false };
   /// Maintenance waves by number.
@@ -65,6 +73,8 @@
   /// Changes since the last append: accepted jobs, tasks with new progress, outcomes, deleted keys.
   std::vector<std::string> mNewJobs;
   absl::btree_set<JobTaskKey> mNewProgress;
+  /// Tasks under which a worker has crashed since then.
+  absl::btree_set<JobTaskKey> mNewCrashes;
   std::vector<std::string> mNewOutcomes;
   std::vector<std::string> mDeletedKeys;
   /// The batch that collects starts and ends for the next append.
--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -110,6 +110,9 @@
         absl::StrCat(
           "worker=", aEvent.Worker(), " sent=", aEvent.Outcome() == OrderOutcome::Unanswered));
       row->mStartUnanswered = row->mStartUnanswered || aEvent.Outcome() == OrderOutcome::Unanswered;
+      if (row->mStartUnanswered) {
+        worker.mSilentSince = std::min(worker.mSilentSince, aNow);
+      }
       detail::SchedulePoll(aState, worker, aNow);
       if (!row->mStartUnanswered) {
         HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Incarnations.h"
 #include "by_cell/detail/PollTimes.h"
@@ -19,6 +20,9 @@
 
 /// How long a worker without runs is kept after it left the registry.
 constexpr Time kForgetDelay = Time::FromMilliseconds(2000);
+/// The same for a worker that fell silent with runs: the next process on its machine shows that it
+/// crashed.
+constexpr Time kLostForgetDelay = Time::FromSeconds(30);
 /// How long a new owner waits for the registry before it gives up the workers of inherited runs.
 /// The leases that it inherits end later, after AuthorityTimeout() at the earliest.
 constexpr Time kRegistryWait = Time::FromMilliseconds(2000);
@@ -29,6 +33,7 @@
 CountFailedPoll(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
   ++aWorker.mPollFailures;
+  aWorker.mSilentSince = std::min(aWorker.mSilentSince, aNow);
   if (aWorker.mPollFailures >= kMaxPollFailures) {
     detail::StopRenewingLease(aState, aWorker, aOut);
   }
@@ -57,6 +62,9 @@
     aState.mPlacementNeeded = true;
   }
   aWorker.mPollFailures = 0;
+  aWorker.mSilentSince = Time::Never();
+  aWorker.mLostRuns.clear();
+  aState.mLostWorkers.erase(aWorker.mRegistration.Id());
 }
 
 bool
@@ -197,6 +205,10 @@
     if (worker.mHealth == WorkerHealth::LeaseExpiring && worker.mLeaseExpiresAt <= aNow) {
       worker.mHealth = WorkerHealth::LeaseExpired;
       detail::Log(aOut, "worker.lapsed", id, absl::StrCat("runs=", worker.mRuns.size()));
+      worker.mLostRuns = detail::ActiveRuns(aState, worker);
+      if (!worker.mLostRuns.empty()) {
+        aState.mLostWorkers.insert(id);
+      }
       detail::EndAllRuns(aState, worker, RunEnd::LeaseExpired, aNow, aOut);
     }
     if (!worker.mRegistered && worker.mRuns.empty() && !worker.mPollInFlight) {
@@ -209,7 +221,10 @@
     ResendOrders(aState, worker, aNow, aOut);
   }
   for (const auto& id : forgotten) {
-    if (aNow > aState.mWorkers.at(id).mDeregisteredAt + kForgetDelay) {
+    const auto& worker = aState.mWorkers.at(id);
+    const auto delay = worker.mLostRuns.empty() ? kForgetDelay : kLostForgetDelay;
+    if (aNow > worker.mDeregisteredAt + delay) {
+      aState.mLostWorkers.erase(id);
       aState.mWorkers.erase(id);
     }
   }
--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleWaves.h"
+#include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Incarnations.h"
 #include "by_cell/detail/Runs.h"
@@ -30,6 +31,9 @@
   }
   const bool isNew = !worker.mRegistered;
   const bool moved = worker.mRegistration.Endpoint() != aEntry.Endpoint();
+  if (isNew) {
+    detail::RecordReplacedWorkers(aState, aEntry, aNow, aOut);
+  }
   if (!detail::IsSameIncarnation(worker, aEntry.ProcessStart())) {
     detail::ResetIncarnation(aState, worker, "registered by a new process", aNow, aOut);
     worker.mProcessStart = aEntry.ProcessStart();
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -18,6 +18,9 @@
   /// Whether it uses only idle processor time, and whether its step has a response time target.
   bool mIsScavenging{ false };
   bool mIsLatencySensitive{ false };
+  /// How long the run of a suspected task has to go on alone before it counts as harmless; zero
+  /// once it has, and for all other tasks.
+  Time mProbation{};
   /// When the run entered its phase.
   Time mPhaseSince{};
   /// When its start was first sent; zero while it was not.
@@ -26,6 +29,8 @@
   bool mStartInFlight{ false };
   /// Whether a start went unanswered, so that the worker may still carry it out late.
   bool mStartUnanswered{ false };
+  /// When the last start order timed out; zero if none did.
+  Time mStartTimedOutAt{};
   /// When to send the start again; Never() where no retry is due.
   Time mStartRetryAt{ Time::Never() };
   /// Whether the run has to be stopped.
--- a/modules/by_cell/StepRow.h
+++ b/modules/by_cell/StepRow.h
@@ -25,6 +25,10 @@
   StepAdvice mAdvice;
   /// The number of its last gang reservation; zero before the first.
   std::uint64_t mReservation{ 0 };
+  /// Whether a task of it is suspected of crashing workers, or was.
+  bool mHasSuspects{ false };
+  /// Since when a trial of its suspects waits for workers; zero while none does.
+  Time mTrialWaitsSince{};
   /// When the log may next say why the step waits.
   Time mNextWaitReport{};
 };
--- a/modules/by_cell/TaskRow.h
+++ b/modules/by_cell/TaskRow.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 
+#include "by_crashes/CrashHistory.h"
 #include "by_schema/TaskProgress.h"
 
 namespace by {
@@ -16,6 +17,10 @@
   std::uint32_t mLiveRuns{ 0 };
   /// Whether the store holds a record of the task, or may hold one.
   bool mRecorded{ false };
+  /// The crashes of workers under the task.
+  CrashHistory mCrashes;
+  /// Whether the task waits until it is known what its last crash says about it.
+  bool mIsCrashOpen{ false };
 
   friend bool operator==(const TaskRow&, const TaskRow&) = default;
   friend auto operator<=>(const TaskRow&, const TaskRow&) = default;
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/container/btree_map.h"
 
+#include "by_cell/LostRun.h"
 #include "by_cell/RunId.h"
 #include "by_cell/RunRow.h"
 #include "by_cell/WorkerHealth.h"
@@ -46,6 +48,8 @@
   Time mPollSentAt{};
   /// When to send the next poll; Never() where none is needed.
   Time mNextPoll{ Time::Never() };
+  /// When it first left a call unanswered since its last answer; Never() while it answers.
+  Time mSilentSince{ Time::Never() };
   /// Consecutive polls that failed.
   std::uint32_t mPollFailures{ 0 };
   /// The number of the last end that was processed, and of the last one that is stored.
@@ -54,6 +58,10 @@
   /// The runs that hold capacity, and the sum of their resources.
   absl::btree_map<RunId, RunRow> mRuns;
   Resources mUsed;
+  /// The runs on probation; while there are any, no other task is placed here.
+  std::uint32_t mTrials{ 0 };
+  /// Runs whose lease expired while the worker was out of reach; they may have crashed it.
+  std::vector<LostRun> mLostRuns;
   /// Consecutive runs that failed on the worker.
   std::uint32_t mConsecutiveFailures{ 0 };
   /// Until when it is quarantined, after which one run at a time probes it; zero once a run was
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Runs.h"
 
@@ -73,6 +74,7 @@
       "worker.over",
       aWorker.mRegistration.Id(),
       absl::StrCat("reason=", aReason, " runs=", aWorker.mRuns.size()));
+  RecordCrash(aState, aWorker, aReason, aNow, aOut);
   std::vector<RunId> ended;
   std::vector<RunId> unconfirmed;
   for (const auto& [run, row] : aWorker.mRuns) {
@@ -103,6 +105,7 @@
   aWorker.mConsecutiveFailures = 0;
   aWorker.mQuarantinedUntil = Time();
   aWorker.mSlowness = 1.0;
+  aWorker.mSilentSince = Time::Never();
   SchedulePoll(aState, aWorker, aNow);
 }
 
@@ -113,6 +116,7 @@
       "worker.over",
       aWorker.mRegistration.Id(),
       absl::StrCat("reason=another worker answers at its address runs=", aWorker.mRuns.size()));
+  RecordCrash(aState, aWorker, "another worker answers at its address", aNow, aOut);
   EndAllRuns(aState, aWorker, RunEnd::LeaseExpired, aNow, aOut);
   aWorker.mHealth = WorkerHealth::LeaseExpired;
   aWorker.mNextPoll = Time::Never();
--- /dev/null
+++ b/modules/by_crashes/CrashAttribution.cpp
@@ -0,0 +1,45 @@
+#include "by_crashes/CrashAttribution.h"
+
+#include <algorithm>
+
+namespace by {
+
+namespace {
+
+bool
+IsOnProbation(const RunAtCrash& aRun)
+{
+  return aRun.mSurvived < aRun.mProbation;
+}
+
+/// @returns whether all of the runs that a predicate selects belong to one job and have started.
+template<class Predicate>
+bool
+AreOfOneJob(std::span<const RunAtCrash> aRuns, Predicate aSelects)
+{
+  const auto first = std::find_if(aRuns.begin(), aRuns.end(), aSelects);
+  return std::all_of(first, aRuns.end(), [&](const RunAtCrash& aRun) {
+    return !aSelects(aRun) || (aRun.mHasStarted && aRun.mJob == first->mJob);
+  });
+}
+
+} // namespace
+
+std::vector<CrashRole>
+AttributeCrash(std::span<const RunAtCrash> aRuns)
+{
+  std::vector<CrashRole> roles;
+  if (std::none_of(aRuns.begin(), aRuns.end(), IsOnProbation)) {
+    const bool isOneJob = AreOfOneJob(aRuns, [](const RunAtCrash&) { return true; });
+    roles.assign(aRuns.size(), isOneJob ? CrashRole::LateSuspect : CrashRole::Bystander);
+    return roles;
+  }
+  const auto suspect =
+    AreOfOneJob(aRuns, IsOnProbation) ? CrashRole::SoleSuspect : CrashRole::Suspect;
+  for (const auto& run : aRuns) {
+    roles.push_back(IsOnProbation(run) ? suspect : CrashRole::Bystander);
+  }
+  return roles;
+}
+
+} // namespace by
--- /dev/null
+++ b/modules/by_crashes/RunAtCrash.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+#include "by_core/Time.h"
+
+namespace by {
+
+/// What is known of a run whose worker crashed.
+struct RunAtCrash
+{
+  /// The job that it belongs to. A job fails as a whole, so its runs need not be told apart.
+  std::string mJob;
+  /// How long after its start the worker still answered.
+  Time mSurvived{};
+  /// How long a run of this task has to go on before it counts as harmless.
+  Time mProbation{};
+  /// Whether its worker was known to be alive when the start was sent, or confirmed it.
+  bool mHasStarted{ false };
+
+  friend bool operator==(const RunAtCrash&, const RunAtCrash&) = default;
+  friend auto operator<=>(const RunAtCrash&, const RunAtCrash&) = default;
+};
+
+} // namespace by
--- a/modules/by_jobs/RecordKeys.cpp
+++ b/modules/by_jobs/RecordKeys.cpp
@@ -16,6 +16,12 @@
   return absl::StrCat("task/", aJob, "/", aOccurrence, "/", aIndex);
 }
 
+std::string
+CrashRecordKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aIndex)
+{
+  return absl::StrCat("crash/", aJob, "/", aOccurrence, "/", aIndex);
+}
+
 std::string
 ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence)
 {
--- a/modules/by_schema/CellRecord.h
+++ b/modules/by_schema/CellRecord.h
@@ -13,6 +13,7 @@
 #include "by_schema/JobOutcome.h"
 #include "by_schema/MaintenanceRecord.h"
 #include "by_schema/OccurrenceProgress.h"
+#include "by_schema/TaskCrashes.h"
 #include "by_schema/TaskRecord.h"
 
 namespace by {
@@ -25,7 +26,8 @@
   struct Fields
   {
     /// The record.
-    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord> mBody{};
+    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord, TaskCrashes>
+      mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -45,14 +47,16 @@
   Fields ToFields() const { return mFields; }
 
   /// The record.
-  const std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord>& Body()
-    const
+  const std::
+    variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord, TaskCrashes>&
+    Body() const
   {
     return mFields.mBody;
   }
   /// @returns a copy of this value with another Body.
   [[nodiscard]] CellRecord WithBody(
-    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord> aValue) const
+    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord, TaskCrashes>
+      aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -254,6 +254,7 @@
 #include "by_schema/TaskAssignment.h"
 #include "by_schema/TaskAssignments.h"
 #include "by_schema/TaskCommand.h"
+#include "by_schema/TaskCrashes.h"
 #include "by_schema/TaskProgress.h"
 #include "by_schema/TaskRecord.h"
 #include "by_schema/TaskReport.h"
--- /dev/null
+++ b/tests/by_crashes/CrashAttributionTest.cpp
@@ -0,0 +1,55 @@
+#include "by_crashes/by_crashes.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace by;
+
+namespace {
+
+constexpr Time kProbation = Time::FromMilliseconds(1000);
+
+RunAtCrash
+Run(const char* aJob, std::int64_t aSurvived, bool aStarted = true)
+{
+  return { .mJob = aJob,
+           .mSurvived = Time::FromMilliseconds(aSurvived),
+           .mProbation = kProbation,
+           .mHasStarted = aStarted };
+}
+
+} // namespace
+
+TEST_GROUP(CrashAttribution){};
+
+TEST(CrashAttribution, OnlyRunsOnProbationAreSuspects)
+{
+  const auto roles = AttributeCrash(std::vector{ Run("a", 1000), Run("b", 10), Run("c", 999) });
+  CHECK(roles == (std::vector{ CrashRole::Bystander, CrashRole::Suspect, CrashRole::Suspect }));
+}
+
+TEST(CrashAttribution, RunsOfOneJobAreTheOnlySuspects)
+{
+  const auto roles = AttributeCrash(std::vector{ Run("a", 5000), Run("b", 10), Run("b", 0) });
+  CHECK(roles ==
+        (std::vector{ CrashRole::Bystander, CrashRole::SoleSuspect, CrashRole::SoleSuspect }));
+}
+
+/// A worker that was idle may have been down before the start reached it.
+TEST(CrashAttribution, RunThatMayNotHaveStartedIsNoSoleSuspect)
+{
+  CHECK(AttributeCrash(std::vector{ Run("a", 0, false) }) == std::vector{ CrashRole::Suspect });
+}
+
+TEST(CrashAttribution, RunsThatPassedTheirProbationAreBystanders)
+{
+  const auto roles = AttributeCrash(std::vector{ Run("a", 3000), Run("b", 2000) });
+  CHECK(roles == (std::vector{ CrashRole::Bystander, CrashRole::Bystander }));
+  CHECK(AttributeCrash(std::vector{ Run("a", 3000) }) == std::vector{ CrashRole::LateSuspect });
+}
+
+TEST(CrashAttribution, WorkerWithoutRunsHasNoSuspects)
+{
+  CHECK(AttributeCrash({}).empty());
+}
