Reproduce tasks that crash their workers, as tests that fail

Seen: the tests of the group Crash fail on this code, all eight: the bad task is started again for as long as its job is open (before its start is answered, just after, after seconds, as a member of a gang, as a long-running task, across owners, with the worker's name changed), and healthy jobs beside it are not completed within 60 s.

--- /dev/null
+++ b/tests/by_cell/CrashTest.cpp
@@ -0,0 +1,131 @@
+#include "by_cell/WorkerPlay.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace by;
+
+namespace {
+
+constexpr Time kSoon = Time::FromMilliseconds(20);
+constexpr Time kLong = Time::FromSeconds(60);
+
+JobTaskKey
+Task(const std::string& aJob, std::uint32_t aIndex = 0)
+{
+  return CellFixture::Run(aJob, aIndex, 0).mTask;
+}
+
+JobStep::Fields
+Gang(std::uint32_t aCount)
+{
+  auto step = CellFixture::Step(aCount);
+  step.mGang = true;
+  return step;
+}
+
+} // namespace
+
+/// A task crashed each worker that started it, and was placed again at once for as long as its job
+/// was open, beside healthy tasks that were lost with it.
+TEST_GROUP(Crash){};
+
+TEST(Crash, TaskThatCrashesItsWorkersIsGivenUp)
+{
+  WorkerPlay play(6);
+  play.LetCrash(Task("bad"), kSoon);
+  play.Submit("bad", { CellFixture::Step(1) });
+  play.Play(kLong);
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad")) <= 3);
+}
+
+TEST(Crash, TaskThatCrashesBeforeItsStartIsAnsweredIsGivenUp)
+{
+  WorkerPlay play(6);
+  play.mIsSilent = true;
+  play.LetCrash(Task("bad"), Time());
+  play.Submit("bad", { CellFixture::Step(1) });
+  play.Play(kLong);
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad")) <= 5);
+}
+
+TEST(Crash, TaskThatCrashesAfterSecondsIsGivenUp)
+{
+  WorkerPlay play(6);
+  play.mDuration = Time::FromSeconds(10);
+  play.LetCrash(Task("bad"), Time::FromSeconds(3));
+  play.Submit("bad", { CellFixture::Step(1) });
+  play.Play(Time::FromSeconds(120));
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad")) <= 5);
+}
+
+/// The next process on the machine has another name, and shows up after the lease has expired.
+TEST(Crash, CrashIsNoticedWhenAnotherWorkerRunsOnTheMachine)
+{
+  WorkerPlay play(6);
+  play.mIsRenamed = true;
+  play.mDownTime = Time::FromSeconds(8);
+  play.LetCrash(Task("bad"), kSoon);
+  play.Submit("bad", { CellFixture::Step(1) });
+  play.Play(Time::FromSeconds(120));
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad")) <= 5);
+}
+
+TEST(Crash, GangOfWhichOneMemberCrashesItsWorkerIsGivenUp)
+{
+  WorkerPlay play(8);
+  play.LetCrash(Task("bad", 2), kSoon);
+  play.Submit("bad", { Gang(4) });
+  play.Play(kLong);
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad", 2)) <= 3);
+}
+
+TEST(Crash, LongRunningTaskThatCrashesItsWorkersIsGivenUp)
+{
+  WorkerPlay play(6);
+  play.mDuration = kLong * 10;
+  auto step = CellFixture::Step(1);
+  step.mLongRunning = true;
+  play.LetCrash(Task("bad"), kSoon);
+  play.Submit("bad", { step });
+  play.Play(kLong);
+  CHECK(play.StateOf("bad") == JobState::Failed);
+}
+
+TEST(Crash, HealthyTasksBesideCrashingOnesComplete)
+{
+  WorkerPlay play(8);
+  for (int n = 0; n < 20; ++n) {
+    const auto id = std::to_string(n);
+    if (n % 5 == 0) {
+      play.LetCrash(Task("bad" + id), kSoon);
+      play.Submit("bad" + id, { CellFixture::Step(1) });
+    }
+    play.Submit("good" + id, { CellFixture::Step(2) });
+    play.Play(Time::FromMilliseconds(100));
+  }
+  play.Play(kLong);
+  for (int n = 0; n < 20; ++n) {
+    const auto id = std::to_string(n);
+    CHECK(play.StateOf("good" + id) == JobState::Completed);
+    CHECK(n % 5 != 0 || play.StateOf("bad" + id) == JobState::Failed);
+  }
+  CHECK(play.Crashes() <= 4 * 3);
+}
+
+TEST(Crash, SuccessorKnowsTheCrashesThatWereSeenBefore)
+{
+  WorkerPlay play(6);
+  play.LetCrash(Task("bad"), kSoon);
+  play.Submit("bad", { CellFixture::Step(1) });
+  for (int n = 0; n < 60; ++n) {
+    play.Play(Time::FromMilliseconds(1500));
+    play.TakeOver();
+  }
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad")) <= 5);
+}
