Try a task under which a worker crashed alone, and give it up after two crashes of its own

Callers saw: jobs that never ended, and healthy jobs that lost their workers again and again.

Cause: a run that ended with its worker left nothing at its task. Its end is rightly no failed attempt, but nothing else bounded the starts, and the retry was placed at once on the fullest worker that had capacity. The class of the fault is a retry without a budget for an end that has no report.

Change: by_crashes decides from plain values which runs may have caused a crash (those that had not yet run for a probation time), which tasks are tried again only where a crash would show that they are the cause, and which are given up: two crashes in which no other job was to blame. A task that only stood beside others is never given up, nor one whose rack was lost as a whole. Trials use idle workers that have just answered, or after a wait those with the fewest runs and none on probation; a quarter of a pool holds trials at the most, and one trial of a step is open at a time. The crashes of a task are a record of their own, written before its next start, so that a successor goes on from them. A start that went unanswered is sent again only after a poll, since the worker's next process would begin the run once more.

Tests changed: four tests of by_cell expected that the runs of a worker whose process had changed start again at once, or an unanswered start without a poll. They now let the trial's time pass and check the state before it as well.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -112,6 +112,7 @@
       row->mStartUnanswered = row->mStartUnanswered || aEvent.Outcome() == OrderOutcome::Unanswered;
       if (row->mStartUnanswered) {
         worker.mSilentSince = std::min(worker.mSilentSince, aNow);
+        row->mStartTimedOutAt = aNow;
       }
       detail::SchedulePoll(aState, worker, aNow);
       if (!row->mStartUnanswered) {
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -115,9 +115,11 @@
     if (row.mStartInFlight || row.mStartRetryAt > aNow) {
       continue;
     }
+    // A process that has started since would begin the run once more, so a poll comes first.
+    const bool hasAnswered = aWorker.mWorkerClockReadAt >= row.mStartTimedOutAt;
     if (aWorker.mRegistration.Draining()) {
       withdrawn.push_back(run.mTask);
-    } else if (MayRenewLeases(aState, aNow)) {
+    } else if (hasAnswered && MayRenewLeases(aState, aNow)) {
       detail::SendStart(aState, aWorker, run, aNow, aOut);
     }
   }
@@ -172,6 +174,8 @@
   worker.mWorkerClock = report.WorkerClock();
   worker.mWorkerClockReadAt = aNow;
   detail::ApplyReport(aState, worker, report, aNow, aOut);
+  // A trial waits for a worker that has just answered.
+  aState.mPlacementNeeded = aState.mPlacementNeeded || aState.mHasWaitingTrials;
   if (worker.mRuns.empty()) {
     return;
   }
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -11,6 +11,7 @@
 #include "by_cell/detail/AppendSize.h"
 #include "by_cell/detail/ChangedRecords.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/JobOfRecord.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
@@ -150,27 +151,12 @@
   }
 }
 
-/// @returns the job that a record accepts or whose task it describes, or nullptr.
-const std::string*
-JobOfRecord(const KeyedRecord& aRecord)
-{
-  if (!aRecord.Record()) {
-    return nullptr;
-  }
-  const auto& body = aRecord.Record()->Body();
-  if (const auto* job = std::get_if<Job>(&body)) {
-    return &job->Id();
-  }
-  const auto* task = std::get_if<TaskRecord>(&body);
-  return task == nullptr ? nullptr : &task->Job();
-}
-
 /// Removes the records of jobs from a batch that the store has not applied.
 void
 RemoveJobRecords(AppendBatch& aBatch, const absl::flat_hash_set<std::string>& aJobs)
 {
   const auto isOfJob = [&](const KeyedRecord& aRecord) {
-    const auto* job = JobOfRecord(aRecord);
+    const auto* job = detail::JobOfRecord(aRecord);
     return job != nullptr && aJobs.contains(*job);
   };
   std::erase_if(aBatch.mRecords, isOfJob);
@@ -256,8 +242,8 @@
 HasUnstored(const CellState& aState)
 {
   return aState.mInFlight.has_value() || !aState.mNewJobs.empty() || !aState.mNewProgress.empty() ||
-         !aState.mNewOutcomes.empty() || !aState.mDeletedKeys.empty() ||
-         !aState.mNewMaintenance.empty();
+         !aState.mNewCrashes.empty() || !aState.mNewOutcomes.empty() ||
+         !aState.mDeletedKeys.empty() || !aState.mNewMaintenance.empty();
 }
 
 void
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -5,10 +5,13 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleWaves.h"
+#include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/JobOfRecord.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_crashes/by_crashes.h"
 #include "by_jobs/by_jobs.h"
 
 namespace by {
@@ -21,6 +24,7 @@
   std::vector<const Job*> mJobs;
   std::vector<const OccurrenceProgress*> mOccurrences;
   std::vector<const TaskRecord*> mTasks;
+  std::vector<const TaskCrashes*> mCrashes;
   std::vector<const JobOutcome*> mOutcomes;
   std::vector<const MaintenanceRecord*> mMaintenance;
 };
@@ -38,6 +42,8 @@
       sorted.mJobs.push_back(job);
     } else if (const auto* task = std::get_if<TaskRecord>(&body)) {
       sorted.mTasks.push_back(task);
+    } else if (const auto* crashes = std::get_if<TaskCrashes>(&body)) {
+      sorted.mCrashes.push_back(crashes);
     } else if (const auto* occurrence = std::get_if<OccurrenceProgress>(&body)) {
       sorted.mOccurrences.push_back(occurrence);
     } else if (const auto* outcome = std::get_if<JobOutcome>(&body)) {
@@ -65,6 +71,8 @@
   auto row = detail::MakeRunRow(detail::StepOf(aJob, aTask.Step()), RunPhase::Inherited, aNow);
   // A waiting task whose record names a worker was requeued; its run there still has to be stopped.
   row.mStopRequested = aProgress.Phase() == JobTaskPhase::Waiting;
+  const auto& crashes = detail::FindTask(aState, aTask)->mCrashes;
+  row.mProbation = NeedsTrial(crashes) ? ProbationOf(crashes) : Time();
   detail::AddRun(aState, worker, { aTask, aProgress.Run() }, std::move(row));
 }
 
@@ -115,19 +123,20 @@
   RestoreTask(*detail::FindJob(aState, aRecord.Job()), task, aRecord.Progress());
 }
 
-/// @returns the job that a record accepts or whose progress it describes, or nullptr.
-const std::string*
-JobOfRecord(const CellRecord& aRecord)
+void
+RestoreCrashes(CellState& aState, const TaskCrashes& aRecord)
 {
-  const auto& body = aRecord.Body();
-  if (const auto* job = std::get_if<Job>(&body)) {
-    return &job->Id();
+  auto* occurrence = RecordedOccurrence(aState, aRecord.Job(), aRecord.Occurrence());
+  if (occurrence == nullptr || aRecord.Index() >= occurrence->mTasks.size()) {
+    return;
   }
-  if (const auto* occurrence = std::get_if<OccurrenceProgress>(&body)) {
-    return &occurrence->Job();
+  auto& task = occurrence->mTasks[aRecord.Index()];
+  task.mCrashes = { aRecord.Runs(), aRecord.Blame(), aRecord.LastCrash() };
+  for (auto& step : occurrence->mSteps) {
+    const bool isStepOfTask =
+      aRecord.Index() >= step.mFirst && aRecord.Index() < step.mFirst + step.mCount;
+    step.mHasSuspects = step.mHasSuspects || (isStepOfTask && NeedsTrial(task.mCrashes));
   }
-  const auto* task = std::get_if<TaskRecord>(&body);
-  return task == nullptr ? nullptr : &task->Job();
 }
 
 /// Deletes the records of jobs that have ended. An owner that is lost between two appends of one
@@ -137,7 +146,7 @@
 DropRecordsOfEndedJobs(CellState& aState, const std::vector<KeyedRecord>& aRecords, Effects& aOut)
 {
   for (const auto& record : aRecords) {
-    const auto* job = record.Record() ? JobOfRecord(*record.Record()) : nullptr;
+    const auto* job = detail::JobOfRecord(record);
     if (job != nullptr && !aState.mJobs.contains(*job)) {
       aState.mDeletedKeys.push_back(record.Key());
     }
@@ -215,6 +224,9 @@
   for (const auto* task : sorted.mTasks) {
     RestoreRecordedTask(state, *task);
   }
+  for (const auto* crashes : sorted.mCrashes) {
+    RestoreCrashes(state, *crashes);
+  }
   std::vector<std::string> complete;
   for (auto& [id, job] : state.mJobs) {
     for (auto& [index, occurrence] : job.mOccurrences) {
@@ -233,6 +245,7 @@
   for (const auto& id : complete) {
     detail::EndJob(state, id, JobState::Completed, aNow, aOut);
   }
+  detail::EndHopelessJobs(state, aNow, aOut);
   detail::Log(aOut,
               "cell.restored",
               absl::StrCat("epoch ", state.mEpoch),
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -7,6 +7,7 @@
 #include "by_cell/HandlePolls.h"
 #include "by_cell/HandleStore.h"
 #include "by_cell/HandleWaves.h"
+#include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Evacuation.h"
 #include "by_cell/detail/Hangs.h"
@@ -86,6 +87,7 @@
 {
   OpenDueJobs(aState, aNow);
   AnswerStalledCallers(aState, aNow, aOut);
+  detail::SettleCrashes(aState, aNow, aOut);
   if (aNow >= aState.mLastWorkerUpdate + kWorkerUpdateInterval) {
     aState.mLastWorkerUpdate = aNow;
     UpdateWorkers(aState, aNow, aOut);
@@ -100,7 +102,7 @@
   AdvanceWaves(aState, aNow, aOut);
   detail::UpdateUrgency(aState, aNow);
   const bool wasDue = aState.mPlacementNeeded || aState.mStoreLostAt != Time::Never() ||
-                      HasDueAdviceQuery(aState, aNow);
+                      aState.mHasWaitingTrials || HasDueAdviceQuery(aState, aNow);
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
   if (!wasDue && placed > 0) {
     ++aState.mMissedWakeups;
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -58,8 +58,10 @@
   /// The runs that hold capacity, and the sum of their resources.
   absl::btree_map<RunId, RunRow> mRuns;
   Resources mUsed;
-  /// The runs on probation; while there are any, no other task is placed here.
+  /// The runs on trial; while there are any, no other task is placed here.
   std::uint32_t mTrials{ 0 };
+  /// Until when no task is placed here, so that a trial can be.
+  Time mHeldForTrialUntil{};
   /// Runs whose lease expired while the worker was out of reach; they may have crashed it.
   std::vector<LostRun> mLostRuns;
   /// Consecutive runs that failed on the worker.
--- a/modules/by_cell/detail/AppendSize.cpp
+++ b/modules/by_cell/detail/AppendSize.cpp
@@ -50,6 +50,8 @@
     size += SizeOf(*job);
   } else if (const auto* task = std::get_if<TaskRecord>(&body)) {
     size += task->Job().size() + SizeOf(task->Progress());
+  } else if (const auto* crashes = std::get_if<TaskCrashes>(&body)) {
+    size += kTaskOverhead + crashes->Job().size() + crashes->Runs().size() * sizeof(std::uint32_t);
   }
   return size;
 }
--- a/modules/by_cell/detail/ChangedRecords.cpp
+++ b/modules/by_cell/detail/ChangedRecords.cpp
@@ -69,6 +69,29 @@
   aState.mNewProgress.clear();
 }
 
+void
+AddCrashRecords(CellState& aState, AppendBatch& aBatch)
+{
+  for (const auto& key : aState.mNewCrashes) {
+    const auto* occurrence = FindOccurrence(aState, key.Job(), key.Occurrence());
+    if (occurrence == nullptr) {
+      continue;
+    }
+    const auto index = occurrence->mSteps[key.Step()].mFirst + key.Index();
+    const auto& crashes = occurrence->mTasks[index].mCrashes;
+    auto record = TaskCrashes::Create({ .mJob = key.Job(),
+                                        .mOccurrence = key.Occurrence(),
+                                        .mIndex = index,
+                                        .mRuns = crashes.mRuns,
+                                        .mBlame = crashes.mBlame,
+                                        .mLastCrash = crashes.mLastCrash })
+                    .value();
+    aBatch.mRecords.push_back(MakeKeyedRecord(CrashRecordKey(key.Job(), key.Occurrence(), index),
+                                              MakeCellRecord(std::move(record))));
+  }
+  aState.mNewCrashes.clear();
+}
+
 void
 AddOutcomeRecords(CellState& aState, AppendBatch& aBatch)
 {
@@ -109,6 +132,7 @@
 {
   AddJobRecords(aState, aBatch);
   AddProgressRecords(aState, aBatch);
+  AddCrashRecords(aState, aBatch);
   AddOutcomeRecords(aState, aBatch);
   AddMaintenanceRecords(aState, aBatch);
 }
--- a/modules/by_cell/detail/Crashes.h
+++ b/modules/by_cell/detail/Crashes.h
@@ -17,6 +17,19 @@
 void
 RecordCrash(CellState& aState, WorkerRow& aWorker, const char* aReason, Time aNow, Effects& aOut);
 
+/// Ends the probation of a run that its worker still reports, once it is over.
+void
+EndProbationIfOver(CellState& aState,
+                   WorkerRow& aWorker,
+                   const RunId& aRun,
+                   RunRow& aRow,
+                   Time aNow,
+                   Effects& aOut);
+
+/// @returns whether a crash of the worker could be the doing of a run that has just begun.
+bool
+HasRunOnProbation(CellState& aState, const WorkerRow& aWorker);
+
 /// Records the crash of workers whose machine runs a new worker.
 void
 RecordReplacedWorkers(CellState& aState,
@@ -24,4 +37,13 @@
                       Time aNow,
                       Effects& aOut);
 
+/// Decides what recent crashes say of the tasks that ran on the workers: nothing where a rack was
+/// lost as a whole. Ends the jobs of tasks that crash their workers.
+void
+SettleCrashes(CellState& aState, Time aNow, Effects& aOut);
+
+/// Ends the jobs of restored tasks that are known to crash their workers.
+void
+EndHopelessJobs(CellState& aState, Time aNow, Effects& aOut);
+
 } // namespace by::detail
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -22,12 +22,6 @@
   return { aJob.mJob.Queue().Host(), aJob.mJob.Queue().PathPrefix() };
 }
 
-bool
-CanBePlaced(const TaskRow& aTask)
-{
-  return aTask.mProgress.Phase() == JobTaskPhase::Waiting && aTask.mLiveRuns == 0;
-}
-
 /// Checks for placeable tasks: a gang needs all of its members, any other step one task.
 bool
 HasTasksToPlace(const OccurrenceRow& aOccurrence, const StepRow& aStep, bool aGang)
@@ -91,17 +85,23 @@
   }
 }
 
-/// Forgets which tasks of a job have new progress.
 void
-RemoveNewProgress(CellState& aState, const std::string& aJob)
+RemoveTasksOf(const std::string& aJob, absl::btree_set<JobTaskKey>& aTasks)
 {
-  auto& tasks = aState.mNewProgress;
-  const auto first = tasks.lower_bound(JobTaskKey::Create({ .mJob = aJob }).value());
+  const auto first = aTasks.lower_bound(JobTaskKey::Create({ .mJob = aJob }).value());
   auto last = first;
-  while (last != tasks.end() && last->Job() == aJob) {
+  while (last != aTasks.end() && last->Job() == aJob) {
     ++last;
   }
-  tasks.erase(first, last);
+  aTasks.erase(first, last);
+}
+
+/// Forgets which tasks of a job have new progress or crashes.
+void
+RemoveNewProgress(CellState& aState, const std::string& aJob)
+{
+  RemoveTasksOf(aJob, aState.mNewProgress);
+  RemoveTasksOf(aJob, aState.mNewCrashes);
 }
 
 /// Drops the records of a job that the store holds or may hold.
@@ -119,12 +119,22 @@
       if (occurrence.mTasks[i].mRecorded) {
         keys.push_back(TaskRecordKey(id, index, i));
       }
+      if (!occurrence.mTasks[i].mCrashes.mRuns.empty()) {
+        keys.push_back(CrashRecordKey(id, index, i));
+      }
     }
   }
 }
 
 } // namespace
 
+bool
+CanBePlaced(const TaskRow& aTask)
+{
+  return aTask.mProgress.Phase() == JobTaskPhase::Waiting && aTask.mLiveRuns == 0 &&
+         !aTask.mIsCrashOpen;
+}
+
 OccurrenceRow&
 OpenOccurrence(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence, Time aDue)
 {
--- a/modules/by_cell/detail/Jobs.h
+++ b/modules/by_cell/detail/Jobs.h
@@ -7,6 +7,10 @@
 
 namespace by::detail {
 
+/// @returns whether a task waits for a worker.
+bool
+CanBePlaced(const TaskRow& aTask);
+
 /// Adds an occurrence with all tasks waiting to be placed.
 OccurrenceRow&
 OpenOccurrence(CellState& aState, JobRow& aJob, std::uint32_t aOccurrence, Time aDue);
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -1,13 +1,13 @@
 #include "by_cell/detail/Placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Advice.h"
+#include "by_cell/detail/Assignment.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/PlacementPass.h"
@@ -15,6 +15,8 @@
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/Trials.h"
+#include "by_crashes/by_crashes.h"
 #include "by_placement/ResourceMath.h"
 
 namespace by::detail {
@@ -57,6 +59,9 @@
     if (worker->mQuarantinedUntil > Time() && !worker->mRuns.empty()) {
       continue;
     }
+    if (IsKeptForTrial(*worker, aPass.mNow)) {
+      continue;
+    }
     if (!MayUseCapacity(aPass.mState, *worker, aStep, row, latestStart, aPass.mNow)) {
       continue;
     }
@@ -73,37 +78,6 @@
   return best;
 }
 
-void
-Assign(PlacementPass& aPass,
-       JobRow& aJob,
-       const JobTaskKey& aTask,
-       WorkerRow& aWorker,
-       std::uint32_t aRun)
-{
-  ChangeProgress(aPass.mState, aTask, [&](auto& aFields) {
-    aFields.mPhase = JobTaskPhase::Assigned;
-    aFields.mRun = aRun;
-    aFields.mWorker = aWorker.mRegistration.Id();
-    aFields.mWorkerProcessStart = aWorker.mProcessStart;
-  });
-  const RunId run{ aTask, aRun };
-  auto row = MakeRunRow(StepOf(aJob, aTask.Step()), RunPhase::Planned, aPass.mNow);
-  AddRun(aPass.mState, aWorker, run, std::move(row));
-  aPass.mState.mNextBatch.mStarts.emplace_back(aWorker.mRegistration.Id(), run);
-  ++aPass.mPlaced;
-  Log(aPass.mOut,
-      "task.placed",
-      FormatRunId(run),
-      absl::StrCat("worker=",
-                   aWorker.mRegistration.Id(),
-                   " age_ms=",
-                   (aPass.mNow - aJob.mJob.Accepted()).Milliseconds(),
-                   " free_cpu=",
-                   FreeCapacity(aWorker).CpuMillis(),
-                   " slowness_percent=",
-                   std::llround(aWorker.mSlowness * 100)));
-}
-
 void
 PlaceIndependentTasks(PlacementPass& aPass,
                       JobRow& aJob,
@@ -115,7 +89,7 @@
   const auto first = occurrence.mSteps[aKey.mStep].mFirst;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
     const auto& row = occurrence.mTasks[first + i];
-    if (row.mProgress.Phase() != JobTaskPhase::Waiting || row.mLiveRuns > 0) {
+    if (!CanBePlaced(row) || NeedsTrial(row.mCrashes)) {
       continue;
     }
     const auto task = TaskOf(aKey, i);
@@ -123,7 +97,7 @@
     if (worker == nullptr) {
       return;
     }
-    Assign(aPass, aJob, task, *worker, row.mProgress.Run() + 1);
+    AssignTask(aPass, aJob, task, *worker, row.mProgress.Run() + 1);
   }
 }
 
@@ -187,16 +161,7 @@
   if (hosts.size() < step.Count()) {
     return;
   }
-  std::uint32_t run = 0;
-  const auto& occurrence = aJob.mOccurrences.at(aKey.mOccurrence);
-  const auto first = occurrence.mSteps[aKey.mStep].mFirst;
-  for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    run = std::max(run, occurrence.mTasks[first + i].mProgress.Run());
-  }
-  for (std::uint32_t i = 0; i < step.Count(); ++i) {
-    const auto task = TaskOf(aKey, i);
-    Assign(aPass, aJob, task, *hosts[i], run + 1);
-  }
+  AssignGang(aPass, aJob, aKey, hosts);
 }
 
 /// Places what can be placed of a step.
@@ -244,7 +209,8 @@
   const auto allowed =
     needsAdvice ? FindAllowed(aPass, policy.Pool(), row.mAdvice) : AllowedWorkers();
   const auto& candidates = needsAdvice ? allowed.mWithTicket : PoolOf(aPass, policy.Pool());
-  if (!PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
+  const bool mayPlaceOthers = !row.mHasSuspects || PlaceTrial(aPass, *job, aKey, candidates);
+  if (mayPlaceOthers && !PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
     misses += candidates.empty() ? 0 : 1;
     const bool mayReserve = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
     const auto reserved =
@@ -279,6 +245,7 @@
     return 0;
   }
   aState.mPlacementNeeded = false;
+  aState.mHasWaitingTrials = false;
   ++aState.mPlacementPass;
   PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
--- a/modules/by_cell/detail/PlacementPass.cpp
+++ b/modules/by_cell/detail/PlacementPass.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
+#include "by_cell/detail/Trials.h"
 #include "by_queueing/GangReservation.h"
 
 namespace by::detail {
@@ -81,7 +82,8 @@
     if (n >= aLimit) {
       return n;
     }
-    if (MayUseCapacity(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
+    if (!IsKeptForTrial(*worker, aPass.mNow) &&
+        MayUseCapacity(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
       n += ForecastSlots(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots;
     }
   }
@@ -101,7 +103,8 @@
   std::vector<SlotForecast> forecasts;
   Candidates usable;
   for (auto* worker : aCandidates) {
-    if (MayUseCapacity(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
+    if (!IsKeptForTrial(*worker, aPass.mNow) &&
+        MayUseCapacity(aPass.mState, *worker, aStep, aRow, aLatestStart, aPass.mNow)) {
       usable.push_back(worker);
       forecasts.push_back(ForecastSlots(*worker, aStep, aTask, soon, aPass.mNow));
     }
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -140,6 +140,7 @@
   auto [it, isNew] = aWorker.mRuns.emplace(aRun, std::move(aRow));
   if (isNew) {
     aWorker.mUsed = Plus(aWorker.mUsed, it->second.mDemand);
+    aWorker.mTrials += it->second.mProbation > Time() ? 1 : 0;
     if (auto* task = FindTask(aState, aRun.mTask)) {
       ++task->mLiveRuns;
     }
@@ -170,6 +171,7 @@
     return;
   }
   aWorker.mUsed = Minus(aWorker.mUsed, it->second.mDemand);
+  aWorker.mTrials -= it->second.mProbation > Time() ? 1 : 0;
   aWorker.mRuns.erase(it);
   aState.mPlacementNeeded = true;
   auto* task = FindTask(aState, aRun.mTask);
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleStore.h"
+#include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
@@ -87,6 +88,7 @@
     row.mPercent = aRunning.Percent();
     row.mProgressAt = aNow;
   }
+  EndProbationIfOver(aState, aWorker, run, row, aNow, aOut);
   if (row.mStopRequested && !row.mStopInFlight && row.mStopConfirmedAt == Time::Never()) {
     SendStop(aState, aWorker, run, aNow, aOut);
   }
--- a/modules/by_crashes/CrashHistories.cpp
+++ b/modules/by_crashes/CrashHistories.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Tasks that crash their workers mostly do so within this time of their start.
-constexpr Time kProbation = Time::FromMilliseconds(1000);
+constexpr Time kProbation = Time::FromMilliseconds(500);
 /// Factor by which the probation grows with each crash but the first.
 constexpr std::int64_t kProbationGrowth = 4;
 constexpr std::size_t kMaxProbationSteps = 6;
--- a/modules/by_crashes/TrialHosts.cpp
+++ b/modules/by_crashes/TrialHosts.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /// The part of a pool that may be used for trials.
-constexpr std::size_t kTrialDivisor = 6;
+constexpr std::size_t kTrialDivisor = 4;
 /// How long a trial waits for idle workers before it may harm other runs.
-constexpr Time kIdleWait = Time::FromMilliseconds(1500);
+constexpr Time kIdleWait = Time::FromMilliseconds(700);
 /// Longer than the interval between the polls of a worker with runs.
 constexpr Time kRecentAnswer = Time::FromMilliseconds(500);
 
--- a/tests/by_cell/CellFixture.cpp
+++ b/tests/by_cell/CellFixture.cpp
@@ -206,6 +206,21 @@
   Advance();
 }
 
+void
+CellFixture::PlayIdleWorkers(Time aTime)
+{
+  const auto until = mNow + aTime;
+  while (mNow < until) {
+    AdvanceTimeStoring(Time::FromMilliseconds(50));
+    for (const auto& poll : TakePolls()) {
+      const auto& worker = mCell.mWorkers.at(poll.Worker());
+      if (worker.mRuns.empty()) {
+        Poll(poll.Worker(), {}, {}, worker.mProcessStart);
+      }
+    }
+  }
+}
+
 void
 CellFixture::LoseWorker(const std::string& aWorker)
 {
--- a/tests/by_cell/CellFixture.h
+++ b/tests/by_cell/CellFixture.h
@@ -39,6 +39,8 @@
             std::vector<RunningRun> aRunning,
             std::vector<EndedRun> aEnded,
             Time aProcessStart = Time());
+  /// Lets time pass while workers without runs answer their polls.
+  void PlayIdleWorkers(Time aTime);
   /// Fails the polls of a worker until its lease is no longer renewed.
   void LoseWorker(const std::string& aWorker);
   /// Answers a start.
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -132,6 +132,12 @@
   cell.mCell.mWorkers.at(first.Worker()).mPollInFlight = true;
   cell.AdvanceTime(Time::FromMilliseconds(300));
   cell.StoreAll();
+  // Without a poll nobody knows whether the same process still runs there.
+  CHECK(cell.TakeStarts().empty());
+  cell.Poll(first.Worker(), {}, {});
+  cell.mCell.mWorkers.at(first.Worker()).mPollInFlight = true;
+  cell.AdvanceTime(Time::FromMilliseconds(300));
+  cell.StoreAll();
   const auto again = cell.TakeStarts();
   CHECK_EQUAL(1, again.size());
   CHECK_EQUAL(first.Worker(), again.front().Worker());
--- a/tests/by_cell/WorkerPlay.cpp
+++ b/tests/by_cell/WorkerPlay.cpp
@@ -10,7 +10,7 @@
 
 constexpr Time kTick = Time::FromMilliseconds(10);
 constexpr Time kOrderTimeout = Time::FromMilliseconds(500);
-constexpr std::uint32_t kHalfDone = 50;
+constexpr std::int64_t kWhole = 100;
 
 } // namespace
 
@@ -73,8 +73,7 @@
 WorkerPlay::SetCpu(const std::string& aWorker, std::int64_t aCpuMillis)
 {
   auto& worker = *Find(aWorker);
-  worker.mEntry =
-    worker.mEntry.WithCapacity(worker.mEntry.Capacity().WithCpuMillis(aCpuMillis));
+  worker.mEntry = worker.mEntry.WithCapacity(worker.mEntry.Capacity().WithCpuMillis(aCpuMillis));
   Register(worker);
   Perform();
 }
@@ -173,11 +172,11 @@
   ++mStarts[task];
   const auto own = mDurations.find(task.Job());
   Active run{ { task, aStart.Run() },
+              mCell.mNow,
               mCell.mNow + (own == mDurations.end() ? mDuration : own->second) };
   const auto delay = mCrashDelays.find(task);
   if (delay == mCrashDelays.end() || delay->second > Time()) {
-    run.mCrashesAt =
-      delay == mCrashDelays.end() ? Time::Never() : mCell.mNow + delay->second;
+    run.mCrashesAt = delay == mCrashDelays.end() ? Time::Never() : mCell.mNow + delay->second;
     worker->mRuns.push_back(run);
     AnswerStart(aStart, OrderOutcome::Accepted);
     return;
@@ -201,14 +200,16 @@
   if (worker == nullptr) {
     answer.mOutcome = OrderOutcome::WrongWorker;
   } else if (worker->mIsUp) {
-    std::erase_if(worker->mEnded, [&](const EndedRun& aEnd) {
-      return aEnd.Number() <= aPoll.Acknowledged();
-    });
+    std::erase_if(worker->mEnded,
+                  [&](const EndedRun& aEnd) { return aEnd.Number() <= aPoll.Acknowledged(); });
     WorkerReport::Fields report;
     report.mWorkerClock = mCell.mNow;
     report.mProcessStart = worker->mEntry.ProcessStart();
     for (const auto& run : worker->mRuns) {
-      report.mRunning.push_back(CellFixture::Running(run.mRun, kHalfDone));
+      const auto percent = (mCell.mNow - run.mBegan).Milliseconds() * kWhole /
+                           (run.mEndsAt - run.mBegan).Milliseconds();
+      report.mRunning.push_back(
+        CellFixture::Running(run.mRun, static_cast<std::uint32_t>(percent)));
     }
     report.mEnded = worker->mEnded;
     answer.mOutcome = OrderOutcome::Accepted;
@@ -227,8 +228,8 @@
     mCell.Stopped(aStop.Worker(), stopped, OrderOutcome::Unanswered);
     return;
   }
-  const auto removed = std::erase_if(
-    worker->mRuns, [&](const Active& aRun) { return aRun.mRun == stopped; });
+  const auto removed =
+    std::erase_if(worker->mRuns, [&](const Active& aRun) { return aRun.mRun == stopped; });
   if (removed > 0) {
     worker->mEnded.push_back(CellFixture::Ended(++worker->mLastEnd, stopped, RunEnd::Stopped));
   }
--- a/tests/by_cell/WorkerPlay.h
+++ b/tests/by_cell/WorkerPlay.h
@@ -57,6 +57,7 @@
   struct Active
   {
     RunId mRun;
+    Time mBegan;
     Time mEndsAt;
     Time mCrashesAt{ Time::Never() };
   };
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -127,7 +127,8 @@
   cell.TakeStarts();
   cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
   cell.Poll("w1", {}, {}, Time::FromMilliseconds(7777));
-  cell.StoreAll();
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.empty());
+  cell.PlayIdleWorkers(Time::FromMilliseconds(1500));
   const auto starts = cell.TakeStarts();
   CHECK_EQUAL(1, starts.size());
   CHECK_EQUAL(2, starts.front().Run());
@@ -215,7 +216,8 @@
   CHECK_EQUAL(1, cell.TakeStops().size());
   cell.Stopped(worker, run, OrderOutcome::Accepted);
   cell.Poll(worker, {}, {}, Time::FromMilliseconds(7777));
-  cell.StoreAll();
+  CHECK(cell.mCell.mWorkers.at(worker).mRuns.empty());
+  cell.PlayIdleWorkers(Time::FromMilliseconds(1500));
   const auto starts = cell.TakeStarts();
   CHECK_EQUAL(1, starts.size());
   CHECK_EQUAL(2, starts.front().Run());
@@ -282,10 +284,12 @@
     next.mOut);
   next.TakePolls();
   next.StoreAll();
-  CHECK_EQUAL(1, next.TakeStarts().size());
   for (const auto& poll : next.TakePolls()) {
     CHECK(poll.Worker() != worker);
   }
+  CHECK(next.mCell.mWorkers.at(worker).mNextPoll == Time::Never());
+  next.PlayIdleWorkers(Time::FromMilliseconds(1500));
+  CHECK_EQUAL(1, next.TakeStarts().size());
 }
 
 TEST(Workers, EndOfAnEarlierIncarnationIsNotAcknowledgedInTheNext)
--- a/tests/by_crashes/CrashHistoriesTest.cpp
+++ b/tests/by_crashes/CrashHistoriesTest.cpp
@@ -83,7 +83,7 @@
 {
   const auto once = With({}, CrashRole::Suspect);
   const auto twice = With(once, CrashRole::SoleSuspect);
-  CHECK(ProbationOf({}) == Time::FromMilliseconds(1000));
-  CHECK(ProbationOf(once) == Time::FromMilliseconds(1000));
-  CHECK(ProbationOf(twice) == Time::FromMilliseconds(4000));
+  CHECK(ProbationOf({}) == Time::FromMilliseconds(500));
+  CHECK(ProbationOf(once) == Time::FromMilliseconds(500));
+  CHECK(ProbationOf(twice) == Time::FromMilliseconds(2000));
 }
