Check a worker's capacity again when a start is sent

Callers would see: tasks on a worker that has less capacity than they need. Cause: capacity was checked when a task was assigned; the start follows once the assignment is stored, and again when it went unanswered, by when the worker may have shrunk. A run of unknown demand reserved what the worker had when the run was found, so that growth was used beside it. The class is a decision on a value that was read earlier. Change: a start that no longer fits is dropped or withdrawn and its task placed anew, for a gang before any member is started; a worker with a run of unknown demand has nothing to spare, whatever it says. Runs that are there go on.

Evidence: StartThatNoLongerFitsIsDropped, NoMemberOfAGangStartsWhereOneNoLongerFits, UnansweredStartThatNoLongerFitsIsWithdrawn and GrowthOfAWorkerWithAnUnknownRunIsNotUsed failed before and pass; the other five tests of the group passed before too.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -9,6 +9,7 @@
 #include "by_cell/detail/Incarnations.h"
 #include "by_cell/detail/PollTimes.h"
 #include "by_cell/detail/Runs.h"
+#include "by_cell/detail/Tables.h"
 #include "by_cell/detail/WorkerReports.h"
 
 namespace by {
@@ -117,7 +118,7 @@
     }
     // A process that has started since would begin the run once more, so a poll comes first.
     const bool hasAnswered = aWorker.mWorkerClockReadAt >= row.mStartTimedOutAt;
-    if (aWorker.mRegistration.Draining()) {
+    if (aWorker.mRegistration.Draining() || detail::IsOverCapacity(aWorker)) {
       withdrawn.push_back(run.mTask);
     } else if (hasAnswered && MayRenewLeases(aState, aNow)) {
       detail::SendStart(aState, aWorker, run, aNow, aOut);
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -104,6 +104,9 @@
   if (aWorker.mRegistration.Draining() || aWorker.mHealth != WorkerHealth::Reachable) {
     return "worker no longer accepts runs";
   }
+  if (detail::IsOverCapacity(aWorker)) {
+    return "worker's capacity has shrunk";
+  }
   const auto* job = detail::FindJob(aState, aRun.mTask.Job());
   if (job == nullptr || !detail::PolicyOf(aState, *job).Advice()) {
     return nullptr;
@@ -113,27 +116,39 @@
                                                                            : "ticket expired";
 }
 
-/// Starts the runs whose assignments are stored. A worker that has begun to drain or stopped
-/// answering meanwhile gets no new run.
+/// @returns the worker of a run that waits for its assignment to be stored; nullptr for any other.
+WorkerRow*
+FindPlannedHost(CellState& aState, const std::string& aWorker, const RunId& aRun)
+{
+  const auto worker = aState.mWorkers.find(aWorker);
+  if (worker == aState.mWorkers.end()) {
+    return nullptr;
+  }
+  const auto row = worker->second.mRuns.find(aRun);
+  const bool isPlanned =
+    row != worker->second.mRuns.end() && row->second.mPhase == RunPhase::Planned;
+  return isPlanned ? &worker->second : nullptr;
+}
+
+/// Starts the runs whose assignments are stored. A worker that has begun to drain, stopped
+/// answering or shrunk meanwhile gets no new run.
 void
 SendStoredStarts(CellState& aState, const AppendBatch& aBatch, Time aNow, Effects& aOut)
 {
+  // Dropping one member of a gang requeues all of them, so no start is sent before.
   for (const auto& [id, run] : aBatch.mStarts) {
-    const auto worker = aState.mWorkers.find(id);
-    if (worker == aState.mWorkers.end()) {
-      continue;
-    }
-    const auto row = worker->second.mRuns.find(run);
-    if (row == worker->second.mRuns.end() || row->second.mPhase != RunPhase::Planned) {
-      continue;
-    }
-    const char* reason = ReasonToDropStart(aState, worker->second, run, aNow);
+    const auto* worker = FindPlannedHost(aState, id, run);
+    const char* reason =
+      worker == nullptr ? nullptr : ReasonToDropStart(aState, *worker, run, aNow);
     if (reason != nullptr) {
       detail::Log(aOut, "start.dropped", detail::FormatRunId(run), absl::StrCat("reason=", reason));
       detail::Requeue(aState, run.mTask, aNow, aOut);
-      continue;
     }
-    detail::SendStart(aState, worker->second, run, aNow, aOut);
+  }
+  for (const auto& [id, run] : aBatch.mStarts) {
+    if (auto* worker = FindPlannedHost(aState, id, run)) {
+      detail::SendStart(aState, *worker, run, aNow, aOut);
+    }
   }
 }
 
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -15,6 +15,8 @@
   RunPhase mPhase{ RunPhase::Planned };
   /// The resources that it holds.
   Resources mDemand;
+  /// Whether the resources that it holds are not known, so that the worker has none to spare.
+  bool mIsDemandUnknown{ false };
   /// Whether it uses only idle processor time, and whether its step has a response time target.
   bool mIsScavenging{ false };
   bool mIsLatencySensitive{ false };
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -58,6 +58,8 @@
   /// The runs that hold capacity, and the sum of their resources.
   absl::btree_map<RunId, RunRow> mRuns;
   Resources mUsed;
+  /// How many of them belong to tasks whose demand is not known.
+  std::uint32_t mUnknownRuns{ 0 };
   /// The runs on trial; while there are any, no other task is placed here.
   std::uint32_t mTrials{ 0 };
   /// Until when no task is placed here, so that a trial can be.
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -141,6 +141,7 @@
   if (isNew) {
     aWorker.mUsed = Plus(aWorker.mUsed, it->second.mDemand);
     aWorker.mTrials += it->second.mProbation > Time() ? 1 : 0;
+    aWorker.mUnknownRuns += it->second.mIsDemandUnknown ? 1 : 0;
     if (auto* task = FindTask(aState, aRun.mTask)) {
       ++task->mLiveRuns;
     }
@@ -172,6 +173,7 @@
   }
   aWorker.mUsed = Minus(aWorker.mUsed, it->second.mDemand);
   aWorker.mTrials -= it->second.mProbation > Time() ? 1 : 0;
+  aWorker.mUnknownRuns -= it->second.mIsDemandUnknown ? 1 : 0;
   aWorker.mRuns.erase(it);
   aState.mPlacementNeeded = true;
   auto* task = FindTask(aState, aRun.mTask);
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -57,7 +57,14 @@
 Resources
 FreeCapacity(const WorkerRow& aWorker)
 {
-  return Minus(aWorker.mRegistration.Capacity(), aWorker.mUsed);
+  return aWorker.mUnknownRuns > 0 ? Resources()
+                                  : Minus(aWorker.mRegistration.Capacity(), aWorker.mUsed);
+}
+
+bool
+IsOverCapacity(const WorkerRow& aWorker)
+{
+  return aWorker.mUnknownRuns > 0 || !Fits(aWorker.mUsed, aWorker.mRegistration.Capacity());
 }
 
 Resources
--- a/modules/by_cell/detail/Tables.h
+++ b/modules/by_cell/detail/Tables.h
@@ -28,10 +28,16 @@
 const QueuePolicy&
 PolicyOf(const CellState& aState, const JobRow& aJob);
 
-/// @returns a worker's free capacity.
+/// @returns a worker's free capacity; none while a run of unknown demand is there. Negative where
+/// the worker has shrunk below what its runs hold.
 Resources
 FreeCapacity(const WorkerRow& aWorker);
 
+/// @returns whether the runs of a worker hold, or may hold, more than its capacity, which may have
+/// shrunk.
+bool
+IsOverCapacity(const WorkerRow& aWorker);
+
 /// @returns the resources that a task of a step reserves; a scavenging task reserves no processor
 /// time.
 Resources
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -58,12 +58,12 @@
   RunRow row;
   row.mPhase = RunPhase::Confirmed;
   row.mStopRequested = true;
-  // The demand of a run whose job has ended is no longer known, so the whole worker is reserved.
-  row.mDemand = aWorker.mRegistration.Capacity();
-  if (const auto* job = FindJob(aState, run.mTask.Job())) {
-    if (run.mTask.Step() < job->mJob.Definition().Steps().size()) {
-      row.mDemand = StepOf(*job, run.mTask.Step()).Demand();
-    }
+  // The demand of a run whose job has ended is no longer known.
+  const auto* job = FindJob(aState, run.mTask.Job());
+  row.mIsDemandUnknown =
+    job == nullptr || run.mTask.Step() >= job->mJob.Definition().Steps().size();
+  if (!row.mIsDemandUnknown) {
+    row.mDemand = StepOf(*job, run.mTask.Step()).Demand();
   }
   AddRun(aState, aWorker, run, std::move(row));
   SendStop(aState, aWorker, run, aNow, aOut);
