Let tasks crash their workers and capacity change in the random histories

The histories draw jobs of which one task crashes each worker that starts it, before its start is answered or up to 150 ms later, and workers whose capacity changes. They check BUDGET (two starts at the most after three crashes of a task's own), LIMIT against the capacity of the last 4.5 s, and that no job fails unless a task used up its attempts or two workers crashed under it; where workers crash by tasks alone, only jobs with such a task may.

Where orders are lost, a crash counts as one under a task if its start to that process went unanswered, or its end had not been reported: the owner can't know better.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -211,6 +211,9 @@
       worker.mHealth = WorkerHealth::LeaseExpired;
       detail::Log(aOut, "worker.lapsed", id, absl::StrCat("runs=", worker.mRuns.size()));
       worker.mLostRuns = detail::ActiveRuns(aState, worker);
+      for (auto& run : worker.mLostRuns) {
+        run.mFacts.mMayHaveEnded = true;
+      }
       if (!worker.mLostRuns.empty()) {
         aState.mLostWorkers.insert(id);
       }
--- a/modules/by_crashes/CrashAttribution.cpp
+++ b/modules/by_crashes/CrashAttribution.cpp
@@ -31,11 +31,14 @@
   std::vector<CrashRole> roles;
   if (std::none_of(aRuns.begin(), aRuns.end(), IsOnProbation)) {
     const bool isOneJob = AreOfOneJob(aRuns, [](const RunAtCrash&) { return true; });
-    roles.assign(aRuns.size(), isOneJob ? CrashRole::LateSuspect : CrashRole::Bystander);
+    roles.assign(aRuns.size(), isOneJob ? CrashRole::DoubtfulSuspect : CrashRole::Bystander);
     return roles;
   }
-  const auto suspect =
-    AreOfOneJob(aRuns, IsOnProbation) ? CrashRole::SoleSuspect : CrashRole::Suspect;
+  const bool isInDoubt = std::any_of(aRuns.begin(), aRuns.end(), [](const RunAtCrash& aRun) {
+    return IsOnProbation(aRun) && aRun.mMayHaveEnded;
+  });
+  const auto sole = isInDoubt ? CrashRole::DoubtfulSuspect : CrashRole::SoleSuspect;
+  const auto suspect = AreOfOneJob(aRuns, IsOnProbation) ? sole : CrashRole::Suspect;
   for (const auto& run : aRuns) {
     roles.push_back(IsOnProbation(run) ? suspect : CrashRole::Bystander);
   }
--- a/modules/by_crashes/CrashAttribution.h
+++ b/modules/by_crashes/CrashAttribution.h
@@ -12,7 +12,7 @@
 ///
 /// A task that crashes its workers does so soon after each start, so the runs still on probation
 /// are the suspects. Where all of them have passed it, no run is suspected unless one job was alone
-/// there.
+/// there, and then with doubt.
 /// @param aRuns the runs that may have been active on the worker.
 /// @returns the role of each run, in the same order.
 std::vector<CrashRole>
--- a/modules/by_crashes/CrashHistories.h
+++ b/modules/by_crashes/CrashHistories.h
@@ -26,8 +26,8 @@
 bool
 NeedsTrial(const CrashHistory& aHistory);
 
-/// @returns whether the task crashes the workers that start it, so that it can't be done. Evidence
-/// of two workers is needed, each of which had no other run to blame.
+/// @returns whether the task crashes the workers that start it, so that it can't be done: three
+/// have crashed under it, and two of them had no other run to blame.
 bool
 IsHopeless(const CrashHistory& aHistory);
 
--- a/modules/by_crashes/CrashRole.h
+++ b/modules/by_crashes/CrashRole.h
@@ -12,8 +12,9 @@
   Bystander,
   /// It may have caused the crash, as may runs of other jobs.
   Suspect,
-  /// It had run without harm for a time, and only runs of its job were there.
-  LateSuspect,
+  /// Only runs of its job can have caused the crash, but they had run without harm for a time or
+  /// may have ended before.
+  DoubtfulSuspect,
   /// Only runs of its job can have caused the crash.
   SoleSuspect,
 };
@@ -27,8 +28,8 @@
       return "bystander";
     case CrashRole::Suspect:
       return "suspect";
-    case CrashRole::LateSuspect:
-      return "late_suspect";
+    case CrashRole::DoubtfulSuspect:
+      return "doubtful_suspect";
     case CrashRole::SoleSuspect:
       return "sole_suspect";
   }
--- a/modules/by_crashes/RunAtCrash.h
+++ b/modules/by_crashes/RunAtCrash.h
@@ -18,6 +18,8 @@
   Time mProbation{};
   /// Whether its worker was known to be alive when the start was sent, or confirmed it.
   bool mHasStarted{ false };
+  /// Whether it may have ended before the crash: its lease ran out, or this owner never saw it.
+  bool mMayHaveEnded{ false };
 
   friend bool operator==(const RunAtCrash&, const RunAtCrash&) = default;
   friend auto operator<=>(const RunAtCrash&, const RunAtCrash&) = default;
--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -59,6 +59,21 @@
   SimulateAll(900, { .mCrashEvery = 6000, .mCutEvery = 6000 });
 }
 
+TEST(CellHistory, RulesHoldWhenTasksCrashTheirWorkers)
+{
+  SimulateAll(600, { .mCrashingJobs = 15 });
+}
+
+TEST(CellHistory, RulesHoldWhenTasksCrashTheirWorkersAndOwnersFollowEachOther)
+{
+  SimulateAll(600, { .mLostAppends = 8, .mTakeoverEvery = 2500, .mCrashingJobs = 15 });
+}
+
+TEST(CellHistory, RulesHoldWhenCapacityChanges)
+{
+  SimulateAll(600, { .mLostOrders = 5, .mTakeoverEvery = 4000, .mResizeEvery = 1500 });
+}
+
 TEST(CellHistory, RulesHoldUnderAllFaultsTogether)
 {
   SimulateAll(1200,
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -27,6 +27,10 @@
   int mTakeoverEvery{ 0 };
   int mCrashEvery{ 0 };
   int mCutEvery{ 0 };
+  /// Share of jobs one task of which crashes each worker that starts it. [percent]
+  int mCrashingJobs{ 0 };
+  /// Mean time between changes of a worker's capacity; zero for none. [ms]
+  int mResizeEvery{ 0 };
 };
 
 /// Simulates a cell under faults: successive owners, workers that carry out orders late, and a
@@ -51,6 +55,8 @@
     int mWork;
     bool mFails;
     Time mBegan;
+    /// When it crashes its worker; Never() for a harmless run.
+    Time mCrashesAt;
   };
   struct Worker
   {
@@ -59,6 +65,9 @@
     /// The rate of the worker's clock relative to the owner's.
     double mRate{ 1.0 };
     bool mUp{ true };
+    /// Its capacity, and the largest that it had within kCapacityNotice. [millicores]
+    std::int64_t mCpu{ kCpu };
+    std::vector<std::pair<Time, std::int64_t>> mLargerCpu;
     Time mCutUntil{};
     Time mDownUntil{};
     /// The highest epoch that the worker has seen.
@@ -66,6 +75,8 @@
     double mWorkerClock{ 0 };
     double mLease{ 0 };
     std::vector<Run> mRuns;
+    /// Tasks whose start was sent to this process and not answered.
+    std::set<JobTaskKey> mUnansweredStarts;
     std::vector<EndedRun> mEnded;
     std::uint64_t mLastEnd{ 0 };
     std::map<std::uint64_t, Time> mEndTimes;
@@ -90,6 +101,11 @@
     std::set<std::uint32_t> mFailedAcknowledged;
     bool mDone{ false };
     bool mDoneAcknowledged{ false };
+    /// The workers that crashed under it, those that crashed because of it, and the starts after
+    /// three of the latter.
+    int mCrashes{ 0 };
+    int mOwnCrashes{ 0 };
+    int mStartsAfterCrashes{ 0 };
   };
 
   int Draw(int aBelow) { return static_cast<int>(mRandom() % static_cast<unsigned>(aBelow)); }
@@ -119,6 +135,10 @@
   void EndRunOf(Worker& aWorker, std::size_t aIndex, RunEnd aEnd);
   void WorkGangs();
   void Crash(Worker& aWorker);
+  void Resize(Worker& aWorker);
+  /// Crashes a worker if a run there does so now.
+  void CrashByTask(Worker& aWorker);
+  void CheckFailedJob(const std::string& aJob);
   void Reply(const JobReply& aReply);
   const JobStep& StepOf(const JobTaskKey& aTask) const;
   WorkerRegistration Registration(const Worker& aWorker) const;
@@ -128,6 +148,8 @@
   /// Processor capacity of a worker [millicores], and the attempts of a task.
   static constexpr std::int64_t kCpu = 4000;
   static constexpr std::uint32_t kAttempts = 3;
+  /// A start may still count on a capacity that shrank less than this ago.
+  static constexpr Time kCapacityNotice = Time::FromMilliseconds(4500);
 
   std::mt19937 mRandom;
   CellFaults mFaults;
@@ -148,6 +170,11 @@
   std::set<std::string> mSubmitted;
   std::map<std::string, Time> mCancelled;
   std::map<JobTaskKey, TaskFacts> mFacts;
+  /// Tasks that crash each worker that starts them, with the time from the start to the crash.
+  std::map<JobTaskKey, Time> mCrashing;
+  std::set<std::string> mFailed;
+  /// Whether workers crash for reasons of their own too.
+  bool mCrashesAtRandom{ false };
   std::vector<std::string> mViolations;
   int mStarts{ 0 };
 };
