--- a/scripts/soak_entry/clients.py
+++ b/scripts/soak_entry/clients.py
@@ -158,6 +158,7 @@
     async def _submit(self):
         queue = self.random.choice(list(QUEUES))
         job = Job(f"{self.random.getrandbits(64):016x}", queue, draw_job(self.random, ("kind-a", "kind-b")))
+        job.crashes = self.site.draw_crashes(job.body)
         job.sent_at = time.monotonic()
         self.site.judge.jobs[job.name] = job
         avoid = None
--- a/scripts/soak_entry/faults.py
+++ b/scripts/soak_entry/faults.py
@@ -9,6 +9,7 @@
 from . import net
 
 OWNER = -1  # Stands for the node that owns the cell when the fault begins.
+RESIZE_SHARES = (0.0, 0.25, 0.5, 0.75)
 KINDS = ("stop", "kill", "freeze", "reload", "config", "redeal", "store", "worker", "link", "silence", "reset",
          "crash", "drain")
 WEIGHTS = (3, 4, 3, 1, 1, 1, 5, 4, 4, 2, 1, 3, 1)
@@ -46,8 +47,20 @@
             while at < options.seconds - 0.5 and len(self.events) < 60:
                 self.events.append(self._draw(kind, at))
                 at += pause * self.random.uniform(0.5, 1.5)
+        self._draw_resizes(random.Random(f"{seed}/resizes"))
         self.events.sort(key=lambda fault: fault.at)
 
+    def _draw_resizes(self, draw):
+        """Workers whose capacity shrinks for a while, in half of the seeds."""
+        if draw.random() < 0.5:
+            return
+        at = draw.uniform(0.2, 2.0)
+        while at < self.options.seconds:
+            workers = tuple(sorted(draw.sample(range(self.options.workers), max(1, self.options.workers // 8))))
+            self.events.append(Fault(at=round(at, 3), kind="resize", workers=workers,
+                                     seconds=round(draw.uniform(1.0, 9.0), 3), share=draw.choice(RESIZE_SHARES)))
+            at += draw.uniform(0.4, 1.5)
+
     def _some_nodes(self):
         draw = self.random.random()
         if draw < 0.4:
@@ -130,6 +143,8 @@
         site.network.silence(fault.scope, indexes)
     elif fault.kind == "reset":
         site.network.reset(fault.scope, indexes)
+    elif fault.kind == "resize":
+        await asyncio.gather(*(site.cluster.workers[w].resize(fault.share, fault.seconds) for w in fault.workers))
     elif fault.kind in ("crash", "drain"):
         await asyncio.gather(*(site.cluster.rebirth(w, fault.pause, fault.kind == "drain") for w in fault.workers))
     else:
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -18,6 +18,8 @@
 # (12 s), a lease and the work left, several times over.
 SETTLE_S = 60.0
 SERVICES = ("svc-a", "svc-b")
+# Shares of jobs with a task that crashes each worker that starts it.
+CRASH_SHARES = (0.0, 0.0, 0.03, 0.07)
 LAG_STEP_S = 0.02
 
 
@@ -25,6 +27,8 @@
     def __init__(self, options, seed, folder):
         self.options, self.seed, self.folder = options, seed, folder
         self.random = random.Random(f"{seed}/run")
+        self.crash_random = random.Random(f"{seed}/crashes")
+        self.crash_share = self.crash_random.choice(CRASH_SHARES) if options.crashes is None else options.crashes
         self.reserved = []
         self.front_port, self.ready_port, self.link_port, store_port, worker_port = (
             net.reserve_port(self.reserved) for _ in range(5))
@@ -51,6 +55,14 @@
         """How long the soak itself did not look at its connections since a time."""
         return sum(end - max(start, begin) for start, end in self.stalls if end > begin)
 
+    def draw_crashes(self, body):
+        """Returns which task of a job crashes its workers, and how long after its start; mostly none."""
+        if self.crash_random.random() >= self.crash_share:
+            return {}
+        step = self.crash_random.randrange(len(body["steps"]))
+        index = self.crash_random.randrange(body["steps"][step]["count"])
+        return {(step, index): self.crash_random.choice((0, 0.01, 0.05, 0.15))}
+
     def publish(self):
         self.version += self.random.randrange(1, 4)
         routes = [{"host": HOST, "path_prefix": prefix, "service": service, "priority": n,
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -10,10 +10,13 @@
 MISSED_HEARTBEATS = 3
 HOLD_MAX_MS = 10000
 STOP_S = 0.2
+CRASH_PAUSE_S = (1.5, 4.0)
 GANG_TIMEOUT_S = 3.0
 RESTORE_S = 0.6
 CHECKPOINT_S = 0.5
 DRAIN_S = 2.0
+CAPACITY = {"cpu": 4000, "mem_mb": 8192, "gpu": 0}
+CAPACITY_NOTICE_S = 4.5  # how long a start may still count on capacity that the worker no longer has
 LISTED_ENDS = 500
 
 
@@ -70,7 +73,8 @@
         self.clock_base = self.cluster.random.randrange(1000, 900000)
         self.clock_rate = self.cluster.random.uniform(0.98, 1.0)
         self.clock_begin = time.monotonic()
-        self.capacity = {"cpu": 4000, "mem_mb": 8192, "gpu": 0}
+        self.capacity = dict(CAPACITY)
+        self.lost_capacity = []  # (until when a start may count on it, the capacity before it shrank)
         self.running, self.ended, self.last_end = {}, [], 0
         self.highest, self.fence, self.until = {}, 0, 0
         self.void = set()
@@ -92,13 +96,46 @@
         self.changed.set()
         self.cluster.network.spawn(self._expire(self.id))
 
+    def _crash_by(self, run):
+        """The task ends the worker's process, which is back after some seconds."""
+        if self.running.get(run.name) is not run:
+            return
+        self.cluster.judge.crashed_by(run)
+        self.crash()
+        self.cluster.network.spawn(self._return(self.life))
+
+    async def _return(self, life):
+        await asyncio.sleep(self.cluster.random.uniform(*CRASH_PAUSE_S))
+        if not self.up and self.life == life:
+            await self.start()
+
+    async def resize(self, share, seconds):
+        """The worker has less room for a while; what runs goes on."""
+        life = self.life
+        self._set_capacity({key: int(value * share) for key, value in CAPACITY.items()})
+        await asyncio.sleep(seconds)
+        if self.up and self.life == life:
+            self._set_capacity(dict(CAPACITY))
+
+    def _set_capacity(self, capacity):
+        self.lost_capacity.append((time.monotonic() + CAPACITY_NOTICE_S, self.capacity))
+        self.capacity = capacity
+        self._register()
+
+    def largest_capacity(self):
+        """The capacity that a start may count on now."""
+        now = time.monotonic()
+        known = [self.capacity] + [before for until, before in self.lost_capacity if until > now]
+        return {key: max(capacity[key] for capacity in known) for key in self.capacity}
+
     async def drain(self):
+        life, name = self.life, self.id
         self.draining_until = time.monotonic() + DRAIN_S
         self._register()
         await asyncio.sleep(DRAIN_S + self.cluster.random.random())
-        if self.up:
+        if self.up and self.life == life:
             self.crash()
-            self.cluster.store.put("keyed.servers", self.id, None)
+            self.cluster.store.put("keyed.servers", name, None)
 
     async def _expire(self, name):
         await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
@@ -180,12 +217,14 @@
         else:
             self._extend(order["until_ms"])
             self._begin(order)
+            if not self.up:
+                raise ConnectionResetError  # it has crashed before it could answer
         if reason:
             return 409, {"clock_ms": self.clock_ms(), "reason": reason}
         return 200, {"clock_ms": self.clock_ms()}
 
     def _begin(self, order):
-        job, (_, step, _) = self.cluster.judge.split(order["task"])
+        job, (_, step, index) = self.cluster.judge.split(order["task"])
         work = self.cluster.work_of(job, step)
         restored = 0.0
         if order.get("checkpoint"):
@@ -199,6 +238,12 @@
         self.cluster.judge.started(run, order, self)
         if job is None:
             return
+        delay = job.crashes.get((step, index))
+        if delay == 0:
+            self._crash_by(run)
+            return
+        if delay is not None:
+            asyncio.get_running_loop().call_later(delay, self._crash_by, run)
         definition = job.body["steps"][step]
         if definition.get("gang"):
             members = self.cluster.gangs.add(run, definition["count"])
