Let the demo's backend servers crash by task and change their capacity

A payload that begins with crash; (after run_ms=N;) ends the process of its server at the end of its time; the server starts again two seconds later, with nothing of before. The switch capacity_percent shrinks a server while it runs. TaskCanCrashItsServer and TaskIsRefusedWhileTheServerIsShrunk cover both.

--- a/modules/by_schema/BackendSwitch.h
+++ b/modules/by_schema/BackendSwitch.h
@@ -25,6 +25,8 @@
     bool mPaused{ false };
     /// Whether connections are refused; the tasks and the lease of the server are lost.
     bool mDead{ false };
+    /// Share of its total resources that the server has now; what runs goes on.
+    std::uint32_t mCapacityPercent{ 100 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -35,10 +37,7 @@
 
   /// Creates a value from its fields.
   /// @returns the value, or InvalidArgument with the name of a field that is out of bounds.
-  static absl::StatusOr<BackendSwitch> Create(Fields aFields)
-  {
-    return BackendSwitch(std::move(aFields));
-  }
+  static absl::StatusOr<BackendSwitch> Create(Fields aFields);
 
   /// Returns a copy of the fields, from which a changed value can be created.
   Fields ToFields() const { return mFields; }
@@ -83,6 +82,9 @@
     return copy;
   }
 
+  /// Share of its total resources that the server has now; what runs goes on.
+  std::uint32_t CapacityPercent() const { return mFields.mCapacityPercent; }
+
   friend bool operator==(const BackendSwitch&, const BackendSwitch&) = default;
   friend auto operator<=>(const BackendSwitch&, const BackendSwitch&) = default;
 
--- a/standins/backend_server/BackendService.cpp
+++ b/standins/backend_server/BackendService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iostream>
 
 #include "backend_server/ServerFunctions.h"
 #include "by_json/by_json.h"
@@ -13,6 +14,13 @@
 
 namespace by::standins {
 
+namespace {
+
+/// How long a server that a task has crashed takes to start again.
+constexpr std::chrono::milliseconds kRestartTime{ 2000 };
+
+} // namespace
+
 absl::StatusOr<std::unique_ptr<BackendService>>
 BackendService::Create(boost::asio::io_context& aContext, const BackendVmSettings& aSettings)
 {
@@ -27,6 +35,7 @@
 BackendService::BackendService(boost::asio::io_context& aContext,
                                const BackendVmSettings& aSettings)
   : mTimer(aContext)
+  , mRestart(aContext)
 {
   mState.mSettings = aSettings;
   mState.mIncarnation = DrawIncarnation();
@@ -145,10 +154,7 @@
   const auto before = mState.mSwitch;
   mState.mSwitch = aSwitch;
   if (aSwitch.Dead() && !before.Dead()) {
-    LoseState(mState, DrawIncarnation());
-    mOpenStarts.clear();
-    mHeldCalls.clear();
-    mServer->Close();
+    EndProcess();
   }
   if (before.Paused() && !aSwitch.Paused()) {
     ServeHeldCalls();
@@ -166,9 +172,37 @@
   }
 }
 
+void
+BackendService::EndProcess()
+{
+  LoseState(mState, DrawIncarnation());
+  mOpenStarts.clear();
+  mHeldCalls.clear();
+  mServer->Close();
+}
+
+void
+BackendService::Crash()
+{
+  EndProcess();
+  mRestart.expires_after(kRestartTime);
+  mRestart.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !mState.mSwitch.Dead()) {
+      const auto status = mServer->Reopen();
+      if (!status.ok()) {
+        std::cerr << "The server can't start again: " << status.message() << '\n';
+      }
+    }
+  });
+}
+
 void
 BackendService::EndDue()
 {
+  if (IsCrashDue(mState, MachineNow())) {
+    Crash();
+    return;
+  }
   for (const auto& result : EndDueTasks(mState, MachineNow())) {
     AnswerEnded(result);
   }
--- a/standins/backend_server/BackendService.h
+++ b/standins/backend_server/BackendService.h
@@ -52,6 +52,9 @@
   void OnStart(const WebRequest& aIncoming, const Session& aSession);
   void OnCommand(const WebRequest& aIncoming, const Session& aSession);
   void ServeHeldCalls();
+  void EndProcess();
+  /// Ends the process of the server, and starts the next one after a time.
+  void Crash();
   void EndDue();
   void AnswerEnded(const TaskResult& aResult);
   void SetTimer();
@@ -59,6 +62,7 @@
   ServerState mState;
   std::shared_ptr<WebServer> mServer;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mRestart;
   std::map<std::pair<TaskId, std::uint64_t>, Session> mOpenStarts;
   std::vector<std::pair<WebRequest, Session>> mHeldCalls;
 };
--- a/standins/backend_server/RunningTask.h
+++ b/standins/backend_server/RunningTask.h
@@ -18,6 +18,8 @@
   bool mThrottled{ false };
   /// Whether it ends badly.
   bool mFails{ false };
+  /// Whether it crashes the server at its end.
+  bool mCrashes{ false };
 
   friend bool operator==(const RunningTask&, const RunningTask&) = default;
   friend auto operator<=>(const RunningTask&, const RunningTask&) = default;
--- a/standins/backend_server/ServerFunctions.cpp
+++ b/standins/backend_server/ServerFunctions.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxEnded = 4096;
 constexpr std::int64_t kThrottleFactor = 4;
 constexpr std::int64_t kUsedPercent = 80;
+constexpr std::int64_t kWhole = 100;
 constexpr auto kFailureLength = Time::FromMilliseconds(1);
 
 Resources
@@ -50,6 +51,20 @@
   return taken;
 }
 
+Resources
+CapacityOf(const ServerState& aServer)
+{
+  const auto share = [&](std::int64_t aAmount) {
+    return aAmount * aServer.mSwitch.CapacityPercent() / kWhole;
+  };
+  const auto& capacity = aServer.mSettings.Capacity();
+  return Resources::Create({ .mCpuMillis = share(capacity.CpuMillis()),
+                             .mMemoryMb = share(capacity.MemoryMb()),
+                             .mAccelerators = share(capacity.Accelerators()),
+                             .mSlots = share(capacity.Slots()) })
+    .value();
+}
+
 Resources
 UsedBy(const Resources& aTaken)
 {
@@ -194,7 +209,7 @@
     ++aServer.mDoubled;
     return ResultOf(aStart, TaskState::NotStarted, "the task runs already");
   }
-  if (!Fits(Sum(Taken(aServer), TakenBy(aStart)), aServer.mSettings.Capacity())) {
+  if (!Fits(Sum(Taken(aServer), TakenBy(aStart)), CapacityOf(aServer))) {
     ++aServer.mOvercommitted;
     return ResultOf(aStart, TaskState::NotStarted, "there is no room");
   }
@@ -209,7 +224,8 @@
                            RunningTask{ .mStart = aStart,
                                         .mStartedAt = aNow,
                                         .mEndsAt = aNow + length,
-                                        .mFails = behaviour.mFails || aServer.mSwitch.FailAll() });
+                                        .mFails = behaviour.mFails || aServer.mSwitch.FailAll(),
+                                        .mCrashes = behaviour.mCrashes });
   NoteUse(aServer, aNow);
   if (aStart.WorkClass() == WorkClass::Request) {
     return std::nullopt;
@@ -217,6 +233,14 @@
   return ResultOf(aStart, TaskState::Running, "");
 }
 
+bool
+IsCrashDue(const ServerState& aServer, Time aNow)
+{
+  return std::any_of(aServer.mRunning.begin(), aServer.mRunning.end(), [&](const auto& aEntry) {
+    return aEntry.second.mCrashes && aEntry.second.mEndsAt <= std::min(aNow, aServer.mLeaseUntil);
+  });
+}
+
 std::vector<TaskResult>
 EndDueTasks(ServerState& aServer, Time aNow)
 {
--- a/standins/backend_server/ServerFunctions.h
+++ b/standins/backend_server/ServerFunctions.h
@@ -24,6 +24,10 @@
 std::optional<TaskResult>
 StartTask(ServerState& aServer, const TaskStart& aStart, Time aNow);
 
+/// @returns whether a task that crashes the server has come to its end.
+bool
+IsCrashDue(const ServerState& aServer, Time aNow);
+
 /// Ends the tasks whose time has come, and all tasks where the lease has lapsed.
 /// @returns their results, detached ones included.
 std::vector<TaskResult>
--- a/standins/backend_server/TaskLength.cpp
+++ b/standins/backend_server/TaskLength.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::string_view kRunPrefix = "run_ms=";
 constexpr std::string_view kFailPrefix = "fail;";
+constexpr std::string_view kCrashPrefix = "crash;";
 constexpr auto kDefaultRequestLength = Time::FromMilliseconds(20);
 constexpr auto kDefaultTaskLength = Time::FromMilliseconds(200);
 
@@ -41,6 +42,7 @@
     }
   }
   behaviour.mFails = rest.starts_with(kFailPrefix);
+  behaviour.mCrashes = rest.starts_with(kCrashPrefix);
   return behaviour;
 }
 
--- a/tests/standins/BackendServerTest.cpp
+++ b/tests/standins/BackendServerTest.cpp
@@ -128,6 +128,25 @@
   CHECK(ended[1].State() == TaskState::Succeeded);
 }
 
+TEST(BackendServer, TaskCanCrashItsServer)
+{
+  StartTask(mServer, Start("t1", 2, "run_ms=100;crash;"), kStart);
+  CHECK_FALSE(IsCrashDue(mServer, After(99)));
+  CHECK(IsCrashDue(mServer, After(100)));
+  LoseState(mServer, 9);
+  CHECK_FALSE(IsCrashDue(mServer, After(200)));
+}
+
+TEST(BackendServer, TaskIsRefusedWhileTheServerIsShrunk)
+{
+  StartTask(mServer, Start("t1", 2), kStart);
+  mServer.mSwitch = BackendSwitch::Create({ .mCapacityPercent = 50 }).value();
+  CHECK(StartTask(mServer, Start("t2", 2), kStart)->State() == TaskState::NotStarted);
+  CHECK(mServer.mRunning.contains(TaskId("t1")));
+  mServer.mSwitch = BackendSwitch();
+  CHECK_FALSE(StartTask(mServer, Start("t2", 2), kStart).has_value());
+}
+
 TEST(BackendServer, StartWithoutRoomIsCountedAsOvercommitted)
 {
   StartTask(mServer, Start("t1", 2), kStart);
