--- a/modules/by_cell/detail/Crashes.cpp
+++ b/modules/by_cell/detail/Crashes.cpp
@@ -49,6 +49,7 @@
 RolesOf(const std::vector<LostRun>& aRuns)
 {
   std::vector<RunAtCrash> facts;
+  facts.reserve(aRuns.size());
   for (const auto& run : aRuns) {
     facts.push_back(run.mFacts);
   }
