Try a suspected gang of long-running tasks as a whole

Found on reading the change: a long-running step lets its other tasks be placed beside a trial, and for a gang these are all of its members, so that a suspected gang started without a trial. Its job was still given up, on crashes without a trial. Change: only long-running tasks that are no gang go on beside one. Evidence: LongRunningGangIsTriedAsAWhole failed before (no trial.placed) and passes.

--- a/modules/by_cell/detail/Trials.cpp
+++ b/modules/by_cell/detail/Trials.cpp
@@ -191,8 +191,8 @@
   const auto& step = StepOf(aJob, aKey.mStep);
   auto& row = aJob.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
   const auto suspects = FindSuspects(state, aJob, aKey);
-  // Tasks of one step behave alike, so the others wait for the trial, unless they serve.
-  const bool mayPlaceOthers = step.LongRunning();
+  // Tasks of one step behave alike, so the others wait for the trial, unless each serves by itself.
+  const bool mayPlaceOthers = step.LongRunning() && !step.Gang();
   if (suspects.mWaiting.empty()) {
     row.mTrialWaitsSince = Time();
     return mayPlaceOthers || !suspects.mIsTrialOpen;
--- a/tests/by_cell/CrashTest.cpp
+++ b/tests/by_cell/CrashTest.cpp
@@ -96,6 +96,21 @@
   CHECK(play.StateOf("bad") == JobState::Failed);
 }
 
+/// The members of a suspected gang were placed as if they served on their own.
+TEST(Crash, LongRunningGangIsTriedAsAWhole)
+{
+  WorkerPlay play(8);
+  play.mDuration = kLong * 10;
+  auto gang = Gang(4);
+  gang.mLongRunning = true;
+  play.LetCrash(Task("bad", 2), kSoon);
+  play.Submit("bad", { gang });
+  play.Play(kLong);
+  CHECK(play.StateOf("bad") == JobState::Failed);
+  CHECK(play.Starts(Task("bad", 2)) <= 3);
+  CHECK(play.Logged("trial.placed") >= 2);
+}
+
 TEST(Crash, HealthyTasksBesideCrashingOnesComplete)
 {
   WorkerPlay play(8);
