Let more trials run side by side, and ask for no advice while one waits for its turn

Cause: after a burst of crashes some hundred steps had suspects, a quarter of the pool held trials, and each waiting step used up one of the four advice queries of a pass without a use for the answer, so that gangs that nobody suspected got none for 25 s. Change: half of a pool may hold trials, and a step asks for advice only where its trial lacks workers that it may use.

--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -209,8 +209,13 @@
   const auto allowed =
     needsAdvice ? FindAllowed(aPass, policy.Pool(), row.mAdvice) : AllowedWorkers();
   const auto& candidates = needsAdvice ? allowed.mWithTicket : PoolOf(aPass, policy.Pool());
-  const bool mayPlaceOthers = !row.mHasSuspects || PlaceTrial(aPass, *job, aKey, candidates);
-  if (mayPlaceOthers && !PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
+  const auto trial =
+    row.mHasSuspects ? PlaceTrial(aPass, *job, aKey, candidates) : TrialOutcome::PlaceOthers;
+  if (trial == TrialOutcome::Wait) {
+    return;
+  }
+  if (trial == TrialOutcome::PlaceOthers &&
+      !PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
     misses += candidates.empty() ? 0 : 1;
     const bool mayReserve = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
     const auto reserved =
--- a/modules/by_cell/detail/Trials.cpp
+++ b/modules/by_cell/detail/Trials.cpp
@@ -184,7 +184,7 @@
   return aWorker.mTrials > 0 || aWorker.mHeldForTrialUntil > aNow;
 }
 
-bool
+TrialOutcome
 PlaceTrial(PlacementPass& aPass, JobRow& aJob, const ReadyKey& aKey, const Candidates& aCandidates)
 {
   auto& state = aPass.mState;
@@ -193,12 +193,13 @@
   const auto suspects = FindSuspects(state, aJob, aKey);
   // Tasks of one step behave alike, so the others wait for the trial, unless each serves by itself.
   const bool mayPlaceOthers = step.LongRunning() && !step.Gang();
+  const auto waiting = mayPlaceOthers ? TrialOutcome::PlaceOthers : TrialOutcome::Wait;
   if (suspects.mWaiting.empty()) {
     row.mTrialWaitsSince = Time();
-    return mayPlaceOthers || !suspects.mIsTrialOpen;
+    return suspects.mIsTrialOpen ? waiting : TrialOutcome::PlaceOthers;
   }
   if (suspects.mIsTrialOpen && !mayPlaceOthers) {
-    return false;
+    return TrialOutcome::Wait;
   }
   if (row.mTrialWaitsSince == Time()) {
     row.mTrialWaitsSince = aPass.mNow;
@@ -206,15 +207,21 @@
   const auto& pool = PolicyOf(state, aJob).Pool();
   const auto limit = TrialLimit(PoolOf(aPass, pool).size());
   const auto kept = CountKeptWorkers(state, pool, aPass.mNow);
+  state.mHasWaitingTrials = true;
+  if (kept.mOnTrial >= limit) {
+    return waiting;
+  }
   const auto tasks = step.Gang() ? step.Count() : std::size_t{ 1 };
   const auto listed = ListHosts(aPass, step, TaskOf(aKey, 0), aCandidates);
   const auto chosen = ChooseTrialHosts(listed, tasks, aPass.mNow - row.mTrialWaitsSince);
-  if (chosen.empty() || kept.mOnTrial >= limit || !HaveAnsweredLately(aPass, aCandidates, chosen)) {
-    state.mHasWaitingTrials = true;
-    if (chosen.empty() && kept.mOnTrial + kept.mHeld < limit) {
+  if (chosen.empty()) {
+    if (kept.mOnTrial + kept.mHeld < limit) {
       HoldWorkers(aPass, step, tasks, aCandidates);
     }
-    return mayPlaceOthers;
+    return mayPlaceOthers ? TrialOutcome::PlaceOthers : TrialOutcome::NeedsWorkers;
+  }
+  if (!HaveAnsweredLately(aPass, aCandidates, chosen)) {
+    return waiting;
   }
   std::vector<WorkerRow*> hosts;
   const auto wanted = step.Gang() ? tasks : suspects.mWaiting.size();
@@ -229,7 +236,7 @@
   }
   row.mTrialWaitsSince = Time();
   RefreshStep(state, aJob, aKey.mOccurrence, aKey.mStep);
-  return mayPlaceOthers;
+  return waiting;
 }
 
 } // namespace by::detail
--- a/modules/by_crashes/TrialHosts.cpp
+++ b/modules/by_crashes/TrialHosts.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// The part of a pool that may be used for trials.
-constexpr std::size_t kTrialDivisor = 4;
+constexpr std::size_t kTrialDivisor = 2;
 /// How long a trial waits for idle workers before it may harm other runs.
 constexpr Time kIdleWait = Time::FromMilliseconds(700);
 /// Longer than the interval between the polls of a worker with runs.
