--- a/modules/by_crashes/RunAtCrash.h
+++ b/modules/by_crashes/RunAtCrash.h
@@ -18,7 +18,7 @@
   Time mProbation{};
   /// Whether its worker was known to be alive when the start was sent, or confirmed it.
   bool mHasStarted{ false };
-  /// Whether it may have ended before the crash: its lease ran out, or this owner never saw it.
+  /// Whether its lease ran out before the crash was noticed, so that it may have ended before.
   bool mMayHaveEnded{ false };
 
   friend bool operator==(const RunAtCrash&, const RunAtCrash&) = default;
