Bind each reply to the link that its request came by

A node had been killed and started again while its calls waited at the owner.

Cause: a call was matched by its node's name and a number that each process counts from 1. The replies of a batch leave after the whole batch, by whatever link the name has by then, and the new process takes them for answers to its own calls with these numbers.

Change: links are numbered, events and effects name their link, and what is meant for a link that is over is dropped (`reply.link_lost`). Call numbers start from the process's incarnation, so that replies of an owner of the version before can't match either. The wire is as it was.

Why it works: a connection leads to one process.

--- a/modules/by_cell/AdviceProxyRow.h
+++ b/modules/by_cell/AdviceProxyRow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,8 @@
 struct AdviceProxyRow
 {
   std::string mNode;
+  /// The link to the node; zero for the owner itself.
+  std::uint64_t mLink{ 0 };
   /// The deadline of each of its open queries, after which the query counts as lost.
   std::vector<Time> mOpenQueries{};
 
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -212,9 +212,11 @@
 }
 
 void
-ForgetCallers(CellState& aState, const std::string& aNode)
+ForgetCallers(CellState& aState, const std::string& aNode, std::uint64_t aLink)
 {
-  const auto isHeldThere = [&](const PendingCaller& aCaller) { return aCaller.mNode == aNode; };
+  const auto isHeldThere = [&](const PendingCaller& aCaller) {
+    return aCaller.mNode == aNode && aCaller.mLink == aLink;
+  };
   const auto forget = [&](const std::vector<std::string>& aJobs,
                           const std::vector<std::string>& aOutcomes) {
     for (const auto& id : aJobs) {
--- a/modules/by_cell/HandleRequests.h
+++ b/modules/by_cell/HandleRequests.h
@@ -16,9 +16,9 @@
               Time aNow,
               Effects& aOut);
 
-/// Removes the callers of a lost node that wait until something is stored; that node answers them
-/// itself. A later process of the node gives its calls the same numbers.
+/// Removes the callers behind a lost link of a node that wait until something is stored; that node
+/// answers them itself, or forwards their calls again.
 void
-ForgetCallers(CellState& aState, const std::string& aNode);
+ForgetCallers(CellState& aState, const std::string& aNode, std::uint64_t aLink);
 
 } // namespace by
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -117,7 +117,8 @@
   Emit(
     aOut,
     SendToMember::Create({ .mNode = proxy->mNode,
-                           .mMessage = LinkMessage::Create({ .mBody = std::move(query) }).value() })
+                           .mMessage = LinkMessage::Create({ .mBody = std::move(query) }).value(),
+                           .mLink = proxy->mLink })
       .value());
   return true;
 }
--- a/modules/by_cell/detail/Emit.cpp
+++ b/modules/by_cell/detail/Emit.cpp
@@ -35,7 +35,9 @@
   }
   auto message = LinkMessage::Create({ .mBody = std::move(reply) }).value();
   Emit(aOut,
-       SendToMember::Create({ .mNode = aCaller.mNode, .mMessage = std::move(message) }).value());
+       SendToMember::Create(
+         { .mNode = aCaller.mNode, .mMessage = std::move(message), .mLink = aCaller.mLink })
+         .value());
 }
 
 void
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -84,8 +84,9 @@
   bool mOwnerUnconfirmed{ false };
   /// When the newest claim was read.
   Time mOwnerKnownAt{};
-  /// Whether the link to the owner is up.
+  /// Whether the link to the owner is up, and the number of the last link that was.
   bool mLinkUp{ false };
+  std::uint64_t mOwnerLink{ 0 };
   /// When the link to the owner went down.
   Time mLinkDownAt{};
   /// Whether the owner reported that it is active, that it is about to stop, and that it has lost
--- a/modules/by_entry/MemberRow.h
+++ b/modules/by_entry/MemberRow.h
@@ -11,6 +11,8 @@
 /// A node that has a link to this one.
 struct MemberRow
 {
+  /// The number of the link; the node's next link has another.
+  std::uint64_t mLink{ 0 };
   ZoneId mZone;
   /// The processor time that it may use. [millicores]
   std::uint32_t mProcessorShare{ 0 };
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -105,10 +105,7 @@
     if (mState.mCell) {
       HandleAdvice(*mState.mCell, aEvent, mNow, mOut);
     } else if (mState.mLinkUp) {
-      detail::Emit(
-        mOut,
-        SendToOwner::Create({ .mMessage = LinkMessage::Create({ .mBody = aEvent }).value() })
-          .value());
+      detail::EmitToOwner(mState, LinkMessage::Create({ .mBody = aEvent }).value(), mOut);
     }
   }
   void operator()(const LinkChanged& aEvent) const
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -40,20 +40,18 @@
 
 /// Refuses a request of a member.
 void
-RefuseMember(const EntryState& aState,
-             const std::string& aNode,
-             std::uint64_t aCall,
-             Time aNow,
-             Effects& aOut)
+RefuseMember(const EntryState& aState, const PendingCaller& aCaller, Time aNow, Effects& aOut)
 {
-  auto reply = JobReply::Create({ .mCall = aCall,
+  auto reply = JobReply::Create({ .mCall = aCaller.mCall,
                                   .mOutcome = JobCallOutcome::Refused,
-                                  .mRetryAfter = RetryDelay(aState, aCall, aNow) })
+                                  .mRetryAfter = RetryDelay(aState, aCaller.mCall, aNow) })
                  .value();
-  Emit(aOut,
-       SendToMember::Create(
-         { .mNode = aNode, .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value() })
-         .value());
+  Emit(
+    aOut,
+    SendToMember::Create({ .mNode = aCaller.mNode,
+                           .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value(),
+                           .mLink = aCaller.mLink })
+      .value());
 }
 
 /// Ends a call without the owner's answer. A forwarded submission or cancellation may have been
@@ -134,10 +132,7 @@
   }
   aCall.mForwardedTo = aState.mOwner->Epoch();
   auto request = aCall.mRequest.WithTimeout(deadline - aNow);
-  Emit(aOut,
-       SendToOwner::Create(
-         { .mMessage = LinkMessage::Create({ .mBody = std::move(request) }).value() })
-         .value());
+  EmitToOwner(aState, LinkMessage::Create({ .mBody = std::move(request) }).value(), aOut);
 }
 
 } // namespace
@@ -225,28 +220,31 @@
 
 void
 HandleMemberRequest(EntryState& aState,
-                    const std::string& aNode,
+                    const FromMember& aMessage,
                     const CellRequest& aRequest,
-                    Time aReceived,
                     Time aNow,
                     Effects& aOut)
 {
-  if (aRequest.Timeout() > Time() && aReceived > Time() && aNow >= aReceived + aRequest.Timeout()) {
+  const auto received = aMessage.Received();
+  if (aRequest.Timeout() > Time() && received > Time() && aNow >= received + aRequest.Timeout()) {
     ++aState.mLoad.mDroppedRequests;
     return;
   }
+  const PendingCaller caller{ .mNode = aMessage.Node(),
+                              .mCall = aRequest.Call(),
+                              .mLink = aMessage.Link() };
   if (aState.mPhase != OwnerPhase::Owner) {
-    Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", aNode));
-    SendMemberHeartbeat(aState, aNode, aNow, aOut);
-    RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
+    Log(aOut, "call.misdirected", aRequest.Job(), absl::StrCat("from=", caller.mNode));
+    SendMemberHeartbeat(aState, caller.mNode, aNow, aOut);
+    RefuseMember(aState, caller, aNow, aOut);
     return;
   }
   if (IsRefusedAsOverloaded(aState, aRequest)) {
     Log(aOut, "job.refused", aRequest.Job(), "reason=owner overloaded");
-    RefuseMember(aState, aNode, aRequest.Call(), aNow, aOut);
+    RefuseMember(aState, caller, aNow, aOut);
     return;
   }
-  HandleRequest(*aState.mCell, { aNode, aRequest.Call() }, aRequest, aNow, aOut);
+  HandleRequest(*aState.mCell, caller, aRequest, aNow, aOut);
 }
 
 void
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -2,6 +2,7 @@
 
 #include "by_cell/Effects.h"
 #include "by_entry/EntryState.h"
+#include "by_schema/FromMember.h"
 #include "by_schema/JobCall.h"
 #include "by_schema/JobReply.h"
 
@@ -28,11 +29,11 @@
 
 /// Handles a request that a member forwarded. A request whose caller no longer waits is dropped
 /// without any effect; its node has already answered.
+/// @param aMessage the message that holds the request.
 void
 HandleMemberRequest(EntryState& aState,
-                    const std::string& aNode,
+                    const FromMember& aMessage,
                     const CellRequest& aRequest,
-                    Time aReceived,
                     Time aNow,
                     Effects& aOut);
 
--- a/modules/by_entry/detail/Handover.cpp
+++ b/modules/by_entry/detail/Handover.cpp
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Links.h"
 
 namespace by::detail {
 
@@ -188,8 +189,7 @@
 void
 SendLeaving(const EntryState& aState, const std::string& aNode, Effects& aOut)
 {
-  Emit(aOut,
-       SendToMember::Create({ .mNode = aNode, .mMessage = LeavingMessage(aState, {}) }).value());
+  EmitToMember(aState, aNode, LeavingMessage(aState, {}), aOut);
 }
 
 void
@@ -197,7 +197,7 @@
 {
   const auto message = LeavingMessage(aState, aSuccessor);
   for (const auto& [node, member] : aState.mMembers) {
-    Emit(aOut, SendToMember::Create({ .mNode = node, .mMessage = message }).value());
+    EmitToMember(aState, node, message, aOut);
   }
 }
 
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -62,11 +62,11 @@
     return;
   }
   if (aState.mLinkUp && aState.mOwner->Node() != aClaim.Node()) {
-    Emit(aOut, SendToOwner::Create({ .mMessage = MessageOf(aClaim) }).value());
+    EmitToOwner(aState, MessageOf(aClaim), aOut);
   }
   for (const auto& [node, member] : aState.mMembers) {
     if (node != aClaim.Node()) {
-      Emit(aOut, SendToMember::Create({ .mNode = node, .mMessage = MessageOf(aClaim) }).value());
+      EmitToMember(aState, node, MessageOf(aClaim), aOut);
     }
   }
 }
@@ -110,6 +110,30 @@
 
 } // namespace
 
+void
+EmitToOwner(const EntryState& aState, LinkMessage aMessage, Effects& aOut)
+{
+  Emit(
+    aOut,
+    SendToOwner::Create({ .mMessage = std::move(aMessage), .mLink = aState.mOwnerLink }).value());
+}
+
+void
+EmitToMember(const EntryState& aState,
+             const std::string& aNode,
+             LinkMessage aMessage,
+             Effects& aOut)
+{
+  const auto it = aState.mMembers.find(aNode);
+  if (it == aState.mMembers.end()) {
+    return;
+  }
+  Emit(aOut,
+       SendToMember::Create(
+         { .mNode = aNode, .mMessage = std::move(aMessage), .mLink = it->second.mLink })
+         .value());
+}
+
 void
 FollowOwner(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut)
 {
@@ -190,23 +214,24 @@
     // A newer connection has replaced the one that requests were sent over.
     RequeueForwardedCalls(aState);
   }
+  aState.mOwnerLink = aEvent.Link();
   aState.mOwnerHeardAt = aNow;
   aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
-  Emit(aOut,
-       SendToOwner::Create(
-         { .mMessage =
-             MessageOf(LinkHello::Create({ .mNode = aState.mSettings.Node(),
-                                           .mIncarnation = aState.mSettings.Incarnation(),
-                                           .mEpoch = aState.mOwner->Epoch(),
-                                           .mZone = aState.mSettings.Zone(),
-                                           .mProcessorShare = aState.mSettings.ProcessorShare() })
-                         .value()) })
-         .value());
+  auto hello = LinkHello::Create({ .mNode = aState.mSettings.Node(),
+                                   .mIncarnation = aState.mSettings.Incarnation(),
+                                   .mEpoch = aState.mOwner->Epoch(),
+                                   .mZone = aState.mSettings.Zone(),
+                                   .mProcessorShare = aState.mSettings.ProcessorShare() })
+                 .value();
+  EmitToOwner(aState, MessageOf(std::move(hello)), aOut);
 }
 
 void
 HandleOwnerMessage(EntryState& aState, const FromOwner& aEvent, Time aNow, Effects& aOut)
 {
+  if (aEvent.Link() != aState.mOwnerLink) {
+    return;
+  }
   aState.mOwnerHeardAt = aNow;
   const auto& body = aEvent.Message().Body();
   if (const auto* reply = std::get_if<JobReply>(&body)) {
@@ -228,18 +253,20 @@
 void
 HandleMemberMessage(EntryState& aState, const FromMember& aEvent, Time aNow, Effects& aOut)
 {
+  const auto it = aState.mMembers.find(aEvent.Node());
+  if (it == aState.mMembers.end() || it->second.mLink != aEvent.Link()) {
+    return;
+  }
   const auto& body = aEvent.Message().Body();
-  if (const auto it = aState.mMembers.find(aEvent.Node()); it != aState.mMembers.end()) {
-    it->second.mHeardAt = std::max(it->second.mHeardAt, aEvent.Received());
-    if (const auto* hello = std::get_if<LinkHello>(&body)) {
-      it->second.mZone = hello->Zone();
-      it->second.mProcessorShare = hello->ProcessorShare();
-      UpdateLargestShare(aState);
-      RebalanceRelays(aState);
-    }
+  it->second.mHeardAt = std::max(it->second.mHeardAt, aEvent.Received());
+  if (const auto* hello = std::get_if<LinkHello>(&body)) {
+    it->second.mZone = hello->Zone();
+    it->second.mProcessorShare = hello->ProcessorShare();
+    UpdateLargestShare(aState);
+    RebalanceRelays(aState);
   }
   if (const auto* request = std::get_if<CellRequest>(&body)) {
-    HandleMemberRequest(aState, aEvent.Node(), *request, aEvent.Received(), aNow, aOut);
+    HandleMemberRequest(aState, aEvent, *request, aNow, aOut);
   } else if (const auto* advice = std::get_if<AdviceAnswered>(&body)) {
     if (aState.mCell) {
       HandleAdvice(*aState.mCell, *advice, aNow, aOut);
@@ -254,9 +281,7 @@
     const bool isOutdated = aState.mOwner && hello->Epoch() < aState.mOwner->Epoch() &&
                             !IsClaimOfThisNode(aState, *aState.mOwner);
     if (isOutdated) {
-      Emit(aOut,
-           SendToMember::Create({ .mNode = aEvent.Node(), .mMessage = MessageOf(*aState.mOwner) })
-             .value());
+      EmitToMember(aState, aEvent.Node(), MessageOf(*aState.mOwner), aOut);
     }
   }
 }
@@ -270,6 +295,7 @@
       absl::StrCat("members=", aState.mMembers.size()));
   if (aEvent.Up()) {
     MemberRow member;
+    member.mLink = aEvent.Link();
     member.mLinkedAt = aNow;
     member.mHeardAt = aNow;
     aState.mMembers.insert_or_assign(aEvent.Node(), std::move(member));
@@ -287,9 +313,9 @@
   auto& proxies = aState.mCell->mAdviceProxies;
   std::erase_if(proxies, [&](const auto& aRow) { return aRow.mNode == aEvent.Node(); });
   if (aEvent.Up()) {
-    proxies.push_back({ .mNode = aEvent.Node(), .mOpenQueries = {} });
+    proxies.push_back({ .mNode = aEvent.Node(), .mLink = aEvent.Link() });
   } else {
-    ForgetCallers(*aState.mCell, aEvent.Node());
+    ForgetCallers(*aState.mCell, aEvent.Node(), aEvent.Link());
     HandleRelayLost(aState, aEvent.Node(), aNow, aOut);
   }
 }
@@ -317,9 +343,7 @@
                                            .mOverloaded = IsOverloadedOwner(aState),
                                            .mLargestShare = aState.mLargestMemberShare })
                      .value();
-  Emit(
-    aOut,
-    SendToMember::Create({ .mNode = aNode, .mMessage = MessageOf(std::move(heartbeat)) }).value());
+  EmitToMember(aState, aNode, MessageOf(std::move(heartbeat)), aOut);
 }
 
 void
@@ -356,7 +380,7 @@
     aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
     auto heartbeat =
       LinkHeartbeat::Create({ .mEpoch = aState.mOwner->Epoch(), .mOwner = false }).value();
-    Emit(aOut, SendToOwner::Create({ .mMessage = MessageOf(std::move(heartbeat)) }).value());
+    EmitToOwner(aState, MessageOf(std::move(heartbeat)), aOut);
   }
 }
 
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -9,6 +9,18 @@
 
 namespace by::detail {
 
+/// Sends a message to the owner over the current link; the message is lost with that link.
+void
+EmitToOwner(const EntryState& aState, LinkMessage aMessage, Effects& aOut);
+
+/// Sends a message to a member over its current link; the message is lost with that link. Does
+/// nothing if the node has no link.
+void
+EmitToMember(const EntryState& aState,
+             const std::string& aNode,
+             LinkMessage aMessage,
+             Effects& aOut);
+
 /// Records a newer claim as the owner's and opens a link to the owner, unless that is this node.
 void
 FollowOwner(EntryState& aState, const CellClaim& aClaim, Time aNow, Effects& aOut);
@@ -21,11 +33,13 @@
 void
 HandleLinkChanged(EntryState& aState, const LinkChanged& aEvent, Time aNow, Effects& aOut);
 
-/// Handles a message from the owner.
+/// Handles a message from the owner. One that came over an earlier link than the current one is
+/// dropped: it may be the answer of another process, or to what was sent before.
 void
 HandleOwnerMessage(EntryState& aState, const FromOwner& aEvent, Time aNow, Effects& aOut);
 
-/// Handles a message from a member.
+/// Handles a message from a member; one that did not come over the member's current link is
+/// dropped.
 void
 HandleMemberMessage(EntryState& aState, const FromMember& aEvent, Time aNow, Effects& aOut);
 
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -324,9 +324,9 @@
   cell.mOwnerSince = aNow;
   // The append that fenced earlier owners has used the first sequence number of this epoch.
   cell.mNextSequence = 1;
-  cell.mAdviceProxies.push_back({ .mNode = aState.mSettings.Node(), .mOpenQueries = {} });
+  cell.mAdviceProxies.push_back({ .mNode = aState.mSettings.Node() });
   for (const auto& [node, member] : aState.mMembers) {
-    cell.mAdviceProxies.push_back({ .mNode = node, .mOpenQueries = {} });
+    cell.mAdviceProxies.push_back({ .mNode = node, .mLink = member.mLink });
   }
   aState.mCell = RestoreCell(std::move(cell), aEvent.Records(), aNow, aOut);
   for (const auto& [number, wave] : aState.mWaves) {
--- a/modules/by_entry/detail/RelayMember.cpp
+++ b/modules/by_entry/detail/RelayMember.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Links.h"
 
 namespace by::detail {
 
@@ -53,10 +54,7 @@
   auto answers =
     RelayAnswers::Create({ .mAnswers = std::exchange(aState.mRelayedAnswers, {}) }).value();
   if (aState.mLinkUp) {
-    Emit(aOut,
-         SendToOwner::Create(
-           { .mMessage = LinkMessage::Create({ .mBody = std::move(answers) }).value() })
-           .value());
+    EmitToOwner(aState, LinkMessage::Create({ .mBody = std::move(answers) }).value(), aOut);
   }
 }
 
--- a/modules/by_entry/detail/Relays.cpp
+++ b/modules/by_entry/detail/Relays.cpp
@@ -11,6 +11,7 @@
 #include "by_cell/HandleOrders.h"
 #include "by_cell/HandlePolls.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Links.h"
 #include "by_entry/detail/RelayChoice.h"
 
 namespace by::detail {
@@ -100,17 +101,18 @@
 }
 
 void
-SendOutbox(RelayState& aRelays, Time aNow, Effects& aOut)
+SendOutbox(EntryState& aState, Time aNow, Effects& aOut)
 {
-  if (aNow < aRelays.mSendAt) {
+  auto& relays = aState.mRelays;
+  if (aNow < relays.mSendAt) {
     return;
   }
-  aRelays.mSendAt = Time::Never();
-  for (auto& [relay, orders] : std::exchange(aRelays.mOutbox, {})) {
+  relays.mSendAt = Time::Never();
+  for (auto& [relay, orders] : std::exchange(relays.mOutbox, {})) {
     auto message = LinkMessage::Create(
                      { .mBody = RelayOrders::Create({ .mOrders = std::move(orders) }).value() })
                      .value();
-    Emit(aOut, SendToMember::Create({ .mNode = relay, .mMessage = std::move(message) }).value());
+    EmitToMember(aState, relay, std::move(message), aOut);
   }
 }
 
@@ -223,7 +225,7 @@
     return;
   }
   if (aState.mCell->mWorkers.size() <= aState.mSettings.Cell().DirectWorkerLimit()) {
-    SendOutbox(aState.mRelays, aNow, aOut);
+    SendOutbox(aState, aNow, aOut);
     return;
   }
   auto& held = aState.mRelays.mHeld;
@@ -246,7 +248,7 @@
     }
     return false;
   });
-  SendOutbox(aState.mRelays, aNow, aOut);
+  SendOutbox(aState, aNow, aOut);
 }
 
 void
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -64,15 +64,17 @@
   };
   mLink = LinkClient::Create(
     mTraffic,
-    [this](const Endpoint& aPeer, bool aUp, bool aRefused) {
-      Deliver(
-        EventOf(LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused }).value()));
+    [this](const Endpoint& aPeer, std::uint64_t aLink, bool aUp, bool aRefused) {
+      Deliver(EventOf(
+        LinkChanged::Create({ .mPeer = aPeer, .mUp = aUp, .mRefused = aRefused, .mLink = aLink })
+          .value()));
     },
-    [this](std::vector<LinkMessage> aMessages) {
+    [this](std::uint64_t aLink, std::vector<LinkMessage> aMessages) {
       std::vector<EntryEvent> events;
       events.reserve(aMessages.size());
       for (auto& message : aMessages) {
-        events.push_back(EventOf(FromOwner::Create({ .mMessage = std::move(message) }).value()));
+        events.push_back(
+          EventOf(FromOwner::Create({ .mMessage = std::move(message), .mLink = aLink }).value()));
       }
       Deliver(events);
     },
@@ -80,16 +82,18 @@
   auto members = LinkServer::Create(
     mTraffic,
     mState.mSettings.Link(),
-    [this](const std::string& aNode, bool aUp) {
-      Deliver(EventOf(MemberChanged::Create({ .mNode = aNode, .mUp = aUp }).value()));
+    [this](const std::string& aNode, std::uint64_t aLink, bool aUp) {
+      Deliver(
+        EventOf(MemberChanged::Create({ .mNode = aNode, .mUp = aUp, .mLink = aLink }).value()));
     },
-    [this](const std::string& aNode, std::vector<LinkMessage> aMessages) {
+    [this](const std::string& aNode, std::uint64_t aLink, std::vector<LinkMessage> aMessages) {
       const auto now = BootNow();
       std::vector<EntryEvent> events;
       events.reserve(aMessages.size());
       for (auto& message : aMessages) {
         events.push_back(EventOf(
-          FromMember::Create({ .mNode = aNode, .mMessage = std::move(message), .mReceived = now })
+          FromMember::Create(
+            { .mNode = aNode, .mMessage = std::move(message), .mReceived = now, .mLink = aLink })
             .value()));
       }
       Deliver(events);
@@ -267,14 +271,35 @@
   if (const auto* connect = std::get_if<ConnectToOwner>(&body)) {
     mLink->Connect(connect->Peer());
   } else if (const auto* toOwner = std::get_if<SendToOwner>(&body)) {
-    mLink->Send(toOwner->Message());
+    mLink->Send(toOwner->Link(), toOwner->Message());
   } else if (const auto* toMember = std::get_if<SendToMember>(&body)) {
-    mMembers->Send(toMember->Node(), toMember->Message());
+    if (!mMembers->Send(toMember->Node(), toMember->Link(), toMember->Message())) {
+      ReportDroppedReply(*toMember);
+    }
   } else {
     mPorts.mPerform(aEffect);
   }
 }
 
+void
+EntryDaemonBody::ReportDroppedReply(const SendToMember& aEffect)
+{
+  const auto* reply = std::get_if<JobReply>(&aEffect.Message().Body());
+  if (reply == nullptr) {
+    return;
+  }
+  auto line = LogLine::Create({ .mEvent = "reply.link_lost",
+                                .mSubject = aEffect.Node(),
+                                .mDetail = absl::StrCat("link=",
+                                                        aEffect.Link(),
+                                                        " call=",
+                                                        reply->Call(),
+                                                        " outcome=",
+                                                        std::string(ToString(reply->Outcome()))) })
+                .value();
+  boost::asio::post(mControl, [this, line = std::move(line)] { Write(line); });
+}
+
 void
 EntryDaemonBody::Write(const LogLine& aLine)
 {
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -43,6 +43,9 @@
   void HandleEvents();
   Effects StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow);
   void ReportDropped(const std::vector<EntryEvent>& aEvents);
+  /// Logs a reply whose link was lost before it could leave; its caller is told that the outcome is
+  /// uncertain, or asks the owner once more.
+  void ReportDroppedReply(const SendToMember& aEffect);
   EntryEvent NextTickEvent();
   /// Logs an unexpected error of a handler.
   void ReportError(const char* aThread, const std::string& aError);
--- a/modules/by_entryd/detail/EventQueue.cpp
+++ b/modules/by_entryd/detail/EventQueue.cpp
@@ -77,7 +77,8 @@
       member != nullptr && !member->Up()) {
     std::erase_if(mRequests, [&](QueuedEvent& aQueued) {
       const auto* request = MemberRequest(aQueued.mEvent);
-      const bool isLost = request != nullptr && request->Node() == member->Node();
+      const bool isLost = request != nullptr && request->Node() == member->Node() &&
+                          request->Link() == member->Link();
       if (isLost) {
         mDropped.push_back(std::move(aQueued.mEvent));
       }
--- a/modules/by_links/LinkClient.cpp
+++ b/modules/by_links/LinkClient.cpp
@@ -67,28 +67,37 @@
     }
     self->mTimer.cancel();
     if (aError) {
-      self->mChanged(self->mPeer, false, aError == boost::asio::error::connection_refused);
+      self->mChanged(self->mPeer, attempt, false, aError == boost::asio::error::connection_refused);
       return;
     }
     self->mConnection =
       std::make_shared<detail::LinkConnection>(std::move(*socket), self->mCounted);
-    self->mConnection->Start(self->mReceived, [weak = self->weak_from_this(), attempt] {
-      const auto link = weak.lock();
-      if (link && link->mTry == attempt) {
-        link->mConnection.reset();
-        link->mChanged(link->mPeer, false, false);
-      }
-    });
-    self->mChanged(self->mPeer, true, false);
+    const std::weak_ptr<LinkClient> weak = self;
+    self->mConnection->Start(
+      [weak, attempt](std::vector<LinkMessage> aMessages) {
+        if (const auto link = weak.lock()) {
+          link->mReceived(attempt, std::move(aMessages));
+        }
+      },
+      [weak, attempt] {
+        const auto link = weak.lock();
+        if (link && link->mTry == attempt) {
+          link->mConnection.reset();
+          link->mChanged(link->mPeer, attempt, false, false);
+        }
+      });
+    self->mChanged(self->mPeer, attempt, true, false);
   });
 }
 
-void
-LinkClient::Send(const LinkMessage& aMessage)
+bool
+LinkClient::Send(std::uint64_t aLink, const LinkMessage& aMessage)
 {
-  if (mConnection) {
-    mConnection->Send(aMessage);
+  if (!mConnection || mTry != aLink) {
+    return false;
   }
+  mConnection->Send(aMessage);
+  return true;
 }
 
 void
--- a/modules/by_links/LinkClient.h
+++ b/modules/by_links/LinkClient.h
@@ -25,10 +25,12 @@
 class LinkClient : public std::enable_shared_from_this<LinkClient>
 {
 public:
-  /// Told that the link to a peer is up or down, and whether the peer's machine refused it.
-  using Changed = std::function<void(const Endpoint&, bool aUp, bool aRefused)>;
+  /// Told that the link to a peer is up or down, and whether the peer's machine refused it. Each
+  /// connection has a number of its own.
+  using Changed =
+    std::function<void(const Endpoint&, std::uint64_t aLink, bool aUp, bool aRefused)>;
   /// Told of the messages of one read from the peer, in their order.
-  using Received = std::function<void(std::vector<LinkMessage>)>;
+  using Received = std::function<void(std::uint64_t aLink, std::vector<LinkMessage>)>;
 
   /// Told of messages that were received or are being sent, and their bytes on the wire.
   using Counted = std::function<void(LinkDirection, std::size_t aMessages, std::size_t aBytes)>;
@@ -42,8 +44,9 @@
   /// Closes the open link and opens one to another peer.
   /// @param aPeer port 0 only closes.
   void Connect(const Endpoint& aPeer);
-  /// Sends a message; it is dropped where the link is down.
-  void Send(const LinkMessage& aMessage);
+  /// Sends a message over one link.
+  /// @returns whether the link is still up; otherwise the message is dropped.
+  bool Send(std::uint64_t aLink, const LinkMessage& aMessage);
   /// Closes the link.
   void Close();
 
@@ -59,6 +62,7 @@
   Counted mCounted;
   boost::asio::steady_timer mTimer;
   Endpoint mPeer;
+  /// The number of the last attempt to connect, which is that of its link.
   std::uint64_t mTry{ 0 };
   std::shared_ptr<detail::LinkConnection> mConnection;
 };
--- a/modules/by_links/LinkServer.cpp
+++ b/modules/by_links/LinkServer.cpp
@@ -79,28 +79,22 @@
     if (!aError) {
       auto connection =
         std::make_shared<detail::LinkConnection>(std::move(aSocket), self->mCounted);
-      auto node = std::make_shared<std::string>();
+      auto peer = std::make_shared<Peer>();
       self->mOpen.insert(connection);
       std::weak_ptr<detail::LinkConnection> held = connection;
       connection->Start(
-        [weak, held, node](std::vector<LinkMessage> aMessages) {
+        [weak, held, peer](std::vector<LinkMessage> aMessages) {
           const auto server = weak.lock();
           const auto link = held.lock();
           if (server && link) {
-            server->Take(link, node, std::move(aMessages));
+            server->Take(link, *peer, std::move(aMessages));
           }
         },
-        [weak, held, node] {
+        [weak, held, peer] {
           const auto server = weak.lock();
           const auto link = held.lock();
-          if (!server || !link) {
-            return;
-          }
-          server->mOpen.erase(link);
-          const auto it = server->mLinks.find(*node);
-          if (it != server->mLinks.end() && it->second == link) {
-            server->mLinks.erase(it);
-            server->mChanged(*node, false);
+          if (server && link) {
+            server->Forget(link, *peer);
           }
         });
     }
@@ -110,11 +104,11 @@
 
 void
 LinkServer::Take(const std::shared_ptr<detail::LinkConnection>& aConnection,
-                 const std::shared_ptr<std::string>& aNode,
+                 Peer& aPeer,
                  std::vector<LinkMessage> aMessages)
 {
-  if (!aNode->empty()) {
-    mReceived(*aNode, std::move(aMessages));
+  if (!aPeer.mNode.empty()) {
+    mReceived(aPeer.mNode, aPeer.mLink, std::move(aMessages));
     return;
   }
   const auto* hello = std::get_if<LinkHello>(&aMessages.front().Body());
@@ -123,25 +117,38 @@
     aConnection->Close();
     return;
   }
-  *aNode = hello->Node();
-  auto& link = mLinks[*aNode];
-  if (link) {
-    mOpen.erase(link);
-    link->Close();
-    mChanged(*aNode, false);
+  aPeer = { .mNode = hello->Node(), .mLink = ++mLastLink };
+  auto& link = mLinks[aPeer.mNode];
+  if (link.mConnection) {
+    mOpen.erase(link.mConnection);
+    link.mConnection->Close();
+    mChanged(aPeer.mNode, link.mNumber, false);
   }
-  link = aConnection;
-  mChanged(*aNode, true);
-  mReceived(*aNode, std::move(aMessages));
+  link = { .mNumber = aPeer.mLink, .mConnection = aConnection };
+  mChanged(aPeer.mNode, aPeer.mLink, true);
+  mReceived(aPeer.mNode, aPeer.mLink, std::move(aMessages));
 }
 
 void
-LinkServer::Send(const std::string& aNode, const LinkMessage& aMessage)
+LinkServer::Forget(const std::shared_ptr<detail::LinkConnection>& aConnection, const Peer& aPeer)
+{
+  mOpen.erase(aConnection);
+  const auto it = mLinks.find(aPeer.mNode);
+  if (it != mLinks.end() && it->second.mConnection == aConnection) {
+    mLinks.erase(it);
+    mChanged(aPeer.mNode, aPeer.mLink, false);
+  }
+}
+
+bool
+LinkServer::Send(const std::string& aNode, std::uint64_t aLink, const LinkMessage& aMessage)
 {
   const auto it = mLinks.find(aNode);
-  if (it != mLinks.end()) {
-    it->second->Send(aMessage);
+  if (it == mLinks.end() || it->second.mNumber != aLink) {
+    return false;
   }
+  it->second.mConnection->Send(aMessage);
+  return true;
 }
 
 void
--- a/modules/by_schema/CellRequest.h
+++ b/modules/by_schema/CellRequest.h
@@ -23,7 +23,7 @@
   /// All fields by name, as input of Create().
   struct Fields
   {
-    /// Sequence number of the call at the node that forwards it.
+    /// Number of the call at the node that forwards it, unique among all processes of that node.
     std::uint64_t mCall{ 0 };
     /// Operation that the caller requests.
     JobCallKind mKind{};
@@ -54,7 +54,7 @@
   /// Returns a copy of the fields, from which a changed value can be created.
   Fields ToFields() const { return mFields; }
 
-  /// Sequence number of the call at the node that forwards it.
+  /// Number of the call at the node that forwards it, unique among all processes of that node.
   std::uint64_t Call() const { return mFields.mCall; }
   /// @returns a copy of this value with another Call.
   [[nodiscard]] CellRequest WithCall(std::uint64_t aValue) const
--- a/modules/by_schema/FromMember.h
+++ b/modules/by_schema/FromMember.h
@@ -26,6 +26,8 @@
     LinkMessage mMessage{};
     /// When it arrived.
     Time mReceived{};
+    /// Number of the link that it arrived over.
+    std::uint64_t mLink{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -74,6 +76,16 @@
     return copy;
   }
 
+  /// Number of the link that it arrived over.
+  std::uint64_t Link() const { return mFields.mLink; }
+  /// @returns a copy of this value with another Link.
+  [[nodiscard]] FromMember WithLink(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLink = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const FromMember&, const FromMember&) = default;
   friend auto operator<=>(const FromMember&, const FromMember&) = default;
 
--- a/modules/by_schema/FromOwner.h
+++ b/modules/by_schema/FromOwner.h
@@ -21,6 +21,8 @@
   {
     /// Message that arrived.
     LinkMessage mMessage{};
+    /// Number of the link that it arrived over.
+    std::uint64_t mLink{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -46,6 +48,16 @@
     return copy;
   }
 
+  /// Number of the link that it arrived over.
+  std::uint64_t Link() const { return mFields.mLink; }
+  /// @returns a copy of this value with another Link.
+  [[nodiscard]] FromOwner WithLink(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLink = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const FromOwner&, const FromOwner&) = default;
   friend auto operator<=>(const FromOwner&, const FromOwner&) = default;
 
--- a/modules/by_schema/JobCall.h
+++ b/modules/by_schema/JobCall.h
@@ -22,7 +22,7 @@
   /// All fields by name, as input of Create().
   struct Fields
   {
-    /// Sequence number of the call, unique within the node's process.
+    /// Number of the call, unique among all processes of the node.
     std::uint64_t mCall{ 0 };
     /// Operation that the caller requests.
     JobCallKind mKind{};
@@ -53,7 +53,7 @@
   /// Returns a copy of the fields, from which a changed value can be created.
   Fields ToFields() const { return mFields; }
 
-  /// Sequence number of the call, unique within the node's process.
+  /// Number of the call, unique among all processes of the node.
   std::uint64_t Call() const { return mFields.mCall; }
   /// @returns a copy of this value with another Call.
   [[nodiscard]] JobCall WithCall(std::uint64_t aValue) const
--- a/modules/by_schema/JobReply.h
+++ b/modules/by_schema/JobReply.h
@@ -21,7 +21,7 @@
   /// All fields by name, as input of Create().
   struct Fields
   {
-    /// Sequence number of the call, as in JobCall and CellRequest.
+    /// Number of the call, as in JobCall and CellRequest.
     std::uint64_t mCall{ 0 };
     /// Outcome of the request.
     JobCallOutcome mOutcome{};
@@ -47,7 +47,7 @@
   /// Returns a copy of the fields, from which a changed value can be created.
   Fields ToFields() const { return mFields; }
 
-  /// Sequence number of the call, as in JobCall and CellRequest.
+  /// Number of the call, as in JobCall and CellRequest.
   std::uint64_t Call() const { return mFields.mCall; }
   /// @returns a copy of this value with another Call.
   [[nodiscard]] JobReply WithCall(std::uint64_t aValue) const
--- a/modules/by_schema/LinkChanged.h
+++ b/modules/by_schema/LinkChanged.h
@@ -25,6 +25,8 @@
     bool mUp{ false };
     /// Whether the owner's machine refused the connection because no process listens there.
     bool mRefused{ false };
+    /// Number of the link, counted by this process; each connection has its own.
+    std::uint64_t mLink{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -73,6 +75,16 @@
     return copy;
   }
 
+  /// Number of the link, counted by this process; each connection has its own.
+  std::uint64_t Link() const { return mFields.mLink; }
+  /// @returns a copy of this value with another Link.
+  [[nodiscard]] LinkChanged WithLink(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLink = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkChanged&, const LinkChanged&) = default;
   friend auto operator<=>(const LinkChanged&, const LinkChanged&) = default;
 
--- a/modules/by_schema/MemberChanged.h
+++ b/modules/by_schema/MemberChanged.h
@@ -21,6 +21,8 @@
     std::string mNode{};
     /// Whether the link is established.
     bool mUp{ false };
+    /// Number of the link, counted by this process; each connection has its own.
+    std::uint64_t mLink{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -59,6 +61,16 @@
     return copy;
   }
 
+  /// Number of the link, counted by this process; each connection has its own.
+  std::uint64_t Link() const { return mFields.mLink; }
+  /// @returns a copy of this value with another Link.
+  [[nodiscard]] MemberChanged WithLink(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLink = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const MemberChanged&, const MemberChanged&) = default;
   friend auto operator<=>(const MemberChanged&, const MemberChanged&) = default;
 
--- a/modules/by_schema/SendToMember.h
+++ b/modules/by_schema/SendToMember.h
@@ -23,6 +23,8 @@
     std::string mNode{};
     /// Message to send.
     LinkMessage mMessage{};
+    /// Number of the link to send it over; the message is dropped if that link is over.
+    std::uint64_t mLink{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -61,6 +63,16 @@
     return copy;
   }
 
+  /// Number of the link to send it over; the message is dropped if that link is over.
+  std::uint64_t Link() const { return mFields.mLink; }
+  /// @returns a copy of this value with another Link.
+  [[nodiscard]] SendToMember WithLink(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLink = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const SendToMember&, const SendToMember&) = default;
   friend auto operator<=>(const SendToMember&, const SendToMember&) = default;
 
--- a/modules/by_schema/SendToOwner.h
+++ b/modules/by_schema/SendToOwner.h
@@ -21,6 +21,8 @@
   {
     /// Message to send.
     LinkMessage mMessage{};
+    /// Number of the link to send it over; the message is dropped if that link is over.
+    std::uint64_t mLink{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -49,6 +51,16 @@
     return copy;
   }
 
+  /// Number of the link to send it over; the message is dropped if that link is over.
+  std::uint64_t Link() const { return mFields.mLink; }
+  /// @returns a copy of this value with another Link.
+  [[nodiscard]] SendToOwner WithLink(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mLink = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const SendToOwner&, const SendToOwner&) = default;
   friend auto operator<=>(const SendToOwner&, const SendToOwner&) = default;
 
--- a/tests/by_cell/RequestsTest.cpp
+++ b/tests/by_cell/RequestsTest.cpp
@@ -42,7 +42,7 @@
   CellFixture cell;
   CallFromMember(cell, cell.Submission(kJob, { CellFixture::Step(1) }));
   cell.Advance();
-  ForgetCallers(cell.mCell, "n2");
+  ForgetCallers(cell.mCell, "n2", 0);
   cell.Store();
   CHECK(TakeMemberOutcomes(cell).empty());
 }
@@ -59,7 +59,7 @@
                                        .mJob = kJob })
                    .value());
   cell.AdvanceTime(Time::FromMilliseconds(50));
-  ForgetCallers(cell.mCell, "n2");
+  ForgetCallers(cell.mCell, "n2", 0);
   cell.StoreAll();
   CHECK(TakeMemberOutcomes(cell).empty());
 }
--- a/tests/by_entry/CallsTest.cpp
+++ b/tests/by_entry/CallsTest.cpp
@@ -69,13 +69,33 @@
     return overloaded;
   }
 
-  void Forward(const CellRequest& aRequest, Time aReceived)
+  void Forward(const CellRequest& aRequest, Time aReceived, std::uint64_t aLink = 0)
   {
     Deliver(FromMember::Create({ .mNode = "n2",
                                  .mMessage = LinkMessage::Create({ .mBody = aRequest }).value(),
-                                 .mReceived = aReceived })
+                                 .mReceived = aReceived,
+                                 .mLink = aLink })
               .value());
   }
+
+  /// Replaces the link of n2 by another.
+  void Relink(std::uint64_t aBefore, std::uint64_t aLink)
+  {
+    Deliver(MemberChanged::Create({ .mNode = "n2", .mUp = false, .mLink = aBefore }).value());
+    Deliver(MemberChanged::Create({ .mNode = "n2", .mUp = true, .mLink = aLink }).value());
+  }
+
+  /// @returns the links that replies were sent over since the last call.
+  std::vector<std::uint64_t> TakeReplyLinks()
+  {
+    std::vector<std::uint64_t> links;
+    for (const auto& sent : Take<SendToMember>()) {
+      if (std::holds_alternative<JobReply>(sent.Message().Body())) {
+        links.push_back(sent.Link());
+      }
+    }
+    return links;
+  }
 };
 
 /// A member of the owner n2 with the epoch 3.
@@ -105,17 +125,132 @@
   std::vector<CellRequest> TakeRequests()
   {
     std::vector<CellRequest> requests;
+    mRequestLinks.clear();
     for (const auto& sent : Take<SendToOwner>()) {
       if (const auto* request = std::get_if<CellRequest>(&sent.Message().Body())) {
         requests.push_back(*request);
+        mRequestLinks.push_back(sent.Link());
       }
     }
     return requests;
   }
+
+  /// Opens another link to the same owner, which says at once that it is active.
+  void Relink(std::uint64_t aLink)
+  {
+    Deliver(
+      LinkChanged::Create({ .mPeer = mState.mOwner->Link(), .mUp = true, .mLink = aLink }).value());
+    auto heartbeat = LinkHeartbeat::Create({ .mEpoch = 3, .mOwner = true }).value();
+    Deliver(FromOwner::Create(
+              { .mMessage = LinkMessage::Create({ .mBody = std::move(heartbeat) }).value(),
+                .mLink = aLink })
+              .value());
+  }
+
+  /// Delivers the owner's reply to a call.
+  void Reply(std::uint64_t aCall, JobCallOutcome aOutcome, std::uint64_t aLink)
+  {
+    auto reply = JobReply::Create({ .mCall = aCall, .mOutcome = aOutcome }).value();
+    Deliver(
+      FromOwner::Create(
+        { .mMessage = LinkMessage::Create({ .mBody = std::move(reply) }).value(), .mLink = aLink })
+        .value());
+  }
+
+  /// The links that the requests of the last TakeRequests() were sent over.
+  std::vector<std::uint64_t> mRequestLinks;
 };
 
 } // namespace
 
+/// A node that was killed and started again took the answers to its earlier process for answers to
+/// calls of its own with the same numbers: jobs that no node knew were reported as accepted.
+TEST_GROUP(CallLives){};
+
+TEST(CallLives, ReplyLeavesByTheLinkOfItsRequest)
+{
+  Owner owner;
+  owner.Relink(0, 1);
+  owner.Take<SendToMember>();
+  owner.Forward(RequestOf(owner, JobCallKind::Show), owner.mNow, 1);
+  owner.Relink(1, 2);
+  CHECK(owner.TakeReplyLinks() == std::vector<std::uint64_t>{ 1 });
+  owner.Forward(RequestOf(owner, JobCallKind::Show), owner.mNow, 2);
+  CHECK(owner.TakeReplyLinks() == std::vector<std::uint64_t>{ 2 });
+}
+
+TEST(CallLives, CallerOfAnEarlierLinkIsNotAnsweredOnceItsJobIsStored)
+{
+  Owner owner;
+  owner.Relink(0, 1);
+  owner.Forward(RequestOf(owner, JobCallKind::Submit), owner.mNow, 1);
+  owner.Relink(1, 2);
+  owner.Forward(RequestOf(owner, JobCallKind::Submit), owner.mNow, 2);
+  owner.Take<SendToMember>();
+  owner.Advance(Time::FromMilliseconds(50));
+  owner.Deliver(
+    CellAppended::Create({ .mEpoch = 3, .mSequence = 1, .mOutcome = StoreOutcome::Done }).value());
+  CHECK(owner.TakeReplyLinks() == std::vector<std::uint64_t>{ 2 });
+}
+
+TEST(CallLives, RefusalOfANodeThatIsNotTheOwnerLeavesByTheLinkOfItsRequest)
+{
+  Member member;
+  member.Deliver(MemberChanged::Create({ .mNode = "n3", .mUp = true, .mLink = 1 }).value());
+  member.Take<SendToMember>();
+  member.Deliver(
+    FromMember::Create(
+      { .mNode = "n3",
+        .mMessage = LinkMessage::Create({ .mBody = RequestOf(member, JobCallKind::Show) }).value(),
+        .mReceived = member.mNow,
+        .mLink = 1 })
+      .value());
+  member.Deliver(MemberChanged::Create({ .mNode = "n3", .mUp = true, .mLink = 2 }).value());
+  for (const auto& sent : member.Take<SendToMember>()) {
+    if (std::holds_alternative<JobReply>(sent.Message().Body())) {
+      CHECK_EQUAL(1, sent.Link());
+    }
+  }
+}
+
+TEST(CallLives, RequestOfAnEarlierLinkHasNoEffect)
+{
+  Owner owner;
+  owner.Relink(0, 1);
+  owner.Relink(1, 2);
+  owner.Take<SendToMember>();
+  owner.Forward(RequestOf(owner, JobCallKind::Submit), owner.mNow, 1);
+  CHECK(owner.mState.mCell->mJobs.empty());
+  CHECK(owner.Take<SendToMember>().empty());
+}
+
+TEST(CallLives, ReplyOfAnEarlierLinkDoesNotAnswerACallOfTheNextOne)
+{
+  Member member;
+  member.Relink(1);
+  member.Relink(2);
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  member.Reply(1, JobCallOutcome::Refused, 1);
+  CHECK(member.TakeOutcomes().empty());
+  CHECK_EQUAL(1, member.mState.mCalls.size());
+  member.Reply(1, JobCallOutcome::Accepted, 2);
+  CHECK(member.TakeOutcomes() == std::vector{ JobCallOutcome::Accepted });
+}
+
+/// A request that was meant for an earlier link used to leave by the next one and once more after
+/// it, so that the reply to one copy could belie what became of the other.
+TEST(CallLives, RequestIsBoundToTheLinkThatItWasForwardedOver)
+{
+  Member member;
+  member.Relink(1);
+  member.SendCall(1, JobCallKind::Submit, kJobPath);
+  CHECK_EQUAL(1, member.TakeRequests().size());
+  CHECK(member.mRequestLinks == std::vector<std::uint64_t>{ 1 });
+  member.Relink(2);
+  CHECK_EQUAL(1, member.TakeRequests().size());
+  CHECK(member.mRequestLinks == std::vector<std::uint64_t>{ 2 });
+}
+
 /// An owner that was behind spent most of its time on requests whose callers had left and repeated
 /// them, so that it never caught up.
 TEST_GROUP(Calls){};
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/CallResults.h"
 #include "platform/Decode.h"
 #include "platform/Encode.h"
+#include "platform/Front.h"
 #include "platform/KeyedTopic.h"
 #include "platform/PlatformSettings.h"
 
@@ -55,6 +56,15 @@
   }
 }
 
+/// Each process of a node counted its calls from 1, so that the owner's answers to one process
+/// matched calls of the next.
+TEST(Platform, CallsOfTwoProcessesHaveDifferentNumbers)
+{
+  constexpr std::uint64_t kMostCalls = 0xffffffff;
+  CHECK(CallNumberBase(7) + kMostCalls < CallNumberBase(8) + 1);
+  CHECK(CallNumberBase(0x1234567800000007) + 1 != CallNumberBase(0x1234567800000008) + 1);
+}
+
 TEST(Platform, JobIsDecodedIntoTheProductsTerms)
 {
   const auto job = DecodeJob(R"({"spec":"text","steps":[
