Take no run for lost while its end may still be listed

Cause: a worker lists a part of its ends at a time. A confirmed run that was neither in the list of running runs nor in that part counted as lost; it was stopped, the stop was confirmed, and the task was requeued before its end came with a later part.

Change: a run that a report lacks is settled once all ends up to that report are known, by a report without ends or by the end of a run that was alive then. The length of a part is not used. Polls of a worker with such runs don't wait there, and the next part is fetched as soon as the last one is stored.

The histories now hold an end against later starts when it is acknowledged; before, they saw starts only after the acknowledgement.

Why it works: ends are numbered in their order and listed from the oldest on, so a later end proves that all before it have been listed.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -161,6 +161,7 @@
   }
   if (aEvent.Outcome() == OrderOutcome::Accepted && row->mStopSentAt >= worker.mIncarnationSince) {
     row->mStopConfirmedAt = aNow;
+    row->mUnlistedSinceReport = 0;
     detail::SchedulePoll(aState, worker, aNow + aState.mSettings.MinPollInterval());
     return;
   }
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -84,7 +84,9 @@
                              .mEpoch = aState.mEpoch,
                              .mAcknowledged = aWorker.mLastEndStored,
                              .mLeaseUntil = std::nullopt,
-                             .mWait = renews ? aState.mSettings.PollWait() : Time() };
+                             .mWait = renews && aWorker.mUnresolvedRuns == 0
+                                        ? aState.mSettings.PollWait()
+                                        : Time() };
   if (renews) {
     fields.mLeaseUntil = detail::NextLeaseEnd(aState, aWorker, aNow);
     aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, *fields.mLeaseUntil);
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -160,8 +160,11 @@
     if (worker != aState.mWorkers.end() &&
         worker->second.mIncarnationSince == end.mIncarnationSince) {
       worker->second.mLastEndStored = std::max(worker->second.mLastEndStored, end.mNumber);
-      // The next poll acknowledges the ends; a worker without runs has none scheduled yet.
-      detail::SchedulePoll(aState, worker->second, aNow + aState.mSettings.PollInterval());
+      // The next poll acknowledges the ends; a worker without runs has none scheduled yet. A worker
+      // that lists a part of its ends lists the next part only then.
+      const auto delay = worker->second.mUnresolvedRuns > 0 ? aState.mSettings.MinPollInterval()
+                                                            : aState.mSettings.PollInterval();
+      detail::SchedulePoll(aState, worker->second, aNow + delay);
     }
   }
 }
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -42,9 +42,15 @@
   Time mStopSentAt{};
   /// When to send the stop again; Never() where no retry is due.
   Time mStopRetryAt{ Time::Never() };
-  /// When the worker confirmed a stop; a report to a poll sent later that lacks the run proves that
-  /// the run has ended.
+  /// When the worker confirmed a stop; by a report to a poll sent later that does not list the run
+  /// as running, the run has ended.
   Time mStopConfirmedAt{ Time::Never() };
+  /// The number of the worker's last report by which the run had not ended: it was listed as
+  /// running, or its start was sent later.
+  std::uint64_t mAliveInReport{ 0 };
+  /// The number of the first report that lacked the run although it had begun and may have ended;
+  /// zero while there is none. Its end may be among those that the worker has not listed yet.
+  std::uint64_t mUnlistedSinceReport{ 0 };
   /// The declared duration of the work.
   Time mEstimate{};
   /// The progress in the last report. [percent]
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -55,6 +55,13 @@
   /// The number of the last end that was processed, and of the last one that is stored.
   std::uint64_t mLastEndSeen{ 0 };
   std::uint64_t mLastEndStored{ 0 };
+  /// How many reports of this incarnation were processed.
+  std::uint64_t mReports{ 0 };
+  /// The newest report such that all ends from before it are known. A worker lists a part of its
+  /// ends at a time, the oldest first, so that a report may lack a run whose end is still to come.
+  std::uint64_t mEndsKnownUntilReport{ 0 };
+  /// How many runs the last report lacked whose ends may still be listed.
+  std::uint32_t mUnresolvedRuns{ 0 };
   /// The runs that hold capacity, and the sum of their resources.
   absl::btree_map<RunId, RunRow> mRuns;
   Resources mUsed;
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -90,6 +90,8 @@
   aWorker.mLateOrdersUntil = aNow + kLateOrderWindow;
   aWorker.mIncarnationSince = aNow;
   for (const auto& run : unconfirmed) {
+    aWorker.mRuns.at(run).mAliveInReport = 0;
+    aWorker.mRuns.at(run).mUnlistedSinceReport = 0;
     if (aWorker.mRuns.at(run).mPhase != RunPhase::Inherited) {
       aWorker.mRuns.at(run).mStopConfirmedAt = Time::Never();
       aWorker.mRuns.at(run).mStopRetryAt = aNow;
@@ -102,6 +104,9 @@
   aWorker.mLeaseSent = Time();
   aWorker.mLastEndSeen = 0;
   aWorker.mLastEndStored = 0;
+  aWorker.mReports = 0;
+  aWorker.mEndsKnownUntilReport = 0;
+  aWorker.mUnresolvedRuns = 0;
   aWorker.mConsecutiveFailures = 0;
   aWorker.mQuarantinedUntil = Time();
   aWorker.mSlowness = 1.0;
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -304,6 +304,7 @@
     row.mPhase = RunPhase::Ordered;
     row.mOrderedAt = aNow;
     row.mPhaseSince = aNow;
+    row.mAliveInReport = aWorker.mReports;
   }
   row.mStartInFlight = true;
   row.mStartRetryAt = Time::Never();
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -15,6 +16,26 @@
 
 namespace {
 
+/// Notes up to which report all ends are known by a further report. None is missing if the worker
+/// has no unacknowledged end. Otherwise all ends before an end that it lists are known, and so are
+/// all from before a report by which that run was still alive.
+void
+UpdateKnownEnds(WorkerRow& aWorker, const WorkerReport& aReport)
+{
+  ++aWorker.mReports;
+  auto& known = aWorker.mEndsKnownUntilReport;
+  if (aReport.Ended().empty()) {
+    known = aWorker.mReports;
+    return;
+  }
+  for (const auto& end : aReport.Ended()) {
+    const auto it = aWorker.mRuns.find({ end.Task(), end.Run() });
+    if (end.Number() > aWorker.mLastEndSeen && it != aWorker.mRuns.end()) {
+      known = std::max(known, it->second.mAliveInReport);
+    }
+  }
+}
+
 void
 ApplyEnds(CellState& aState,
           WorkerRow& aWorker,
@@ -65,6 +86,7 @@
   if (!row.mIsDemandUnknown) {
     row.mDemand = StepOf(*job, run.mTask.Step()).Demand();
   }
+  row.mAliveInReport = aWorker.mReports;
   AddRun(aState, aWorker, run, std::move(row));
   SendStop(aState, aWorker, run, aNow, aOut);
 }
@@ -83,6 +105,8 @@
     return;
   }
   auto& row = it->second;
+  row.mAliveInReport = aWorker.mReports;
+  row.mUnlistedSinceReport = 0;
   ConfirmRun(aState, run, row, aNow);
   if (aRunning.Percent() != row.mPercent) {
     row.mPercent = aRunning.Percent();
@@ -94,9 +118,10 @@
   }
 }
 
-/// @returns whether a run that the report lacks has ended for certain.
+/// @returns whether a run that the report does not list as running is over for certain, with an end
+/// that is known or not.
 bool
-HasEnded(const WorkerRow& aWorker, const RunRow& aRow)
+IsOver(const WorkerRow& aWorker, const RunRow& aRow)
 {
   if (aRow.mPhase == RunPhase::Inherited) {
     // From this poll on the worker refuses orders of earlier owners.
@@ -105,6 +130,16 @@
   return aRow.mStopConfirmedAt < aWorker.mPollSentAt;
 }
 
+/// @returns whether a run should be listed as running by now, unless it has ended.
+bool
+ShouldBeListed(const WorkerRow& aWorker, const RunRow& aRow)
+{
+  return aRow.mPhase == RunPhase::Confirmed && aRow.mPhaseSince < aWorker.mPollSentAt &&
+         !aRow.mStopRequested;
+}
+
+/// Settles the runs that the worker neither lists as running nor will list as ended. The others
+/// keep their capacity until a later report tells.
 void
 ResolveUnlistedRuns(CellState& aState,
                     WorkerRow& aWorker,
@@ -114,22 +149,44 @@
 {
   std::vector<RunId> ended;
   std::vector<RunId> unconfirmed;
-  for (const auto& [run, row] : aWorker.mRuns) {
+  const auto unresolvedBefore = std::exchange(aWorker.mUnresolvedRuns, 0);
+  for (auto& [run, row] : aWorker.mRuns) {
     if (aListed.contains(run) || row.mPhase == RunPhase::Planned) {
       continue;
     }
-    if (HasEnded(aWorker, row)) {
-      ended.push_back(run);
-    } else if (row.mPhase == RunPhase::Confirmed && row.mPhaseSince < aWorker.mPollSentAt &&
-               !row.mStopRequested) {
-      unconfirmed.push_back(run);
+    const bool isOver = IsOver(aWorker, row);
+    if (!isOver && !ShouldBeListed(aWorker, row)) {
+      continue;
+    }
+    if (row.mUnlistedSinceReport == 0) {
+      row.mUnlistedSinceReport = aWorker.mReports;
     }
+    if (row.mUnlistedSinceReport > aWorker.mEndsKnownUntilReport) {
+      ++aWorker.mUnresolvedRuns;
+    } else {
+      (isOver ? ended : unconfirmed).push_back(run);
+    }
+  }
+  if (aWorker.mUnresolvedRuns > 0 && unresolvedBefore == 0) {
+    Log(aOut,
+        "run.unlisted",
+        aWorker.mRegistration.Id(),
+        absl::StrCat("runs=",
+                     aWorker.mUnresolvedRuns,
+                     " report=",
+                     aWorker.mReports,
+                     " ends_known_until_report=",
+                     aWorker.mEndsKnownUntilReport,
+                     " last_end=",
+                     aWorker.mLastEndSeen,
+                     " decision=wait for their ends"));
   }
   for (const auto& run : ended) {
     Log(aOut,
         "run.settled",
         FormatRunId(run),
-        "reason=not reported after its stop was confirmed or its owner fenced");
+        absl::StrCat("reason=not reported after its stop was confirmed or its owner fenced report=",
+                     aWorker.mReports));
     const auto task = run.mTask;
     RemoveRun(aState, aWorker, run);
     const auto* row = FindTask(aState, task);
@@ -139,7 +196,10 @@
     }
   }
   for (const auto& run : unconfirmed) {
-    Log(aOut, "run.missing", FormatRunId(run), "reason=confirmed earlier but not reported");
+    Log(aOut,
+        "run.missing",
+        FormatRunId(run),
+        absl::StrCat("reason=confirmed earlier but not reported report=", aWorker.mReports));
     auto& row = aWorker.mRuns.at(run);
     row.mStopRequested = true;
     SendStop(aState, aWorker, run, aNow, aOut);
@@ -159,6 +219,7 @@
   for (const auto& running : aReport.Running()) {
     listed.insert({ running.Task(), running.Run() });
   }
+  UpdateKnownEnds(aWorker, aReport);
   ApplyEnds(aState, aWorker, aReport, aNow, aOut);
   for (const auto& running : aReport.Running()) {
     ApplyRunning(aState, aWorker, running, aNow, aOut);
--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -74,6 +74,29 @@
   SimulateAll(600, { .mLostOrders = 5, .mTakeoverEvery = 4000, .mResizeEvery = 1500 });
 }
 
+/// Runs whose ends a worker had not listed yet were taken for lost, and started again.
+TEST(CellHistory, RulesHoldWhenWorkersListAPartOfTheirEnds)
+{
+  SimulateAll(600, { .mLostAppends = 15, .mListedEnds = 1 });
+}
+
+TEST(CellHistory, RulesHoldWhenWorkersListAPartOfTheirEndsAndOwnersFollowEachOther)
+{
+  SimulateAll(600,
+              { .mLostOrders = 5, .mLostAppends = 15, .mTakeoverEvery = 1500, .mListedEnds = 1 });
+}
+
+TEST(CellHistory, RulesHoldWhenWorkersListAPartOfTheirEndsAndCrash)
+{
+  SimulateAll(600,
+              { .mLostAppends = 15,
+                .mTakeoverEvery = 3000,
+                .mCrashEvery = 9000,
+                .mCutEvery = 9000,
+                .mListedEnds = 2 },
+              12000);
+}
+
 TEST(CellHistory, RulesHoldUnderAllFaultsTogether)
 {
   SimulateAll(1200,
--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -387,7 +387,19 @@
       // A done run counts as acknowledged unless the worker's lease expired between the end of the
       // run and the acknowledgement.
       const bool counts = worker.mLeaseExpiredAt < worker.mEndTimes[aEnd.Number()];
-      facts.mDoneAcknowledged = facts.mDoneAcknowledged || (counts && aEnd.End() == RunEnd::Done);
+      const bool isDone = counts && aEnd.End() == RunEnd::Done;
+      facts.mDoneAcknowledged = facts.mDoneAcknowledged || isDone;
+      if (isDone && facts.mLastStart > worker.mEndTimes[aEnd.Number()]) {
+        ReportViolation("TWICE",
+                        absl::StrCat(aEnd.Task().Job(),
+                                     ".",
+                                     aEnd.Task().Step(),
+                                     ".",
+                                     aEnd.Task().Index(),
+                                     " began again before its end on ",
+                                     worker.mId,
+                                     " was acknowledged"));
+      }
       if (aEnd.End() == RunEnd::Failed) {
         facts.mFailedAcknowledged.insert(aEnd.Run());
       }
@@ -401,6 +413,10 @@
         RunningRun::Create({ .mTask = run.mTask, .mRun = run.mRun, .mPercent = 50 }).value());
     }
     report.mEnded = worker.mEnded;
+    if (mFaults.mListedEnds > 0 && report.mEnded.size() > mFaults.mListedEnds) {
+      report.mEnded.erase(report.mEnded.begin() + static_cast<std::ptrdiff_t>(mFaults.mListedEnds),
+                          report.mEnded.end());
+    }
     After(1 + Draw(4), [answer, report = WorkerReport::Create(std::move(report)).value()] {
       answer(OrderOutcome::Accepted, report);
     });
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -31,6 +32,8 @@
   int mCrashingJobs{ 0 };
   /// Mean time between changes of a worker's capacity; zero for none. [ms]
   int mResizeEvery{ 0 };
+  /// How many ends a worker lists at a time at most, the oldest first; zero for all.
+  std::size_t mListedEnds{ 0 };
 };
 
 /// Simulates a cell under faults: successive owners, workers that carry out orders late, and a
@@ -101,6 +104,8 @@
     std::set<std::uint32_t> mFailedAcknowledged;
     bool mDone{ false };
     bool mDoneAcknowledged{ false };
+    /// When a worker last began a run of it.
+    Time mLastStart{};
     /// The workers that crashed under it, those that crashed because of it, and the starts after
     /// three of the latter.
     int mCrashes{ 0 };
--- a/tests/properties/CellSimulationWorkers.cpp
+++ b/tests/properties/CellSimulationWorkers.cpp
@@ -106,6 +106,7 @@
   }
   CheckStart(aWorker, aStart, aLate);
   ++mStarts;
+  mFacts[aStart.Task()].mLastStart = mNow;
   const auto estimate = static_cast<int>(StepOf(aStart.Task()).Estimate().Milliseconds());
   const auto crashing = mCrashing.find(aStart.Task());
   aWorker.mRuns.push_back(
