Drop answers to orders of an earlier epoch

What callers could see: a cell without an owner for one more takeover. A node that lost the cell and claimed it again took the refusal of an earlier order ("an owner with a higher epoch was here", which was itself) for a newer owner and stepped down; an earlier report stood for the answer that proves earlier owners fenced.

Cause: answers to orders that the owner sends itself named the worker and the run, not the epoch.

Change: these orders carry their epoch in the number, as relayed ones do, and MaintenanceAnswered names it. Other answers are dropped with `answer.outdated`.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/OrderNumber.h"
 #include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Incarnations.h"
@@ -86,7 +87,8 @@
                              .mLeaseUntil = std::nullopt,
                              .mWait = renews && aWorker.mUnresolvedRuns == 0
                                         ? aState.mSettings.PollWait()
-                                        : Time() };
+                                        : Time(),
+                             .mNumber = OrderNumber(aState.mEpoch) };
   if (renews) {
     fields.mLeaseUntil = detail::NextLeaseEnd(aState, aWorker, aNow);
     aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, *fields.mLeaseUntil);
--- a/modules/by_cell/by_cell.h
+++ b/modules/by_cell/by_cell.h
@@ -14,5 +14,6 @@
 #include "by_cell/HandleRequests.h"
 #include "by_cell/HandleStore.h"
 #include "by_cell/HandleWaves.h"
+#include "by_cell/OrderNumber.h"
 #include "by_cell/RestoreCell.h"
 #include "by_cell/Work.h"
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/OrderNumber.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
@@ -308,18 +309,19 @@
   }
   row.mStartInFlight = true;
   row.mStartRetryAt = Time::Never();
-  Emit(aOut,
-       StartRun::Create(
-         { .mWorker = aWorker.mRegistration.Id(),
-           .mEndpoint = aWorker.mRegistration.Endpoint(),
-           .mTask = aRun.mTask,
-           .mRun = aRun.mRun,
-           .mPayload = job->mJob.Definition().Payload(),
-           .mLeaseUntil = lease,
-           .mEpoch = aState.mEpoch,
-           .mCheckpoint = task->mProgress.Checkpoint(),
-           .mTicket = ticket == advice.mTickets.end() ? std::string() : ticket->second })
-         .value());
+  Emit(
+    aOut,
+    StartRun::Create({ .mWorker = aWorker.mRegistration.Id(),
+                       .mEndpoint = aWorker.mRegistration.Endpoint(),
+                       .mTask = aRun.mTask,
+                       .mRun = aRun.mRun,
+                       .mPayload = job->mJob.Definition().Payload(),
+                       .mLeaseUntil = lease,
+                       .mEpoch = aState.mEpoch,
+                       .mCheckpoint = task->mProgress.Checkpoint(),
+                       .mTicket = ticket == advice.mTickets.end() ? std::string() : ticket->second,
+                       .mNumber = OrderNumber(aState.mEpoch) })
+      .value());
 }
 
 void
@@ -334,7 +336,8 @@
                          .mEndpoint = aWorker.mRegistration.Endpoint(),
                          .mTask = aRun.mTask,
                          .mRun = aRun.mRun,
-                         .mEpoch = aState.mEpoch })
+                         .mEpoch = aState.mEpoch,
+                         .mNumber = OrderNumber(aState.mEpoch) })
          .value());
 }
 
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -73,7 +73,9 @@
   }
   void operator()(const MaintenanceAnswered& aEvent) const
   {
-    ForwardToCell(HandleMaintenanceAnswered, aEvent);
+    if (IsOfThisEpoch(aEvent.Epoch(), aEvent.Machine())) {
+      ForwardToCell(HandleMaintenanceAnswered, aEvent);
+    }
   }
   void operator()(const WavePublished& aEvent) const { ForwardToCell(HandleWavePublished, aEvent); }
   void operator()(const GroupJoined& aEvent) const
@@ -131,16 +133,31 @@
   }
 
 private:
+  /// @returns whether an answer belongs to an order that this node sent in its present epoch, and
+  /// logs one that does not. A node that loses the cell and claims it again may still get answers
+  /// of its earlier epoch; that an order was refused as one of an earlier owner says nothing of the
+  /// present one.
+  bool IsOfThisEpoch(std::uint64_t aEpoch, const std::string& aReceiver) const
+  {
+    if (aEpoch == mState.mEpoch) {
+      return true;
+    }
+    detail::Log(mOut,
+                "answer.outdated",
+                aReceiver,
+                absl::StrCat("order_epoch=", aEpoch, " epoch=", mState.mEpoch));
+    return false;
+  }
   /// Handles the answer to an order of this node, or returns it to the owner that it was relayed
   /// for.
   template<class Event>
   void HandleAnswer(void (*aHandler)(CellState&, const Event&, Time, Effects&),
                     const Event& aEvent) const
   {
-    if (aEvent.Number() == 0) {
-      ForwardToCell(aHandler, aEvent);
-    } else {
+    if (IsRelayedOrder(aEvent.Number())) {
       detail::KeepRelayedAnswer(mState, WorkerAnswer::Create({ .mBody = aEvent }).value(), mNow);
+    } else if (IsOfThisEpoch(aEvent.Number() >> kOrderEpochShift, aEvent.Worker())) {
+      ForwardToCell(aHandler, aEvent);
     }
   }
   template<class Event>
--- a/modules/by_entry/detail/Relays.cpp
+++ b/modules/by_entry/detail/Relays.cpp
@@ -10,6 +10,7 @@
 
 #include "by_cell/HandleOrders.h"
 #include "by_cell/HandlePolls.h"
+#include "by_cell/OrderNumber.h"
 #include "by_cell/detail/Emit.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/RelayChoice.h"
@@ -31,8 +32,6 @@
 constexpr Time kSuspension = Time::FromMilliseconds(2000);
 /// A new owner sends no orders for this long after its claim, so that members can link first.
 constexpr Time kLinkDelay = Time::FromMilliseconds(200);
-/// The position of the epoch in the number of an order.
-constexpr std::uint64_t kEpochShift = 32;
 
 /// An answer may lie in the queue of an owner that is behind. It does not if a message that the
 /// relay sent after the deadline has been read.
@@ -90,7 +89,7 @@
     return false;
   }
   auto& relays = aState.mRelays;
-  const auto number = (aState.mEpoch << kEpochShift) | ++relays.mLastNumber;
+  const auto number = OrderNumber(aState.mEpoch, ++relays.mLastNumber);
   auto order = WorkerOrder::Create({ .mBody = aOrder.WithNumber(number) }).value();
   const auto deadline =
     aNow + WaitOf(order) + aState.mSettings.Cell().OrderTimeout() + kRelayMargin;
--- a/modules/by_schema/MaintenanceAnswered.h
+++ b/modules/by_schema/MaintenanceAnswered.h
@@ -25,6 +25,8 @@
     std::uint64_t mWave{ 0 };
     /// Outcome of the order.
     MaintenanceOutcome mOutcome{};
+    /// Epoch of the owner that sent the order.
+    std::uint64_t mEpoch{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -73,6 +75,16 @@
     return copy;
   }
 
+  /// Epoch of the owner that sent the order.
+  std::uint64_t Epoch() const { return mFields.mEpoch; }
+  /// @returns a copy of this value with another Epoch.
+  [[nodiscard]] MaintenanceAnswered WithEpoch(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mEpoch = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const MaintenanceAnswered&, const MaintenanceAnswered&) = default;
   friend auto operator<=>(const MaintenanceAnswered&, const MaintenanceAnswered&) = default;
 
--- a/modules/by_schema/PollWorker.h
+++ b/modules/by_schema/PollWorker.h
@@ -34,7 +34,8 @@
     std::optional<Time> mLeaseUntil{};
     /// How long the worker may wait for the end of a run before it answers.
     Time mWait{};
-    /// Sequence number if another node relays the order; zero if the owner sends it itself.
+    /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
+    /// the owner sends the order itself.
     std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -115,7 +116,8 @@
     return copy;
   }
 
-  /// Sequence number if another node relays the order; zero if the owner sends it itself.
+  /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
+  /// the owner sends the order itself.
   std::uint64_t Number() const { return mFields.mNumber; }
   /// @returns a copy of this value with another Number.
   [[nodiscard]] PollWorker WithNumber(std::uint64_t aValue) const
--- a/modules/by_schema/StartAnswered.h
+++ b/modules/by_schema/StartAnswered.h
@@ -28,7 +28,7 @@
     std::uint32_t mRun{ 0 };
     /// Outcome of the order.
     OrderOutcome mOutcome{};
-    /// Number of the order; zero if the order was not relayed.
+    /// Number of the order.
     std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -88,7 +88,7 @@
     return copy;
   }
 
-  /// Number of the order; zero if the order was not relayed.
+  /// Number of the order.
   std::uint64_t Number() const { return mFields.mNumber; }
   /// @returns a copy of this value with another Number.
   [[nodiscard]] StartAnswered WithNumber(std::uint64_t aValue) const
--- a/modules/by_schema/StartRun.h
+++ b/modules/by_schema/StartRun.h
@@ -39,7 +39,8 @@
     std::string mCheckpoint{};
     /// Ticket that permits this worker to run the step; empty if none is needed.
     std::string mTicket{};
-    /// Sequence number if another node relays the order; zero if the owner sends it itself.
+    /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
+    /// the owner sends the order itself.
     std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -146,7 +147,8 @@
     return copy;
   }
 
-  /// Sequence number if another node relays the order; zero if the owner sends it itself.
+  /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
+  /// the owner sends the order itself.
   std::uint64_t Number() const { return mFields.mNumber; }
   /// @returns a copy of this value with another Number.
   [[nodiscard]] StartRun WithNumber(std::uint64_t aValue) const
--- a/modules/by_schema/StopRun.h
+++ b/modules/by_schema/StopRun.h
@@ -30,7 +30,8 @@
     std::uint32_t mRun{ 0 };
     /// Epoch of the owner that sends the order.
     std::uint64_t mEpoch{ 0 };
-    /// Sequence number if another node relays the order; zero if the owner sends it itself.
+    /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
+    /// the owner sends the order itself.
     std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -97,7 +98,8 @@
     return copy;
   }
 
-  /// Sequence number if another node relays the order; zero if the owner sends it itself.
+  /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
+  /// the owner sends the order itself.
   std::uint64_t Number() const { return mFields.mNumber; }
   /// @returns a copy of this value with another Number.
   [[nodiscard]] StopRun WithNumber(std::uint64_t aValue) const
--- a/modules/by_schema/WorkerPolled.h
+++ b/modules/by_schema/WorkerPolled.h
@@ -26,7 +26,7 @@
     OrderOutcome mOutcome{};
     /// Report of the worker; empty unless the poll was accepted.
     WorkerReport mReport{};
-    /// Number of the order; zero if the order was not relayed.
+    /// Number of the order.
     std::uint64_t mNumber{ 0 };
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -76,7 +76,7 @@
     return copy;
   }
 
-  /// Number of the order; zero if the order was not relayed.
+  /// Number of the order.
   std::uint64_t Number() const { return mFields.mNumber; }
   /// @returns a copy of this value with another Number.
   [[nodiscard]] WorkerPolled WithNumber(std::uint64_t aValue) const
