--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -108,6 +108,15 @@
   CHECK(!DecodeLists(R"({"clock_ms":1,"ended":[[58,"5c0e7a21d94b36f8.2.1.9",1,"odd",""]]})").ok());
 }
 
+/// Runs that a report does not list count as ended, so a report without one of its lists is none.
+TEST(Platform, ListThatIsLeftOutIsNotTakenForAnEmptyOne)
+{
+  CHECK(DecodeLists(R"({"clock_ms":1,"running":[],"ended":[]})").ok());
+  CHECK(!DecodeLists(R"({"clock_ms":1,"ended":[]})").ok());
+  CHECK(!DecodeLists(R"({"clock_ms":1,"running":[]})").ok());
+  CHECK(!DecodeLists(R"({"clock_ms":1,"running":{},"ended":[]})").ok());
+}
+
 TEST(Platform, EntryOfAnotherWriterNamesNoWorker)
 {
   const char* good = R"({"service":"s","address":"10.1.1.1:80","state":"ready",
