Let the soak's workers list parts of their ends, and nodes start again behind a frozen owner

In half of the seeds members are killed 50 ms after the owner is frozen, with calls of theirs waiting there, and serve again before it goes on; workers list 1, 5 or 500 ends at a time. Both are drawn from streams of their own, so that a seed's other faults stay as they were.

--- a/scripts/soak_entry/faults.py
+++ b/scripts/soak_entry/faults.py
@@ -48,6 +48,7 @@
                 self.events.append(self._draw(kind, at))
                 at += pause * self.random.uniform(0.5, 1.5)
         self._draw_resizes(random.Random(f"{seed}/resizes"))
+        self._draw_rebirths(random.Random(f"{seed}/rebirths"))
         self.events.sort(key=lambda fault: fault.at)
 
     def _draw_resizes(self, draw):
@@ -61,6 +62,17 @@
                                      seconds=round(draw.uniform(1.0, 9.0), 3), share=draw.choice(RESIZE_SHARES)))
             at += draw.uniform(0.4, 1.5)
 
+    def _draw_rebirths(self, draw):
+        """Nodes that are killed and serve again while the owner stands still with their calls, in half of the seeds."""
+        if draw.random() < 0.5:
+            return
+        at = draw.uniform(0.2, 2.0)
+        while at < self.options.seconds - 1.0:
+            nodes = tuple(sorted(draw.sample(range(self.options.nodes), draw.choice((1, 1, 2)))))
+            self.events.append(Fault(at=round(at, 3), kind="rebirth", nodes=nodes,
+                                     seconds=round(draw.uniform(0.3, 0.7), 3), pause=round(draw.uniform(0.02, 0.1), 3)))
+            at += draw.uniform(0.8, 2.0)
+
     def _some_nodes(self):
         draw = self.random.random()
         if draw < 0.4:
@@ -126,10 +138,19 @@
         await asyncio.sleep(fault.pause)
         await node.start()
 
+    async def kill_behind_owner(owner):
+        # Calls wait at the owner when their node is killed.
+        await asyncio.sleep(0.05)
+        members = [n for n in nodes if n is not owner]
+        await asyncio.gather(*(on_node(n, lambda n=n: restart(n, n.kill)) for n in members))
+
     if fault.kind == "stop":
         await asyncio.gather(*(on_node(n, lambda n=n: restart(n, n.stop)) for n in nodes))
     elif fault.kind == "kill":
         await asyncio.gather(*(on_node(n, lambda n=n: restart(n, n.kill)) for n in nodes))
+    elif fault.kind == "rebirth":
+        owner = site.nodes[owner_of(site)]
+        await asyncio.gather(on_node(owner, lambda: owner.freeze(fault.seconds)), kill_behind_owner(owner))
     elif fault.kind == "freeze":
         await asyncio.gather(*(on_node(n, lambda n=n: n.freeze(fault.seconds)) for n in nodes))
     elif fault.kind == "reload":
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -10,7 +10,7 @@
 from .judge import MAX_ATTEMPTS, Judge
 from .nodes import Node
 from .store import Store
-from .workers import Cluster
+from .workers import LISTED_ENDS, Cluster
 
 CLIENTS = 16
 READY_S = 20.0
@@ -36,7 +36,8 @@
         self.network = net.Network(random.Random(f"{seed}/net"))
         self.store = Store(self.network, store_port, f"{seed}/store")
         self.cluster = Cluster(self.network, self.store, self.judge, worker_port, options.nodes, options.workers,
-                               SERVICES, random.Random(f"{seed}/workers"))
+                               SERVICES, random.Random(f"{seed}/workers"),
+                               random.Random(f"{seed}/lists").choice(LISTED_ENDS))
         self.proxy = net.LinkProxy(self.network, self.link_port)
         self.nodes = [Node(self, index) for index in range(options.nodes)]
         self.version = 0
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -17,7 +17,7 @@
 DRAIN_S = 2.0
 CAPACITY = {"cpu": 4000, "mem_mb": 8192, "gpu": 0}
 CAPACITY_NOTICE_S = 4.5  # how long a start may still count on capacity that the worker no longer has
-LISTED_ENDS = 500
+LISTED_ENDS = (500, 500, 5, 1)  # how many ends a worker lists at a time; drawn once for each run
 
 
 class Run:
@@ -331,16 +331,17 @@
             run.saved_s = max(run.saved_s, progress // CHECKPOINT_S * CHECKPOINT_S)
             rows.append([run.task, run.number, self._save(run), int(100 * progress / run.work), 100])
         return 200, {"clock_ms": self.clock_ms(), "born": self.born_ms, "running": rows,
-                     "ended": self.ended[:LISTED_ENDS]}
+                     "ended": self.ended[:self.cluster.listed_ends]}
 
 
 class Cluster:
     """All workers, and what they share."""
 
-    def __init__(self, network, store, judge, port, nodes, workers, services, random):
+    def __init__(self, network, store, judge, port, nodes, workers, services, random, listed_ends=LISTED_ENDS[0]):
         self.network, self.store, self.judge, self.port = network, store, judge, port
         self.nodes, self.services, self.random = nodes, services, random
         self.failure_share = 0.03
+        self.listed_ends = listed_ends
         self.gangs = Gangs()
         self.workers = [Worker(self, index) for index in range(workers)]
 
