Log calls and replies that are dropped with their link

A request that comes over a replaced link, and a reply that a member reads from an earlier link, were dropped without a line. By the order of events neither should occur; a line shows where it does.

--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -230,6 +230,17 @@
 HandleOwnerMessage(EntryState& aState, const FromOwner& aEvent, Time aNow, Effects& aOut)
 {
   if (aEvent.Link() != aState.mOwnerLink) {
+    if (const auto* reply = std::get_if<JobReply>(&aEvent.Message().Body())) {
+      Log(aOut,
+          "reply.link_lost",
+          aState.mSettings.Node(),
+          absl::StrCat("link=",
+                       aEvent.Link(),
+                       " call=",
+                       reply->Call(),
+                       " outcome=",
+                       std::string(ToString(reply->Outcome()))));
+    }
     return;
   }
   aState.mOwnerHeardAt = aNow;
@@ -255,6 +266,9 @@
 {
   const auto it = aState.mMembers.find(aEvent.Node());
   if (it == aState.mMembers.end() || it->second.mLink != aEvent.Link()) {
+    if (const auto* request = std::get_if<CellRequest>(&aEvent.Message().Body())) {
+      Log(aOut, "call.link_lost", request->Job(), absl::StrCat("from=", aEvent.Node()));
+    }
     return;
   }
   const auto& body = aEvent.Message().Body();
