--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -76,8 +76,8 @@
             "services": [{"name": s, "enforces_capacity": False} for s in SERVICES],
             "limits": {"max_body_bytes": 65536}}))
 
-    async def run(self, schedule):
-        """Plays the run; violations are in the judge."""
+    async def begin(self):
+        """Starts all processes and stand-ins; returns whether all nodes became ready."""
         self.network.spawn(self._watch_lag())
         self.publish()
         await self.store.start(self.options.nodes)
@@ -90,8 +90,14 @@
             if time.monotonic() > end:
                 late = [node.name for node in self.nodes if not node.ready]
                 self.judge.violate("READY", f"{late} not ready {READY_S} s after the start")
-                return
+                return False
             await asyncio.sleep(0.05)
+        return True
+
+    async def run(self, schedule):
+        """Plays the run; violations are in the judge."""
+        if not await self.begin():
+            return
         until = time.monotonic() + self.options.seconds
         clients = [Client(self, random.Random(f"{self.seed}/client{n}")) for n in range(CLIENTS)]
         await asyncio.gather(schedule.play(self), *(client.run(until) for client in clients))
