Answer the requests that a stopping node has received before it closes their connections

What callers saw: connections that ended without an answer around a planned stop, hundreds at once where the node was short of processor time, and none that shut down their sending side was ever answered.

Cause: connections were closed by what the process had noticed, not by what it had received. At SIGTERM a session counted as idle when its own buffer was empty, although the kernel held a request or had just handed one over; the kernel then resets the connection. The process ended 0.2 s after its last decision, whatever was unread or unwritten by then.

Change: a draining server answers the next request of each connection and closes it then. At the end it accepts what is queued, interrupts idle reads and decides by what the interrupted read left, with the kernel's bytes; a connection closes once its call is answered. The process ends when the last connection is closed, bounded by its grace time: the traffic thread tells the control thread, instead of a timer.

--- a/modules/by_entryd/EntryPorts.h
+++ b/modules/by_entryd/EntryPorts.h
@@ -18,6 +18,9 @@
   std::function<void(const EntryEffect&)> mPerform;
   /// Begins to follow the configuration and the claims of the cell.
   std::function<void()> mStart;
+  /// Takes no further calls, answers those that have arrived, and closes the connections of
+  /// callers. The function is told once, when the last of them is closed.
+  std::function<void(std::function<void()> aFinished)> mFinish;
   /// Closes every socket.
   std::function<void()> mStop;
 };
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -29,8 +29,10 @@
 constexpr std::size_t kBatchLimit = 64;
 /// One of so many batches is handled event by event to sample their processor time.
 constexpr std::uint64_t kBatchesPerSample = 32;
-/// The last answers have this long to leave once the decisions have ended.
-constexpr std::chrono::milliseconds kLastAnswers{ 200 };
+/// The last answers have at least this long to leave once the decisions have ended.
+constexpr Time kMinFinishTime = Time::FromMilliseconds(200);
+/// The process ends so long before its grace time does.
+constexpr Time kExitMargin = Time::FromMilliseconds(300);
 
 } // namespace
 
@@ -238,30 +240,65 @@
 EntryDaemonBody::Perform(Effects aEffects)
 {
   Effects forTraffic;
+  bool isLast = false;
   for (auto& effect : aEffects) {
     if (const auto* line = std::get_if<LogLine>(&effect.Body())) {
       Write(*line);
     } else if (const auto* exit = std::get_if<ExitEntry>(&effect.Body())) {
       mClean = exit->Clean();
-      mTimer.cancel();
-      mExitTimer.expires_after(kLastAnswers);
-      mExitTimer.async_wait([this](boost::system::error_code) { mControl.stop(); });
+      isLast = true;
     } else {
       forTraffic.push_back(std::move(effect));
     }
   }
-  if (forTraffic.empty()) {
-    return;
-  }
-  boost::asio::post(mTraffic, [this, effects = std::move(forTraffic)] {
-    for (const auto& effect : effects) {
-      try {
-        PerformOnTraffic(effect);
-      } catch (const std::exception& error) {
-        ReportError("traffic", error.what());
+  if (!forTraffic.empty()) {
+    boost::asio::post(mTraffic, [this, effects = std::move(forTraffic)] {
+      for (const auto& effect : effects) {
+        try {
+          PerformOnTraffic(effect);
+        } catch (const std::exception& error) {
+          ReportError("traffic", error.what());
+        }
       }
+    });
+  }
+  if (isLast) {
+    FinishCalls();
+  }
+}
+
+void
+EntryDaemonBody::FinishCalls()
+{
+  mTimer.cancel();
+  const auto now = BootNow();
+  const auto limit = std::max(kMinFinishTime, mStopRequestedAt + mGrace - kExitMargin - now);
+  mExitTimer.expires_after(std::chrono::milliseconds(limit.Milliseconds()));
+  mExitTimer.async_wait([this, now](boost::system::error_code aError) {
+    if (!aError) {
+      ReportFinish(now, false);
     }
   });
+  // Calls that are read from now on are answered by this thread, so it runs until the last
+  // connection is closed.
+  boost::asio::post(mTraffic, [this, now] {
+    mPorts.mFinish(
+      [this, now] { boost::asio::post(mControl, [this, now] { ReportFinish(now, true); }); });
+  });
+}
+
+void
+EntryDaemonBody::ReportFinish(Time aBegin, bool aAllClosed)
+{
+  Write(LogLine::Create(
+          { .mEvent = "node.finished",
+            .mSubject = mState.mSettings.Node(),
+            .mDetail = absl::StrCat("took_ms=",
+                                    (BootNow() - aBegin).Milliseconds(),
+                                    " connections=",
+                                    aAllClosed ? "all closed" : "left open at the end of grace") })
+          .value());
+  mControl.stop();
 }
 
 void
@@ -352,6 +389,9 @@
     if (aSignal == SIGHUP) {
       Reload();
     } else {
+      if (mStopRequestedAt == Time::Never()) {
+        mStopRequestedAt = BootNow();
+      }
       Deliver(EventOf(StopRequested::Create({ .mGrace = mGrace }).value()));
     }
   });
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -50,6 +50,9 @@
   /// Logs an unexpected error of a handler.
   void ReportError(const char* aThread, const std::string& aError);
   void Perform(Effects aEffects);
+  /// Ends the process once the calls that callers have sent are answered.
+  void FinishCalls();
+  void ReportFinish(Time aBegin, bool aAllClosed);
   void PerformOnTraffic(const EntryEffect& aEffect);
   void Write(const LogLine& aLine);
   void ArmTimer();
@@ -67,6 +70,7 @@
   boost::asio::steady_timer mExitTimer;
   boost::asio::signal_set mSignals;
   Time mTimerDue{ Time::Never() };
+  Time mStopRequestedAt{ Time::Never() };
   std::uint64_t mTicks{ 0 };
   bool mIsTickQueued{ false };
   EventQueue mEvents;
--- a/modules/by_web/WebServer.cpp
+++ b/modules/by_web/WebServer.cpp
@@ -33,10 +33,14 @@
                   const Endpoint& aListen,
                   std::int64_t aMaxConnections,
                   WebSession::Handler aHandler,
-                  std::vector<std::string> aKeptHeaders)
+                  std::vector<std::string> aKeptHeaders,
+                  WebSession::Unanswered aUnanswered)
 {
-  std::shared_ptr<WebServer> server(
-    new WebServer(aContext, aMaxConnections, std::move(aHandler), std::move(aKeptHeaders)));
+  std::shared_ptr<WebServer> server(new WebServer(aContext,
+                                                  aMaxConnections,
+                                                  std::move(aHandler),
+                                                  std::move(aKeptHeaders),
+                                                  std::move(aUnanswered)));
   auto status = server->Listen(aListen);
   if (!status.ok()) {
     return status;
@@ -47,11 +51,13 @@
 WebServer::WebServer(boost::asio::io_context& aContext,
                      std::int64_t aMaxConnections,
                      WebSession::Handler aHandler,
-                     std::vector<std::string> aKeptHeaders)
+                     std::vector<std::string> aKeptHeaders,
+                     WebSession::Unanswered aUnanswered)
   : mAcceptor(aContext)
   , mMaxConnections(aMaxConnections)
   , mHandler(std::move(aHandler))
   , mKeptHeaders(std::move(aKeptHeaders))
+  , mUnanswered(std::move(aUnanswered))
 {
 }
 
@@ -106,54 +112,96 @@
   mAcceptor.async_accept(std::move(accepted));
 }
 
+void
+WebServer::AcceptQueued()
+{
+  error_code ec;
+  mAcceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket(mAcceptor.get_executor());
+    mAcceptor.accept(socket, ec);
+    if (!ec) {
+      OnAccepted(std::move(socket));
+    }
+  }
+}
+
 void
 WebServer::OnAccepted(tcp::socket aSocket)
 {
   const bool hasRoom = OpenConnections() < mMaxConnections;
   mRefused += hasRoom ? 0 : 1;
   auto closed = [self = weak_from_this()](WebSession* aSession) {
-    const auto server = self.lock();
-    if (server) {
-      server->mSessions.erase(aSession);
+    if (const auto server = self.lock()) {
+      server->OnClosed(aSession);
     }
   };
   auto session = std::make_shared<WebSession>(std::move(aSocket),
                                               mKeptHeaders,
                                               hasRoom ? mHandler : WebSession::Handler(RefuseCall),
-                                              std::move(closed));
-  if (hasRoom) {
-    mSessions.emplace(session.get(), session);
+                                              std::move(closed),
+                                              mUnanswered);
+  mSessions.emplace(session.get(), session);
+  if (mClosesAfterAnswers || !hasRoom) {
+    session->CloseAfterAnswer();
   }
   session->Start();
 }
 
 void
-WebServer::CloseIdle()
+WebServer::OnClosed(WebSession* aSession)
+{
+  mSessions.erase(aSession);
+  if (mSessions.empty() && mFinished) {
+    std::exchange(mFinished, nullptr)();
+  }
+}
+
+std::vector<std::shared_ptr<WebSession>>
+WebServer::OpenSessions() const
 {
   std::vector<std::shared_ptr<WebSession>> open;
+  open.reserve(mSessions.size());
   for (const auto& [key, session] : mSessions) {
-    open.push_back(session.lock());
+    open.push_back(session);
   }
-  for (const auto& session : open) {
-    if (session) {
-      session->CloseSoon();
-    }
+  return open;
+}
+
+void
+WebServer::CloseAfterAnswers()
+{
+  mClosesAfterAnswers = true;
+  for (const auto& session : OpenSessions()) {
+    session->CloseAfterAnswer();
   }
 }
 
 void
-WebServer::Close()
+WebServer::Finish(std::function<void()> aFinished)
 {
+  mClosesAfterAnswers = true;
+  // The kernel resets connections that were not accepted when their listener closes.
+  AcceptQueued();
   error_code ignored;
   mAcceptor.close(ignored);
-  std::vector<std::shared_ptr<WebSession>> open;
-  for (const auto& [key, session] : mSessions) {
-    open.push_back(session.lock());
+  if (mSessions.empty()) {
+    aFinished();
+    return;
   }
-  for (const auto& session : open) {
-    if (session) {
-      session->Drop();
-    }
+  mFinished = std::move(aFinished);
+  for (const auto& session : OpenSessions()) {
+    session->Finish();
+  }
+}
+
+void
+WebServer::Close()
+{
+  error_code ignored;
+  mAcceptor.close(ignored);
+  for (const auto& session : OpenSessions()) {
+    session->Drop("connections closed");
   }
 }
 
--- a/modules/by_web/WebServer.h
+++ b/modules/by_web/WebServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -28,12 +29,14 @@
   /// @param aKeptHeaders names of the headers that calls are given with.
   /// @param aMaxConnections calls on connections beyond these are answered 503.
   /// @returns the server, or Unavailable where the port can't be had.
+  /// @param aUnanswered told of each call that ended without its answer.
   static absl::StatusOr<std::shared_ptr<WebServer>> Create(
     boost::asio::io_context& aContext,
     const Endpoint& aListen,
     std::int64_t aMaxConnections,
     WebSession::Handler aHandler,
-    std::vector<std::string> aKeptHeaders = {});
+    std::vector<std::string> aKeptHeaders = {},
+    WebSession::Unanswered aUnanswered = nullptr);
 
   /// @returns where it listens, with the port that the system chose.
   const Endpoint& Listening() const { return mListening; }
@@ -44,10 +47,14 @@
   /// @returns connections that were refused for want of room.
   std::int64_t RefusedConnections() const { return mRefused; }
 
-  /// Closes connections that wait for a call now, and all others after their next answer.
-  void CloseIdle();
+  /// Closes each connection after its next answer, those that are still to come too.
+  void CloseAfterAnswers();
 
-  /// Stops listening and closes all connections.
+  /// Stops listening, answers the calls that have begun to arrive, and closes all connections.
+  /// @param aFinished told once, when the last connection is closed.
+  void Finish(std::function<void()> aFinished);
+
+  /// Stops listening and closes all connections, without answers to the calls that are open.
   void Close();
 
   /// Listens again on the same port.
@@ -57,19 +64,26 @@
   WebServer(boost::asio::io_context& aContext,
             std::int64_t aMaxConnections,
             WebSession::Handler aHandler,
-            std::vector<std::string> aKeptHeaders);
+            std::vector<std::string> aKeptHeaders,
+            WebSession::Unanswered aUnanswered);
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
+  void AcceptQueued();
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
+  void OnClosed(WebSession* aSession);
+  std::vector<std::shared_ptr<WebSession>> OpenSessions() const;
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::int64_t mMaxConnections;
   WebSession::Handler mHandler;
   std::vector<std::string> mKeptHeaders;
+  WebSession::Unanswered mUnanswered;
   Endpoint mListening;
   std::int64_t mRefused{ 0 };
-  std::unordered_map<WebSession*, std::weak_ptr<WebSession>> mSessions;
+  bool mClosesAfterAnswers{ false };
+  std::function<void()> mFinished;
+  std::unordered_map<WebSession*, std::shared_ptr<WebSession>> mSessions;
 };
 
 } // namespace by
--- a/tests/by_entryd/EntryDaemonTest.cpp
+++ b/tests/by_entryd/EntryDaemonTest.cpp
@@ -1,10 +1,16 @@
 #include <atomic>
+#include <chrono>
 #include <csignal>
+#include <functional>
 #include <future>
+#include <memory>
 #include <new>
 #include <stdexcept>
+#include <utility>
+#include <variant>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -18,7 +24,10 @@
 EntryPorts
 NoPorts()
 {
-  return EntryPorts{ .mPerform = [](const EntryEffect&) {}, .mStart = [] {}, .mStop = [] {} };
+  return EntryPorts{ .mPerform = [](const EntryEffect&) {},
+                     .mStart = [] {},
+                     .mFinish = [](const std::function<void()>& aFinished) { aFinished(); },
+                     .mStop = [] {} };
 }
 
 EntrySettings
@@ -93,3 +102,42 @@
   CHECK_EQUAL(0, std::raise(SIGTERM));
   CHECK(ended.get());
 }
+
+/// A process ended 0.2 s after its last decision, while calls that it had read were unanswered.
+TEST(EntryDaemon, StopAnswersCallsThatAreReadAfterTheLastDecision)
+{
+  std::promise<unsigned> answered;
+  auto open = [&](boost::asio::io_context& aTraffic,
+                  EntryHooks aHooks) -> absl::StatusOr<EntryPorts> {
+    auto ports = NoPorts();
+    auto finished = std::make_shared<std::function<void()>>();
+    ports.mFinish = [&aTraffic, aHooks, finished](std::function<void()> aFinished) {
+      *finished = std::move(aFinished);
+      // The call is read so late that a fixed wait would be over.
+      auto timer = std::make_shared<boost::asio::steady_timer>(aTraffic);
+      timer->expires_after(std::chrono::milliseconds(400));
+      timer->async_wait([timer, aHooks](boost::system::error_code) {
+        aHooks.mDeliver(EventOf(
+          JobCall::Create({ .mCall = 7, .mKind = JobCallKind::Show, .mPath = "/batch/" }).value()));
+      });
+    };
+    ports.mPerform = [&answered, finished](const EntryEffect& aEffect) {
+      if (const auto* reply = std::get_if<ReplyToCaller>(&aEffect.Body())) {
+        answered.set_value(static_cast<unsigned>(reply->Reply().Call()));
+        (*finished)();
+      }
+    };
+    return ports;
+  };
+  auto daemon = EntryDaemon::Create(
+    Settings(), Time::FromMilliseconds(20000), open, []() -> absl::StatusOr<ReloadedSettings> {
+      return absl::UnavailableError("not asked");
+    });
+  CHECK(daemon.ok());
+  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run(); });
+  CHECK_EQUAL(0, std::raise(SIGTERM));
+  CHECK(ended.get());
+  auto call = answered.get_future();
+  CHECK(call.wait_for(std::chrono::seconds(0)) == std::future_status::ready);
+  LONGS_EQUAL(7, call.get());
+}
