Answer requests that a stopping daemon has received, also of half-closed callers

Idle reads are interrupted and decided by what is left, HttpServer::Finish tells when the last connection is closed, and a caller that has shut down its sending side is told what became of its request: its cancellation where it had not begun, the answer otherwise. by_requests therefore sends the answer of an abandoned request too; without a connection it has no effect.

The three new tests of HttpServer cover these; they were not run against the old code, whose fixture lacks what they use.

--- a/modules/by_daemon/detail/DaemonBody.cpp
+++ b/modules/by_daemon/detail/DaemonBody.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Answers that are on their way when the planned stop is complete have this long to leave.
-constexpr std::chrono::milliseconds kLastAnswers{ 300 };
+constexpr std::chrono::milliseconds kFinishLimit{ 2000 };
 constexpr Time kGaugeInterval = Time::FromMilliseconds(1000);
 
 OperatorCall
@@ -210,8 +210,11 @@
   mClean = aEffect.Clean();
   mTickTimer.cancel();
   mSignals.cancel();
-  mExitTimer.expires_after(kLastAnswers);
+  mExitTimer.expires_after(kFinishLimit);
   mExitTimer.async_wait([this](boost::system::error_code) { mControl.stop(); });
+  // Calls that are read from now on are refused by this thread, so it runs until the last
+  // connection is closed.
+  mHttp->Finish([this] { boost::asio::post(mControl, [this] { mExitTimer.cancel(); }); });
 }
 
 void
--- a/modules/by_http/HttpServer.cpp
+++ b/modules/by_http/HttpServer.cpp
@@ -251,7 +251,18 @@
 {
   mShared->mStopping.store(true, std::memory_order_relaxed);
   CloseListener(mShared);
-  PostToLanes(mShared, [](HttpLane& aLane) { ForEachSession(aLane, &HttpSession::CloseIfIdle); });
+  PostToLanes(mShared, [](HttpLane& aLane) { ForEachSession(aLane, &HttpSession::FinishCall); });
+}
+
+void
+HttpServer::Finish(std::function<void()> aFinished)
+{
+  // Counted as a connection until all lanes know, so that the last one is closed only then.
+  mShared->mConnections.fetch_add(1);
+  mShared->mFinished = std::move(aFinished);
+  mShared->mFinishing.store(true);
+  StopAccepting();
+  mShared->ReleaseConnection();
 }
 
 void
--- a/modules/by_http/HttpServer.h
+++ b/modules/by_http/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -59,6 +60,10 @@
   /// and their connections close after the answer.
   void StopAccepting();
 
+  /// Takes no further connections and closes each open one once its calls are answered.
+  /// @param aFinished told once, on any thread, when the last connection is closed.
+  void Finish(std::function<void()> aFinished);
+
   /// Closes the listener and all connections.
   void Stop();
 
--- a/modules/by_http/detail/HttpSession.cpp
+++ b/modules/by_http/detail/HttpSession.cpp
@@ -76,8 +76,8 @@
 
 HttpSession::~HttpSession()
 {
-  mShared->mConnections.fetch_sub(1, std::memory_order_relaxed);
   mLane.mSessions.erase(this);
+  mShared->ReleaseConnection();
 }
 
 void
@@ -100,6 +100,12 @@
   mParser->header_limit(static_cast<std::uint32_t>(mShared->mSettings.HeaderLimit()));
   mParser->body_limit(static_cast<std::uint64_t>(mShared->mSettings.BodyLimit()));
   mKeepAlive = false;
+  ContinueHeader();
+}
+
+void
+HttpSession::ContinueHeader()
+{
   mReading = true;
   mStream.expires_after(Span(mShared->mSettings.IdleTimeout()));
   http::async_read_header(
@@ -112,7 +118,10 @@
 HttpSession::OnHeader(ErrorCode aError)
 {
   mReading = false;
-  if (aError) {
+  if (aError == asio::error::operation_aborted && HasBegunCall()) {
+    // FinishCall() has interrupted the read.
+    ContinueHeader();
+  } else if (aError) {
     OnReadError(aError);
   } else if (beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
     SendContinue();
@@ -121,6 +130,14 @@
   }
 }
 
+bool
+HttpSession::HasBegunCall()
+{
+  ErrorCode ec;
+  return mStream.socket().is_open() &&
+         (mBuffer.size() > 0 || mParser->got_some() || mStream.socket().available(ec) > 0);
+}
+
 void
 HttpSession::SendContinue()
 {
@@ -275,6 +292,8 @@
   mBuffer.commit(aSize);
   if (mReply.has_value()) {
     Write(*std::exchange(mReply, std::nullopt));
+  } else if (aError == asio::error::eof) {
+    OnSendingEnded();
   } else if (aError) {
     OnCallerGone();
   } else {
@@ -282,13 +301,30 @@
   }
 }
 
+void
+HttpSession::OnSendingEnded()
+{
+  // The caller may still read, so what becomes of its request is answered.
+  mKeepAlive = false;
+  mSelf = shared_from_this();
+  if (mWaiting && mLane.mRequests.contains(mRequest)) {
+    DeliverCallerGone();
+  }
+}
+
+void
+HttpSession::DeliverCallerGone()
+{
+  mShared->mHooks.mDeliver(
+    NodeEvent::Create({ .mBody = CallerGone::Create({ .mRequest = mRequest }).value() }).value());
+}
+
 void
 HttpSession::OnCallerGone()
 {
   const bool waited = std::exchange(mWaiting, false);
   if (waited && mLane.mRequests.erase(mRequest) > 0) {
-    mShared->mHooks.mDeliver(
-      NodeEvent::Create({ .mBody = CallerGone::Create({ .mRequest = mRequest }).value() }).value());
+    DeliverCallerGone();
   }
   mLane.mCalls.erase(mCall);
   mBound.cancel();
@@ -373,10 +409,11 @@
 }
 
 void
-HttpSession::CloseIfIdle()
+HttpSession::FinishCall()
 {
-  if (mReading && mBuffer.size() == 0 && !mParser->got_some()) {
-    Close();
+  if (mReading) {
+    // Bytes that were read and not reported yet are seen only once the read has ended.
+    mStream.cancel();
   }
 }
 
--- a/modules/by_http/detail/HttpSession.h
+++ b/modules/by_http/detail/HttpSession.h
@@ -50,8 +50,8 @@
   /// Sends the reply to the operator's call that the connection waits with.
   void Resolve(const OperatorReply& aReply);
 
-  /// Closes the connection unless a call on it has begun.
-  void CloseIfIdle();
+  /// Closes the connection unless a call on it is open or has begun to arrive.
+  void FinishCall();
 
   /// Closes the connection.
   void Close();
@@ -60,6 +60,8 @@
   using ErrorCode = boost::beast::error_code;
 
   void ReadHeader();
+  void ContinueHeader();
+  bool HasBegunCall();
   void OnHeader(ErrorCode aError);
   void SendContinue();
   void ReadBody();
@@ -72,7 +74,9 @@
   void HandleOperatorCall(const OperatorCall& aCall);
   void Watch();
   void OnWatched(ErrorCode aError, std::size_t aSize);
+  void OnSendingEnded();
   void OnCallerGone();
+  void DeliverCallerGone();
   void OnBound(std::uint64_t aCall);
   void Write(const HttpReply& aReply);
   void OnWritten(ErrorCode aError);
--- a/modules/by_http/detail/HttpShared.h
+++ b/modules/by_http/detail/HttpShared.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
+#include <functional>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -38,6 +39,17 @@
   std::atomic<bool> mStopping{ false };
   std::atomic<std::int64_t> mConnections{ 0 };
   std::atomic<std::uint64_t> mCallCount{ 0 };
+  /// Told when the last connection is closed; set before mFinishing.
+  std::function<void()> mFinished;
+  std::atomic<bool> mFinishing{ false };
+
+  /// Counts a connection as closed.
+  void ReleaseConnection()
+  {
+    if (mConnections.fetch_sub(1) == 1 && mFinishing.exchange(false)) {
+      mFinished();
+    }
+  }
 };
 
 } // namespace by::detail
--- a/modules/by_requests/detail/Rows.cpp
+++ b/modules/by_requests/detail/Rows.cpp
@@ -166,7 +166,7 @@
              row.Origin(),
              ForwardedAnswer::Create({ .mRequest = request.Id(), .mAnswer = answer }).value(),
              aActions);
-  } else if (!row.Abandoned()) {
+  } else {
     AddEffect(AnswerCaller::Create({ .mAnswer = aAnswer }).value(), aActions);
   }
   for (const auto& waiter : row.Waiters()) {
--- a/tests/by_http/HttpFixture.cpp
+++ b/tests/by_http/HttpFixture.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <variant>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -86,6 +87,27 @@
   return std::get<CallerSubmitted>(NextEvent().Body()).Request().Id();
 }
 
+void
+HttpFixture::HoldTraffic()
+{
+  mRelease = {};
+  const auto released = mRelease.get_future().share();
+  for (auto& context : mContexts) {
+    std::promise<void> held;
+    asio::post(context, [&held, released] {
+      held.set_value();
+      released.wait();
+    });
+    held.get_future().wait();
+  }
+}
+
+void
+HttpFixture::ReleaseTraffic()
+{
+  mRelease.set_value();
+}
+
 HttpPeer::HttpPeer(std::uint16_t aPort)
   : mSocket(mContext)
 {
@@ -140,6 +162,13 @@
   return Read();
 }
 
+void
+HttpPeer::ShutDownSending()
+{
+  ErrorCode ec;
+  mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
 void
 HttpPeer::Close()
 {
--- a/tests/by_http/HttpFixture.h
+++ b/tests/by_http/HttpFixture.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -42,6 +43,11 @@
   /// Waits for the next event and takes a request's id out of it.
   RequestId NextRequest();
 
+  /// Lets the traffic threads do nothing until ReleaseTraffic(), so that the kernel keeps what
+  /// arrives.
+  void HoldTraffic();
+  void ReleaseTraffic();
+
 private:
   using WorkGuard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
@@ -53,6 +59,7 @@
   std::deque<NodeEvent> mEvents;
   std::atomic<int> mDrawn{ 0 };
   std::unique_ptr<HttpServer> mServer;
+  std::promise<void> mRelease;
 };
 
 /// A blocking connection of a caller.
@@ -82,6 +89,9 @@
                                const std::string& aToken = "",
                                const std::string& aBody = "");
 
+  /// Sends nothing more, and still reads.
+  void ShutDownSending();
+
   /// Closes the connection.
   void Close();
 
--- a/tests/by_http/HttpServerTest.cpp
+++ b/tests/by_http/HttpServerTest.cpp
@@ -1,3 +1,5 @@
+#include <chrono>
+#include <future>
 #include <string>
 #include <variant>
 
@@ -57,6 +59,56 @@
   CHECK(std::get<CallerGone>(event.Body()).Request() == request);
 }
 
+/// A caller that shut down its sending side after its request got no answer.
+TEST(HttpServer, CallerThatHasShutDownItsSendingSideIsAnswered)
+{
+  HttpFixture fixture;
+  HttpPeer peer(fixture.Server().Port());
+  peer.Send("POST", "/v1/requests", kArreoToken, kSubmitBody);
+  const auto request = fixture.NextRequest();
+  peer.ShutDownSending();
+  const auto event = fixture.NextEvent();
+  CHECK(std::get<CallerGone>(event.Body()).Request() == request);
+  fixture.Server().Answer(AnswerFor(request, "late"));
+  const auto reply = peer.Read();
+  CHECK(reply.has_value());
+  STRCMP_CONTAINS("late", reply->body().c_str());
+  CHECK_FALSE(peer.Read().has_value());
+}
+
+/// A planned stop closed connections whose requests the busy process had not read yet.
+TEST(HttpServer, StopAnswersRequestsThatTheKernelHolds)
+{
+  HttpFixture fixture;
+  HttpPeer peer(fixture.Server().Port());
+  CHECK(peer.Call("GET", "/healthz").has_value());
+  fixture.HoldTraffic();
+  peer.Send("GET", "/healthz");
+  fixture.Server().StopAccepting();
+  fixture.ReleaseTraffic();
+  const auto reply = peer.Read();
+  CHECK(reply.has_value());
+  LONGS_EQUAL(200, reply->result_int());
+  CHECK_FALSE(reply->keep_alive());
+}
+
+/// A daemon ended 0.3 s after its last decision, also under calls that were open.
+TEST(HttpServer, StopIsFinishedWhenTheLastCallIsAnswered)
+{
+  HttpFixture fixture;
+  HttpPeer peer(fixture.Server().Port());
+  peer.Send("POST", "/v1/requests", kArreoToken, kSubmitBody);
+  const auto request = fixture.NextRequest();
+  std::promise<void> finished;
+  auto isFinished = finished.get_future();
+  fixture.Server().Finish([&finished] { finished.set_value(); });
+  CHECK(isFinished.wait_for(std::chrono::milliseconds(50)) == std::future_status::timeout);
+  fixture.Server().Answer(AnswerFor(request, "last"));
+  CHECK(peer.Read().has_value());
+  peer.Close();
+  isFinished.wait();
+}
+
 TEST(HttpServer, PipelinedCallsAreAnsweredInTheirOrder)
 {
   HttpFixture fixture;
