--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -132,6 +132,7 @@
              const std::function<OrderOutcome(Worker&)>& aAction,
              const std::function<void(CellState&, Effects&, OrderOutcome)>& aAnswer);
   void Poll(const std::shared_ptr<Owner>& aOwner, const PollWorker& aPoll);
+  void ExtendLease(Worker& aWorker, double aUntil);
   OrderOutcome Start(Worker& aWorker, const StartRun& aStart, bool aLate);
   OrderOutcome Stop(Worker& aWorker, const StopRun& aStop);
   void CheckStart(const Worker& aWorker, const StartRun& aStart, bool aLate);
