Ask the store before a job is said to be unknown

Cause: an owner answered 410 for two seconds after the store had last confirmed it, and a re-election counted as a confirmation, although other nodes may claim the cell from an elected owner. On a real machine nothing bounds the sum of the confirmation's age, a late timer and the way of the answer; a cell that had just been loaded counted as confirmed at the time when the answer was handled.

Change: a question about an unknown job waits until the store has shown, by an append or a read of the claim that was sent after the question arrived, that no other node has claimed the cell. The owner reads the claim at once, at most every 50 ms. A replaced owner learns of its successor by that read and forwards the question; without an answer the question is refused after 1.5 s. job.denied is the answer 410, job.forgotten the end of an outcome's retention, so that the log tells them apart.

The test that allowed 410 for two seconds is replaced by stricter ones: none before a confirmation, none by an election.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -18,6 +18,7 @@
 #include "by_cell/JobRow.h"
 #include "by_cell/OutcomeRow.h"
 #include "by_cell/ReadyKey.h"
+#include "by_cell/UnknownJobQuery.h"
 #include "by_cell/WaveRow.h"
 #include "by_cell/WorkerCrash.h"
 #include "by_cell/WorkerRow.h"
@@ -91,8 +92,14 @@
   /// Whether the store rejected the last append.
   bool mStoreRejects{ false };
 
-  /// When the store last confirmed that this node is the owner.
+  /// When the store last confirmed that this node is the owner, by its claim, an append or its
+  /// election.
   Time mConfirmedAt{};
+  /// When the last call was sent that showed that no other node had claimed the cell. An election
+  /// does not show it, since other nodes may claim the cell too.
+  Time mClaimConfirmedAt{};
+  /// Calls about jobs that this owner does not know, in the order of their arrival.
+  std::vector<UnknownJobQuery> mUnknownJobQueries;
   /// When this node became the owner; leases granted by earlier owners end a bounded time after it.
   Time mOwnerSince{};
   /// Whether a worker, the store or the machines have refused this epoch; a fenced owner does no
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -1,5 +1,9 @@
 #include "by_cell/HandleRequests.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandleStore.h"
@@ -32,28 +36,33 @@
   detail::ReplyRefused(aState, aCaller, aRetryAfter, aOut);
 }
 
-/// An owner that the store has not confirmed for this long may have been replaced by one that
-/// accepted more jobs, so it does not say that a job is unknown. Shorter than the time after which
-/// every node must know an accepted job.
-constexpr Time kUnknownJobValidity = Time::FromMilliseconds(2000);
+/// How long a call about an unknown job waits for a confirmation of the claim.
+constexpr Time kUnknownJobTimeout = Time::FromMilliseconds(1500);
 
+/// An owner that has been replaced and has not heard of it does not know the jobs that its
+/// successor has accepted, so the store is asked first.
 void
-ReplyUnknown(const CellState& aState,
-             const PendingCaller& aCaller,
-             const CellRequest& aRequest,
-             Time aNow,
-             Effects& aOut)
+KeepQuery(CellState& aState,
+          const PendingCaller& aCaller,
+          const CellRequest& aRequest,
+          Time aNow,
+          Effects& aOut)
 {
-  const auto age = aNow - aState.mConfirmedAt;
   detail::Log(aOut,
               "job.unknown",
               aRequest.Job(),
-              absl::StrCat("epoch=", aState.mEpoch, " confirmed_ms_ago=", age.Milliseconds()));
-  if (age > kUnknownJobValidity) {
-    detail::ReplyRefused(aState, aCaller, kRetryDelay, aOut);
-  } else {
-    detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
-  }
+              absl::StrCat("epoch=",
+                           aState.mEpoch,
+                           " confirmed_ms_ago=",
+                           (aNow - std::min(aNow, aState.mClaimConfirmedAt)).Milliseconds()));
+  aState.mUnknownJobQueries.push_back(
+    { .mCaller = aCaller, .mRequest = aRequest, .mArrived = aNow });
+}
+
+bool
+IsKnown(const CellState& aState, const std::string& aJob)
+{
+  return aState.mJobs.contains(aJob) || aState.mOutcomes.contains(aJob);
 }
 
 /// Answers a repeated submission: at once where the record is stored, else when it is.
@@ -132,7 +141,7 @@
 }
 
 void
-Show(const CellState& aState,
+Show(CellState& aState,
      const PendingCaller& aCaller,
      const CellRequest& aRequest,
      Time aNow,
@@ -145,7 +154,7 @@
   }
   const auto open = aState.mJobs.find(aRequest.Job());
   if (open == aState.mJobs.end()) {
-    ReplyUnknown(aState, aCaller, aRequest, aNow, aOut);
+    KeepQuery(aState, aCaller, aRequest, aNow, aOut);
     return;
   }
   const auto state = open->second.mStarted ? JobState::Running : JobState::Queued;
@@ -164,7 +173,7 @@
   }
   const auto ended = aState.mOutcomes.find(aRequest.Job());
   if (ended == aState.mOutcomes.end()) {
-    ReplyUnknown(aState, aCaller, aRequest, aNow, aOut);
+    KeepQuery(aState, aCaller, aRequest, aNow, aOut);
     return;
   }
   if (ended->second.mStored) {
@@ -211,6 +220,37 @@
   }
 }
 
+bool
+AwaitsClaimConfirmation(const CellState& aState)
+{
+  return !aState.mUnknownJobQueries.empty();
+}
+
+void
+AnswerUnknownJobQueries(CellState& aState, Time aNow, Effects& aOut)
+{
+  std::vector<UnknownJobQuery> waiting;
+  for (const auto& query : std::exchange(aState.mUnknownJobQueries, {})) {
+    const bool isConfirmed = query.mArrived <= aState.mClaimConfirmedAt;
+    const auto waited = absl::StrCat("waited_ms=", (aNow - query.mArrived).Milliseconds());
+    if (IsKnown(aState, query.mRequest.Job())) {
+      HandleRequest(aState, query.mCaller, query.mRequest, aNow, aOut);
+    } else if (isConfirmed) {
+      detail::Log(aOut, "job.denied", query.mRequest.Job(), waited);
+      detail::Reply(aState, query.mCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
+    } else if (aNow >= query.mArrived + kUnknownJobTimeout) {
+      detail::Log(aOut,
+                  "call.refused",
+                  query.mRequest.Job(),
+                  absl::StrCat("reason=claim not confirmed ", waited));
+      detail::ReplyRefused(aState, query.mCaller, kRetryDelay, aOut);
+    } else {
+      waiting.push_back(query);
+    }
+  }
+  aState.mUnknownJobQueries = std::move(waiting);
+}
+
 void
 ForgetCallers(CellState& aState, const std::string& aNode, std::uint64_t aLink)
 {
@@ -231,6 +271,8 @@
       }
     }
   };
+  std::erase_if(aState.mUnknownJobQueries,
+                [&](const UnknownJobQuery& aQuery) { return isHeldThere(aQuery.mCaller); });
   forget(aState.mNewJobs, aState.mNewOutcomes);
   if (aState.mInFlight) {
     forget(aState.mInFlight->mJobs, aState.mInFlight->mOutcomes);
--- a/modules/by_cell/HandleRequests.h
+++ b/modules/by_cell/HandleRequests.h
@@ -16,6 +16,15 @@
               Time aNow,
               Effects& aOut);
 
+/// @returns whether calls about unknown jobs wait for a confirmation of the claim.
+bool
+AwaitsClaimConfirmation(const CellState& aState);
+
+/// Answers the calls about unknown jobs that arrived before the claim was last confirmed, and
+/// refuses those that have waited too long.
+void
+AnswerUnknownJobQueries(CellState& aState, Time aNow, Effects& aOut);
+
 /// Removes the callers behind a lost link of a node that wait until something is stored; that node
 /// answers them itself, or forwards their calls again.
 void
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -218,6 +218,7 @@
   aState.mStoreLostAt = Time::Never();
   aState.mStoreRejects = false;
   aState.mConfirmedAt = std::max(aState.mConfirmedAt, aBatch.mLastSent);
+  aState.mClaimConfirmedAt = std::max(aState.mClaimConfirmedAt, aBatch.mLastSent);
 }
 
 /// Handles a batch that the store rejected as a whole: submitters are refused, and the other
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/HandlePolls.h"
+#include "by_cell/HandleRequests.h"
 #include "by_cell/HandleStore.h"
 #include "by_cell/HandleWaves.h"
 #include "by_cell/detail/Crashes.h"
@@ -42,7 +43,7 @@
 }
 
 void
-ExpireOutcomes(CellState& aState, Time aNow)
+ExpireOutcomes(CellState& aState, Time aNow, Effects& aOut)
 {
   const auto retention = aState.mSettings.OutcomeRetention() + kClockDifference;
   while (!aState.mOutcomesByEnd.empty() &&
@@ -50,6 +51,7 @@
     const auto id = aState.mOutcomesByEnd.begin()->second;
     aState.mOutcomesByEnd.erase(aState.mOutcomesByEnd.begin());
     aState.mOutcomes.erase(id);
+    detail::Log(aOut, "job.forgotten", id, absl::StrCat("retention_ms=", retention.Milliseconds()));
     aState.mDeletedKeys.push_back(OutcomeRecordKey(id));
   }
 }
@@ -79,6 +81,7 @@
     detail::PlaceTasks(aState, aNow, aOut);
   }
   SendDuePolls(aState, aNow, aOut);
+  AnswerUnknownJobQueries(aState, aNow, aOut);
   FlushRecords(aState, aNow, aOut);
 }
 
@@ -96,7 +99,7 @@
     return;
   }
   aState.mLastCheck = aNow;
-  ExpireOutcomes(aState, aNow);
+  ExpireOutcomes(aState, aNow, aOut);
   detail::StopHungRuns(aState, aNow, aOut);
   detail::EvacuateDraining(aState, aNow, aOut);
   AdvanceWaves(aState, aNow, aOut);
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -47,7 +47,6 @@
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
     }
-    detail::ConfirmOwnership(mState, mNow, mOut);
     detail::ContinueHandover(mState, mNow, mOut);
     detail::ExpireHandover(mState, mNow, mOut);
   }
@@ -207,6 +206,7 @@
       detail::StepDown(aState, "a newer owner was detected", aNow, aOut);
     }
   }
+  detail::ConfirmOwnership(aState, aNow, aOut);
   detail::RelayWorkerOrders(aState, aNow, aOut);
   detail::ReturnRelayedAnswers(aState, aNow, aOut);
   detail::BroadcastOwnerState(aState, aNow, aOut);
--- a/modules/by_entry/detail/Ownership.cpp
+++ b/modules/by_entry/detail/Ownership.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleRequests.h"
 #include "by_cell/HandleWaves.h"
 #include "by_cell/RestoreCell.h"
 #include "by_cell/detail/Emit.h"
@@ -36,6 +37,8 @@
 constexpr Time kSilenceSkew = Time::FromMilliseconds(150);
 /// An owner that the store has not confirmed for this long reads the claim, at most this often.
 constexpr Time kConfirmInterval = Time::FromMilliseconds(1000);
+/// The shortest time between two such reads, where callers wait for the answer.
+constexpr Time kMinConfirmInterval = Time::FromMilliseconds(50);
 /// A linked owner that has just claimed the cell is given this long to load it.
 constexpr Time kOwnerLoadTimeout = Time::FromMilliseconds(1500);
 /// After an outage of the store, an owner that lost it is given this long to regain it before
@@ -97,7 +100,9 @@
   aState.mConfirmInFlight = false;
   if (isDone && aState.mPhase == OwnerPhase::Owner && aEvent.Claim() &&
       aEvent.Claim()->Epoch() == aState.mEpoch && IsClaimOfThisProcess(aState, *aEvent.Claim())) {
-    aState.mCell->mConfirmedAt = std::max(aState.mCell->mConfirmedAt, aState.mConfirmSentAt);
+    auto& cell = *aState.mCell;
+    cell.mConfirmedAt = std::max(cell.mConfirmedAt, aState.mConfirmSentAt);
+    cell.mClaimConfirmedAt = std::max(cell.mClaimConfirmedAt, aState.mConfirmSentAt);
   }
 }
 
@@ -222,9 +227,14 @@
 void
 ConfirmOwnership(EntryState& aState, Time aNow, Effects& aOut)
 {
-  if (aState.mPhase != OwnerPhase::Owner || aState.mConfirmInFlight ||
-      aNow < aState.mConfirmSentAt + kConfirmInterval ||
-      aNow < aState.mCell->mConfirmedAt + kConfirmInterval) {
+  if (aState.mPhase != OwnerPhase::Owner || aState.mConfirmInFlight) {
+    return;
+  }
+  const auto last = std::max(aState.mConfirmSentAt, aState.mCell->mConfirmedAt);
+  const bool isDue = aNow >= last + kConfirmInterval;
+  const bool isAwaited =
+    AwaitsClaimConfirmation(*aState.mCell) && aNow >= aState.mConfirmSentAt + kMinConfirmInterval;
+  if (!isDue && !isAwaited) {
     return;
   }
   aState.mConfirmInFlight = true;
@@ -320,7 +330,8 @@
   cell.mNode = aState.mSettings.Node();
   cell.mEpoch = aState.mEpoch;
   cell.mConfig = *aState.mConfig;
-  cell.mConfirmedAt = aNow;
+  // The claim was in force then; the answers since may have come late.
+  cell.mConfirmedAt = aState.mClaimedAt;
   cell.mOwnerSince = aNow;
   // The append that fenced earlier owners has used the first sequence number of this epoch.
   cell.mNextSequence = 1;
--- a/tests/by_cell/CellTest.cpp
+++ b/tests/by_cell/CellTest.cpp
@@ -231,6 +231,8 @@
 {
   CellFixture cell(1);
   cell.Call(JobCallKind::Cancel, "nothing");
+  cell.mCell.mClaimConfirmedAt = cell.mNow;
+  cell.Advance();
   CHECK(Has(cell.TakeReplies(), JobCallOutcome::UnknownJob));
 }
 
--- a/tests/by_cell/RequestsTest.cpp
+++ b/tests/by_cell/RequestsTest.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <optional>
+
 #include <CppUTest/TestHarness.h>
 
 #include "by_cell/CellFixture.h"
@@ -65,21 +68,84 @@
 }
 
 /// An owner that was cut off from the store answered 410 for jobs that its successor had accepted.
-TEST(Requests, OwnerThatMayHaveBeenReplacedDoesNotSayThatAJobIsUnknown)
+TEST(Requests, UnknownJobIsDeniedOnlyAfterAConfirmationThatWasRequestedLater)
 {
   CellFixture cell;
   const auto replyTo = [&](JobCallKind aKind) {
     cell.Call(aKind, kJob);
+    cell.Advance();
     const auto replies = cell.TakeReplies();
-    return replies.size() == 1 ? replies.front().Outcome() : JobCallOutcome::Malformed;
+    return replies.empty() ? std::nullopt : std::optional(replies.front().Outcome());
   };
-  cell.mNow = cell.mCell.mConfirmedAt + Time::FromMilliseconds(2000);
-  CHECK(replyTo(JobCallKind::Show) == JobCallOutcome::UnknownJob);
-  cell.mNow = cell.mNow + Time::FromMilliseconds(1);
-  CHECK(replyTo(JobCallKind::Show) == JobCallOutcome::Refused);
-  CHECK(replyTo(JobCallKind::Cancel) == JobCallOutcome::Refused);
+  for (const auto kind : { JobCallKind::Show, JobCallKind::Cancel }) {
+    cell.mCell.mClaimConfirmedAt = cell.mNow - Time::FromMilliseconds(1);
+    CHECK_FALSE(replyTo(kind).has_value());
+    cell.mCell.mClaimConfirmedAt = cell.mNow;
+    cell.AdvanceTime(Time::FromMilliseconds(10));
+    const auto replies = cell.TakeReplies();
+    CHECK_EQUAL(1, replies.size());
+    CHECK(replies.front().Outcome() == JobCallOutcome::UnknownJob);
+  }
+}
+
+/// An election does not show that no other node has claimed the cell and accepted the job.
+TEST(Requests, ElectionDoesNotConfirmThatAJobIsUnknown)
+{
+  CellFixture cell;
+  cell.Call(JobCallKind::Show, kJob);
+  cell.AdvanceTime(Time::FromMilliseconds(10));
   cell.mCell.mConfirmedAt = cell.mNow;
-  CHECK(replyTo(JobCallKind::Cancel) == JobCallOutcome::UnknownJob);
+  cell.AdvanceTime(Time::FromMilliseconds(10));
+  CHECK(cell.TakeReplies().empty());
+}
+
+TEST(Requests, QueryWithoutAConfirmationIsRefused)
+{
+  CellFixture cell;
+  cell.Call(JobCallKind::Show, kJob);
+  cell.AdvanceTime(Time::FromMilliseconds(2000));
+  const auto replies = cell.TakeReplies();
+  CHECK_EQUAL(1, replies.size());
+  CHECK(replies.front().Outcome() == JobCallOutcome::Refused);
+}
+
+TEST(Requests, AcceptedAppendConfirmsTheClaim)
+{
+  CellFixture cell;
+  cell.Call(JobCallKind::Show, "nothing");
+  cell.AdvanceTime(Time::FromMilliseconds(10));
+  cell.Submit(kJob, { CellFixture::Step(1) });
+  cell.Advance();
+  const auto replies = cell.TakeReplies();
+  CHECK(std::any_of(replies.begin(), replies.end(), [](const JobReply& aReply) {
+    return aReply.Outcome() == JobCallOutcome::UnknownJob;
+  }));
+}
+
+TEST(Requests, JobThatBecomesKnownMeanwhileIsShown)
+{
+  CellFixture cell;
+  cell.Call(JobCallKind::Show, kJob);
+  cell.SubmitUnstored(kJob, { CellFixture::Step(1) });
+  cell.Advance();
+  const auto replies = cell.TakeReplies();
+  CHECK_EQUAL(1, replies.size());
+  CHECK(replies.front().Outcome() == JobCallOutcome::Shown);
+}
+
+TEST(Requests, CallersOfALostNodeGetNoReplyToAQueryThatWaits)
+{
+  CellFixture cell;
+  CallFromMember(cell,
+                 CellRequest::Create({ .mCall = 7,
+                                       .mKind = JobCallKind::Show,
+                                       .mQueue = cell.mCell.mConfig.Queues().front(),
+                                       .mJob = kJob })
+                   .value());
+  ForgetCallers(cell.mCell, "n2", 0);
+  cell.mCell.mClaimConfirmedAt = cell.mNow;
+  cell.AdvanceTime(Time::FromMilliseconds(10));
+  CHECK(TakeMemberOutcomes(cell).empty());
 }
 
 /// The time of day of a new owner was ahead of that of the owner before, so that it forgot ended
--- a/tests/by_entry/CallsTest.cpp
+++ b/tests/by_entry/CallsTest.cpp
@@ -172,10 +172,10 @@
   Owner owner;
   owner.Relink(0, 1);
   owner.Take<SendToMember>();
-  owner.Forward(RequestOf(owner, JobCallKind::Show), owner.mNow, 1);
+  owner.Forward(RequestOf(owner, JobCallKind::Count), owner.mNow, 1);
   owner.Relink(1, 2);
   CHECK(owner.TakeReplyLinks() == std::vector<std::uint64_t>{ 1 });
-  owner.Forward(RequestOf(owner, JobCallKind::Show), owner.mNow, 2);
+  owner.Forward(RequestOf(owner, JobCallKind::Count), owner.mNow, 2);
   CHECK(owner.TakeReplyLinks() == std::vector<std::uint64_t>{ 2 });
 }
 
@@ -578,3 +578,68 @@
               }));
   CHECK(owner.TakeOutcomes().empty());
 }
+
+namespace {
+
+/// An owner that is asked for a job that it does not know.
+struct AskedOwner : EntryFixture
+{
+  static constexpr const char* kPath = "/q/0123456789abcdef";
+
+  AskedOwner()
+  {
+    Configure();
+    BecomeOwner(3);
+    Advance(Time::FromMilliseconds(500));
+    Take<ReadClaim>();
+    SendCall(1, JobCallKind::Show, kPath);
+  }
+
+  /// Answers the read of the claim.
+  void AnswerClaim(std::uint64_t aEpoch, const std::string& aNode, std::uint64_t aIncarnation)
+  {
+    Deliver(ClaimRead::Create(
+              { .mOutcome = StoreOutcome::Done,
+                .mClaim = CellClaim::Create(
+                            { .mEpoch = aEpoch, .mNode = aNode, .mIncarnation = aIncarnation })
+                            .value(),
+                .mEnd = aEpoch })
+              .value());
+  }
+};
+
+} // namespace
+
+/// An owner that the store had confirmed a second ago denied jobs that its successor had accepted.
+TEST_GROUP(UnknownJobs){};
+
+TEST(UnknownJobs, OwnerAsksTheStoreBeforeItDeniesAJob)
+{
+  AskedOwner owner;
+  CHECK(owner.TakeOutcomes().empty());
+  CHECK_EQUAL(1, owner.Take<ReadClaim>().size());
+  owner.AnswerClaim(3, "n1", 1);
+  CHECK(owner.TakeOutcomes() == std::vector{ JobCallOutcome::UnknownJob });
+}
+
+TEST(UnknownJobs, OwnerThatWasReplacedDoesNotDenyAJob)
+{
+  AskedOwner owner;
+  owner.AnswerClaim(4, "n2", 1);
+  CHECK(owner.TakeOutcomes().empty());
+  CHECK_EQUAL(1, owner.mState.mCalls.size());
+}
+
+TEST(UnknownJobs, ReadThatBeganBeforeTheCallDoesNotCount)
+{
+  AskedOwner owner;
+  CHECK_EQUAL(1, owner.Take<ReadClaim>().size());
+  owner.Advance(Time::FromMilliseconds(10));
+  owner.SendCall(2, JobCallKind::Cancel, AskedOwner::kPath);
+  owner.AnswerClaim(3, "n1", 1);
+  CHECK(owner.TakeOutcomes() == std::vector{ JobCallOutcome::UnknownJob });
+  owner.Advance(Time::FromMilliseconds(60));
+  CHECK_EQUAL(1, owner.Take<ReadClaim>().size());
+  owner.AnswerClaim(3, "n1", 1);
+  CHECK(owner.TakeOutcomes() == std::vector{ JobCallOutcome::UnknownJob });
+}
