Let a long-running task at work end the quarantine of its worker

Cause: two failed runs in a row quarantine a worker. It was probed only while it had no run at all, and its quarantine ended only with a run that was done. A long-running task is never done, so the quarantine of a worker on which one ran never ended.

Change: the runs from before the quarantine no longer keep a worker from its probe, one new run at a time; a long-running probe that has been at work for a second ends the quarantine, as a finished one does. A place that a gang reserves counts as a probe, as the run that follows does. worker.proven is logged.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -12,6 +12,7 @@
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
 #include "by_cell/detail/WorkerReports.h"
+#include "by_cell/detail/WorkerStatistics.h"
 
 namespace by {
 
@@ -227,6 +228,9 @@
       forgotten.push_back(id);
       continue;
     }
+    if (detail::EndQuarantineIfProven(worker, aNow, aOut)) {
+      aState.mPlacementNeeded = true;
+    }
     if (CanBePolled(worker) && worker.mNextPoll <= aNow) {
       SendPoll(aState, worker, aNow, aOut);
     }
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -20,6 +20,8 @@
   /// Whether it uses only idle processor time, and whether its step has a response time target.
   bool mIsScavenging{ false };
   bool mIsLatencySensitive{ false };
+  /// Whether it runs until its job is cancelled.
+  bool mIsLongRunning{ false };
   /// How long the run of a suspected task has to go on alone before it counts as harmless; zero
   /// once it has, and for all other tasks.
   Time mProbation{};
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -75,8 +75,8 @@
   std::vector<LostRun> mLostRuns;
   /// Consecutive runs that failed on the worker.
   std::uint32_t mConsecutiveFailures{ 0 };
-  /// Until when it is quarantined, after which one run at a time probes it; zero once a run was
-  /// done.
+  /// Until when it is quarantined, after which one new run at a time probes it; zero once a run
+  /// was done, or a long-running one has been at work for long enough.
   Time mQuarantinedUntil{};
   /// The ratio of the actual to the declared duration of its tasks, as a moving average.
   double mSlowness{ 1.0 };
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -16,6 +16,7 @@
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
 #include "by_cell/detail/Trials.h"
+#include "by_cell/detail/WorkerStatistics.h"
 #include "by_crashes/by_crashes.h"
 #include "by_placement/ResourceMath.h"
 
@@ -56,7 +57,7 @@
     if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack)) {
       continue;
     }
-    if (worker->mQuarantinedUntil > Time() && !worker->mRuns.empty()) {
+    if (IsProbed(*worker)) {
       continue;
     }
     if (IsKeptForTrial(*worker, aPass.mNow)) {
@@ -118,7 +119,9 @@
     if (worker == nullptr) {
       break;
     }
-    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, RunRow());
+    RunRow member;
+    member.mPhaseSince = aPass.mNow;
+    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, member);
     worker->mUsed = Plus(worker->mUsed, step.Demand());
     hosts.push_back(worker);
   }
--- a/modules/by_cell/detail/Suitability.cpp
+++ b/modules/by_cell/detail/Suitability.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/WorkerStatistics.h"
 #include "by_placement/ResourceMath.h"
 
 namespace by::detail {
@@ -36,8 +37,7 @@
     return false;
   }
   if (aWorker.mQuarantinedUntil > Time()) {
-    // After its quarantine a worker is probed with one run at a time.
-    return aNow >= aWorker.mQuarantinedUntil && aWorker.mRuns.empty();
+    return aNow >= aWorker.mQuarantinedUntil && !IsProbed(aWorker);
   }
   return true;
 }
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -81,6 +81,7 @@
   row.mDemand = EffectiveDemand(aStep);
   row.mIsScavenging = aStep.Scavenging();
   row.mIsLatencySensitive = aStep.TailTarget() > Time();
+  row.mIsLongRunning = aStep.LongRunning();
   row.mPhaseSince = aNow;
   row.mEstimate = aStep.Estimate();
   return row;
--- a/modules/by_cell/detail/Trials.cpp
+++ b/modules/by_cell/detail/Trials.cpp
@@ -12,6 +12,7 @@
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/WorkerStatistics.h"
 #include "by_crashes/by_crashes.h"
 #include "by_placement/ResourceMath.h"
 
@@ -89,8 +90,7 @@
 {
   std::vector<TrialHost> hosts;
   for (const auto* worker : aCandidates) {
-    const bool isProbed = worker->mQuarantinedUntil > Time() && !worker->mRuns.empty();
-    const bool isUsable = worker->mTrials == 0 && !isProbed;
+    const bool isUsable = worker->mTrials == 0 && !IsProbed(*worker);
     hosts.push_back(
       { .mSlots =
           isUsable ? ForecastSlots(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots : 0,
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -16,6 +16,15 @@
 constexpr double kMaxSlownessSample = 3.0;
 /// Lower bound of a sample.
 constexpr double kMinSlownessSample = 0.3;
+/// A long-running task never ends as done, so it proves its worker by being at work for this long.
+constexpr Time kProbeTime = Time::FromMilliseconds(1000);
+constexpr std::uint32_t kFullPercent = 100;
+
+Time
+StartOf(const RunRow& aRun)
+{
+  return aRun.mOrderedAt > Time() ? aRun.mOrderedAt : aRun.mPhaseSince;
+}
 
 } // namespace
 
@@ -32,6 +41,38 @@
   aWorker.mSlowness += kSlownessWeight * (ratio - aWorker.mSlowness);
 }
 
+bool
+IsProbed(const WorkerRow& aWorker)
+{
+  return aWorker.mQuarantinedUntil > Time() &&
+         std::any_of(aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aEntry) {
+           return StartOf(aEntry.second) >= aWorker.mQuarantinedUntil;
+         });
+}
+
+bool
+EndQuarantineIfProven(WorkerRow& aWorker, Time aNow, Effects& aOut)
+{
+  if (aWorker.mQuarantinedUntil == Time()) {
+    return false;
+  }
+  for (const auto& [run, row] : aWorker.mRuns) {
+    const auto start = StartOf(row);
+    const bool isAtWork = row.mPhase == RunPhase::Confirmed && row.mPercent >= kFullPercent;
+    if (row.mIsLongRunning && isAtWork && start >= aWorker.mQuarantinedUntil &&
+        aNow >= start + kProbeTime) {
+      aWorker.mConsecutiveFailures = 0;
+      aWorker.mQuarantinedUntil = Time();
+      Log(aOut,
+          "worker.proven",
+          aWorker.mRegistration.Id(),
+          absl::StrCat("run=", FormatRunId(run), " at_work_ms=", (aNow - start).Milliseconds()));
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 UpdateFailures(const CellState& aState, WorkerRow& aWorker, RunEnd aEnd, Time aNow, Effects& aOut)
 {
--- a/modules/by_cell/detail/WorkerStatistics.h
+++ b/modules/by_cell/detail/WorkerStatistics.h
@@ -10,6 +10,15 @@
 void
 UpdateSlowness(WorkerRow& aWorker, const RunRow& aRun, Time aNow);
 
+/// @returns whether a quarantined worker has a run that began after its quarantine.
+bool
+IsProbed(const WorkerRow& aWorker);
+
+/// Ends the quarantine of a worker whose probe is a long-running task at work.
+/// @returns whether it has ended.
+bool
+EndQuarantineIfProven(WorkerRow& aWorker, Time aNow, Effects& aOut);
+
 /// Counts consecutive failed runs of a worker, and quarantines the worker at the limit.
 void
 UpdateFailures(const CellState& aState, WorkerRow& aWorker, RunEnd aEnd, Time aNow, Effects& aOut);
