Place steps that fit nowhere behind all others

Cause: a placement pass leaves a pool after 60 steps without capacity, and the ready steps are sorted by urgency, so that steps which no worker can ever host stood first in each pass, for good.

Change: a step that finds no capacity is held against what the registered workers of its pool have without any runs; for a gang all members count. Where that does not do, the step sorts behind all others, counts as no miss, asks for no quick polls and is not tried, until an entry of a worker or the configuration changes. step.fits_nowhere and step.fits say so, with the demand.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -107,6 +107,9 @@
   bool mFenced{ false };
   /// Whether the owner is behind with its events, so that it polls no more often than it has to.
   bool mIsBehind{ false };
+  /// Whether entries of workers or the configuration have changed since the steps that fit nowhere
+  /// were last examined.
+  bool mRoomMayHaveGrown{ false };
   /// Whether capacity or ready steps have changed since the last placement pass.
   bool mPlacementNeeded{ false };
   /// The number of the last placement pass; passes are numbered from 1.
--- a/modules/by_cell/StepRow.h
+++ b/modules/by_cell/StepRow.h
@@ -18,6 +18,9 @@
   Time mCriticalPath{};
   /// How urgent its job is with respect to its objective.
   Urgency mUrgency{ Urgency::OnTime };
+  /// Whether no worker of its pool could host it, or all members of a gang, even without other
+  /// runs.
+  bool mFitsNowhere{ false };
   /// Whether all tasks of the step are done.
   bool mDone{ false };
   /// Its key among the ready steps; empty while none of its tasks can be placed.
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -120,6 +120,7 @@
 ConfigureCell(CellState& aState, const ClusterConfig& aConfig)
 {
   aState.mConfig = aConfig;
+  aState.mRoomMayHaveGrown = true;
   for (auto& [id, job] : aState.mJobs) {
     for (const auto& [index, occurrence] : job.mOccurrences) {
       detail::RefreshOccurrence(aState, job, index);
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -204,8 +204,13 @@
   }
   const auto& policy = PolicyOf(aState, aJob);
   const auto objective = ObjectiveTime(aJob.mJob.Definition(), policy);
-  ReadyKey key{ step.mUrgency,  policy.Priority(), occurrence.mDue + objective - step.mCriticalPath,
-                aJob.mJob.Id(), aOccurrence,       aStep };
+  ReadyKey key{ .mFitsNowhere = step.mFitsNowhere,
+                .mUrgency = step.mUrgency,
+                .mPriority = policy.Priority(),
+                .mLatestStart = occurrence.mDue + objective - step.mCriticalPath,
+                .mJob = aJob.mJob.Id(),
+                .mOccurrence = aOccurrence,
+                .mStep = aStep };
   if (step.mReady == key) {
     return;
   }
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Assignment.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Feasibility.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/PlacementPass.h"
 #include "by_cell/detail/Runs.h"
@@ -219,6 +221,9 @@
   }
   if (trial == TrialOutcome::PlaceOthers &&
       !PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
+    if (MarkIfFitsNowhere(aPass.mState, aKey, aPass.mOut)) {
+      return;
+    }
     misses += candidates.empty() ? 0 : 1;
     const bool mayReserve = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
     const auto reserved =
@@ -252,16 +257,19 @@
     // Nothing can be started before it is stored, and what is placed now would be out of date then.
     return 0;
   }
+  if (std::exchange(aState.mRoomMayHaveGrown, false)) {
+    UnmarkStepsThatFit(aState, aOut);
+  }
   aState.mPlacementNeeded = false;
   aState.mHasWaitingTrials = false;
   ++aState.mPlacementPass;
   PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
   for (const auto& key : aState.mReady) {
-    keys.push_back(key);
-    if (keys.size() == kMaxStepsPerPass) {
+    if (key.mFitsNowhere || keys.size() == kMaxStepsPerPass) {
       break;
     }
+    keys.push_back(key);
   }
   std::size_t gangs = 0;
   for (const auto& key : keys) {
