Keep a connection that is accepted while its listener closes

A review of the fix found that the handler of a connection that had been accepted behind a queued stop saw a closed listener and dropped the connection with its request. It looks at its own error first now, and the stop is finished only behind that handler. StopAnswersRequestsOnAConnectionThatIsBeingAccepted failed without this.

After a failed accept, for want of descriptors for instance, the server waits 0.1 s before the next, as by_http does, in place of trying without a pause.

--- a/modules/by_web/WebServer.cpp
+++ b/modules/by_web/WebServer.cpp
@@ -1,9 +1,11 @@
 #include "by_web/WebServer.h"
 
+#include <chrono>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 
 namespace by {
 
@@ -13,6 +15,8 @@
 using boost::system::error_code;
 
 constexpr unsigned kServiceUnavailable = 503;
+/// Spaces out attempts to accept after a failure, such as a lack of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 
 absl::Status
 StatusOf(const error_code& aError)
@@ -54,6 +58,7 @@
                      std::vector<std::string> aKeptHeaders,
                      WebSession::Unanswered aUnanswered)
   : mAcceptor(aContext)
+  , mAcceptPause(aContext)
   , mMaxConnections(aMaxConnections)
   , mHandler(std::move(aHandler))
   , mKeptHeaders(std::move(aKeptHeaders))
@@ -93,6 +98,7 @@
 absl::Status
 WebServer::Reopen()
 {
+  mIsClosed = false;
   return mAcceptor.is_open() ? absl::OkStatus() : Listen(mListening);
 }
 
@@ -101,17 +107,37 @@
 {
   auto accepted = [self = weak_from_this()](error_code aError, tcp::socket aSocket) {
     const auto server = self.lock();
-    if (!server || !server->mAcceptor.is_open()) {
+    if (!server) {
       return;
     }
-    if (!aError) {
+    // A connection may have been accepted just before the listener was closed.
+    if (!aError && !server->mIsClosed) {
       server->OnAccepted(std::move(aSocket));
     }
-    server->Accept();
+    if (!server->mAcceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      server->PauseAccepting();
+    } else {
+      server->Accept();
+    }
   };
   mAcceptor.async_accept(std::move(accepted));
 }
 
+void
+WebServer::PauseAccepting()
+{
+  mAcceptPause.expires_after(kAcceptPause);
+  mAcceptPause.async_wait([self = weak_from_this()](error_code aError) {
+    const auto server = self.lock();
+    if (server && !aError && server->mAcceptor.is_open()) {
+      server->Accept();
+    }
+  });
+}
+
 void
 WebServer::AcceptQueued()
 {
@@ -146,15 +172,16 @@
     session->CloseAfterAnswer();
   }
   session->Start();
+  if (mIsFinishing) {
+    session->Finish();
+  }
 }
 
 void
 WebServer::OnClosed(WebSession* aSession)
 {
   mSessions.erase(aSession);
-  if (mSessions.empty() && mFinished) {
-    std::exchange(mFinished, nullptr)();
-  }
+  TellIfFinished();
 }
 
 std::vector<std::shared_ptr<WebSession>>
@@ -181,23 +208,36 @@
 WebServer::Finish(std::function<void()> aFinished)
 {
   mClosesAfterAnswers = true;
+  mIsFinishing = true;
+  mFinished = std::move(aFinished);
+  for (const auto& session : OpenSessions()) {
+    session->Finish();
+  }
   // The kernel resets connections that were not accepted when their listener closes.
   AcceptQueued();
   error_code ignored;
   mAcceptor.close(ignored);
-  if (mSessions.empty()) {
-    aFinished();
-    return;
-  }
-  mFinished = std::move(aFinished);
-  for (const auto& session : OpenSessions()) {
-    session->Finish();
+  // Behind the handler of a connection that was accepted before.
+  boost::asio::post(mAcceptor.get_executor(), [self = weak_from_this()] {
+    if (const auto server = self.lock()) {
+      server->mListenerIsDone = true;
+      server->TellIfFinished();
+    }
+  });
+}
+
+void
+WebServer::TellIfFinished()
+{
+  if (mListenerIsDone && mSessions.empty() && mFinished) {
+    std::exchange(mFinished, nullptr)();
   }
 }
 
 void
 WebServer::Close()
 {
+  mIsClosed = true;
   error_code ignored;
   mAcceptor.close(ignored);
   for (const auto& session : OpenSessions()) {
--- a/modules/by_web/WebServer.h
+++ b/modules/by_web/WebServer.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -69,12 +70,15 @@
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
+  void PauseAccepting();
   void AcceptQueued();
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
   void OnClosed(WebSession* aSession);
+  void TellIfFinished();
   std::vector<std::shared_ptr<WebSession>> OpenSessions() const;
 
   boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mAcceptPause;
   std::int64_t mMaxConnections;
   WebSession::Handler mHandler;
   std::vector<std::string> mKeptHeaders;
@@ -82,6 +86,9 @@
   Endpoint mListening;
   std::int64_t mRefused{ 0 };
   bool mClosesAfterAnswers{ false };
+  bool mIsFinishing{ false };
+  bool mListenerIsDone{ false };
+  bool mIsClosed{ false };
   std::function<void()> mFinished;
   std::unordered_map<WebSession*, std::shared_ptr<WebSession>> mSessions;
 };
