Finish the stop of bergamotyardd behind its last connection

The daemon leaves frames and records 0.3 s to leave, as before. The test of the stop no longer waits for a time. By reading; no test fails for these orders of events.

--- a/modules/by_daemon/detail/DaemonBody.cpp
+++ b/modules/by_daemon/detail/DaemonBody.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-/// Answers that are on their way when the planned stop is complete have this long to leave.
+/// Callers have at most this long to read the last answers and close.
 constexpr std::chrono::milliseconds kFinishLimit{ 2000 };
+/// Frames to peers and records that are on their way have this long to leave.
+constexpr std::chrono::milliseconds kFlushTime{ 300 };
 constexpr Time kGaugeInterval = Time::FromMilliseconds(1000);
 
 OperatorCall
@@ -211,10 +213,21 @@
   mTickTimer.cancel();
   mSignals.cancel();
   mExitTimer.expires_after(kFinishLimit);
-  mExitTimer.async_wait([this](boost::system::error_code) { mControl.stop(); });
+  mExitTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      mControl.stop();
+    }
+  });
   // Calls that are read from now on are refused by this thread, so it runs until the last
   // connection is closed.
-  mHttp->Finish([this] { boost::asio::post(mControl, [this] { mExitTimer.cancel(); }); });
+  mHttp->Finish([this] { boost::asio::post(mControl, [this] { EndAfterFlush(); }); });
+}
+
+void
+DaemonBody::EndAfterFlush()
+{
+  mExitTimer.expires_after(kFlushTime);
+  mExitTimer.async_wait([this](boost::system::error_code) { mControl.stop(); });
 }
 
 void
--- a/modules/by_daemon/detail/DaemonBody.h
+++ b/modules/by_daemon/detail/DaemonBody.h
@@ -51,6 +51,7 @@
   void Perform(const SetReady& aEffect);
   void Perform(const ConfigInForce& aEffect);
   void Perform(const Note& aEffect);
+  void EndAfterFlush();
   void Tick();
   void WatchSignals();
   void UpdateGauges();
--- a/modules/by_http/HttpServer.cpp
+++ b/modules/by_http/HttpServer.cpp
@@ -56,22 +56,39 @@
 }
 
 void
-TakeConnection(const SharedPointer& aShared, HttpLane& aLane, asio::ip::tcp::socket aSocket)
+TakeConnection(const SharedPointer& aShared,
+               HttpLane& aLane,
+               std::int64_t aOthers,
+               asio::ip::tcp::socket aSocket)
 {
-  const auto others = aShared->mConnections.load(std::memory_order_relaxed);
-  if (others >= aShared->mSettings.MaxConnections() + kRejectedAtOnce) {
+  if (aOthers >= aShared->mSettings.MaxConnections() + kRejectedAtOnce) {
+    aShared->ReleaseConnection();
     return;
   }
   ErrorCode ec;
   aSocket.set_option(asio::ip::tcp::no_delay(true), ec);
   const auto session = std::make_shared<HttpSession>(std::move(aSocket), aShared, aLane);
-  if (others >= aShared->mSettings.MaxConnections()) {
+  if (aOthers >= aShared->mSettings.MaxConnections()) {
     session->Reject();
-  } else {
-    session->Start();
+    return;
+  }
+  session->Start();
+  if (aShared->mStopping.load(std::memory_order_relaxed)) {
+    session->FinishCall();
   }
 }
 
+/// Hands an accepted connection to the thread of its lane.
+void
+DealConnection(const SharedPointer& aShared, std::size_t aLane, asio::ip::tcp::socket aSocket)
+{
+  const auto others = aShared->AddConnection();
+  auto& lane = aShared->mLanes[aLane];
+  asio::post(*lane.mContext, [aShared, &lane, others, socket = std::move(aSocket)]() mutable {
+    TakeConnection(aShared, lane, others, std::move(socket));
+  });
+}
+
 void
 Accept(const SharedPointer& aShared, std::size_t aNext);
 
@@ -81,6 +98,10 @@
            ErrorCode aError,
            asio::ip::tcp::socket aSocket)
 {
+  // A connection may have been accepted just before the listener was closed.
+  if (!aError) {
+    DealConnection(aShared, aLane, std::move(aSocket));
+  }
   if (!aShared->mAcceptor.is_open()) {
     return;
   }
@@ -93,10 +114,6 @@
     });
     return;
   }
-  auto& lane = aShared->mLanes[aLane];
-  asio::post(*lane.mContext, [aShared, &lane, socket = std::move(aSocket)]() mutable {
-    TakeConnection(aShared, lane, std::move(socket));
-  });
   Accept(aShared, (aLane + 1) % aShared->mLanes.size());
 }
 
@@ -139,13 +156,35 @@
   }
 }
 
+/// Accepts the connections that wait, since the kernel resets them when their listener closes.
+void
+AcceptQueued(const SharedPointer& aShared)
+{
+  ErrorCode ec;
+  aShared->mAcceptor.non_blocking(true, ec);
+  for (std::size_t lane = 0; !ec; lane = (lane + 1) % aShared->mLanes.size()) {
+    asio::ip::tcp::socket socket(*aShared->mLanes[lane].mContext);
+    aShared->mAcceptor.accept(socket, ec);
+    if (!ec) {
+      DealConnection(aShared, lane, std::move(socket));
+    }
+  }
+}
+
 void
 CloseListener(const SharedPointer& aShared)
 {
+  // Counted as a connection, so that the last one is closed only after the listener.
+  aShared->AddConnection();
   asio::post(aShared->mAcceptor.get_executor(), [aShared] {
+    if (aShared->mAcceptor.is_open()) {
+      AcceptQueued(aShared);
+    }
     ErrorCode ec;
     aShared->mAcceptor.close(ec);
     aShared->mAcceptPause.cancel();
+    // Behind the handler of a connection that was accepted before.
+    asio::post(aShared->mAcceptor.get_executor(), [aShared] { aShared->ReleaseConnection(); });
   });
 }
 
@@ -257,8 +296,8 @@
 void
 HttpServer::Finish(std::function<void()> aFinished)
 {
-  // Counted as a connection until all lanes know, so that the last one is closed only then.
-  mShared->mConnections.fetch_add(1);
+  // Counted as a connection until the listener is, so that the last one is not closed before.
+  mShared->AddConnection();
   mShared->mFinished = std::move(aFinished);
   mShared->mFinishing.store(true);
   StopAccepting();
--- a/modules/by_http/detail/HttpSession.cpp
+++ b/modules/by_http/detail/HttpSession.cpp
@@ -71,7 +71,6 @@
   , mStream(std::move(aSocket))
   , mBound(mStream.get_executor())
 {
-  mShared->mConnections.fetch_add(1, std::memory_order_relaxed);
 }
 
 HttpSession::~HttpSession()
@@ -382,6 +381,9 @@
     Close();
   } else if (mKeepAlive) {
     ReadHeader();
+    if (mFinishing) {
+      FinishCall();
+    }
   } else {
     Linger();
   }
@@ -411,6 +413,7 @@
 void
 HttpSession::FinishCall()
 {
+  mFinishing = true;
   if (mReading) {
     // Bytes that were read and not reported yet are seen only once the read has ended.
     mStream.cancel();
--- a/modules/by_http/detail/HttpSession.h
+++ b/modules/by_http/detail/HttpSession.h
@@ -99,6 +99,7 @@
   Secrets mSecrets{ Secrets::Hidden };
   bool mKeepAlive{ false };
   bool mReading{ false };
+  bool mFinishing{ false };
   bool mWaiting{ false };
   bool mWatching{ false };
   /// Keeps the connection while it waits with nothing to watch for.
--- a/modules/by_http/detail/HttpShared.h
+++ b/modules/by_http/detail/HttpShared.h
@@ -43,6 +43,8 @@
   std::function<void()> mFinished;
   std::atomic<bool> mFinishing{ false };
 
+  /// Counts a connection, from when it is accepted.
+  std::int64_t AddConnection() { return mConnections.fetch_add(1); }
   /// Counts a connection as closed.
   void ReleaseConnection()
   {
--- a/tests/by_http/HttpServerTest.cpp
+++ b/tests/by_http/HttpServerTest.cpp
@@ -102,7 +102,10 @@
   std::promise<void> finished;
   auto isFinished = finished.get_future();
   fixture.Server().Finish([&finished] { finished.set_value(); });
-  CHECK(isFinished.wait_for(std::chrono::milliseconds(50)) == std::future_status::timeout);
+  // Both threads have come to the stop.
+  fixture.HoldTraffic();
+  fixture.ReleaseTraffic();
+  CHECK(isFinished.wait_for(std::chrono::milliseconds(0)) == std::future_status::timeout);
   fixture.Server().Answer(AnswerFor(request, "last"));
   CHECK(peer.Read().has_value());
   peer.Close();
