Write the lines about calls that a stop could not answer

They were posted to the control thread after its last turn and never written. It runs them once more before the log is flushed, node.stopped is flushed when the last calls are waited for, and messages to nodes and the store keep 0.2 s to leave. A call that the cell answers in the step in which a stop ends is no longer given up beside. Found by review.

--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -210,6 +210,7 @@
   detail::RelayWorkerOrders(aState, aNow, aOut);
   detail::ReturnRelayedAnswers(aState, aNow, aOut);
   detail::BroadcastOwnerState(aState, aNow, aOut);
+  RemoveAnsweredCalls(aState, aOut);
   detail::ContinueStop(aState, aNow, aOut);
   detail::PublishReadiness(aState, aNow, aOut);
   RemoveAnsweredCalls(aState, aOut);
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -29,8 +29,8 @@
 constexpr std::size_t kBatchLimit = 64;
 /// One of so many batches is handled event by event to sample their processor time.
 constexpr std::uint64_t kBatchesPerSample = 32;
-/// The last answers have at least this long to leave once the decisions have ended.
-constexpr Time kMinFinishTime = Time::FromMilliseconds(200);
+/// Messages to other nodes and to the store have this long to leave after the last decision.
+constexpr Time kFlushTime = Time::FromMilliseconds(200);
 /// The process ends so long before its grace time does.
 constexpr Time kExitMargin = Time::FromMilliseconds(300);
 
@@ -138,6 +138,9 @@
   mPorts.mStop();
   mLink->Close();
   mMembers->Close();
+  // Lines about calls that ended with the sockets.
+  mControl.restart();
+  mControl.poll();
   mLog.Flush();
   return mClean;
 }
@@ -271,8 +274,9 @@
 EntryDaemonBody::FinishCalls()
 {
   mTimer.cancel();
+  mLog.Flush();
   const auto now = BootNow();
-  const auto limit = std::max(kMinFinishTime, mStopRequestedAt + mGrace - kExitMargin - now);
+  const auto limit = std::max(kFlushTime, mStopRequestedAt + mGrace - kExitMargin - now);
   mExitTimer.expires_after(std::chrono::milliseconds(limit.Milliseconds()));
   mExitTimer.async_wait([this, now](boost::system::error_code aError) {
     if (!aError) {
@@ -283,20 +287,31 @@
   // connection is closed.
   boost::asio::post(mTraffic, [this, now] {
     mPorts.mFinish(
-      [this, now] { boost::asio::post(mControl, [this, now] { ReportFinish(now, true); }); });
+      [this, now] { boost::asio::post(mControl, [this, now] { FinishAfterFlush(now); }); });
+  });
+}
+
+void
+EntryDaemonBody::FinishAfterFlush(Time aBegin)
+{
+  const auto left = std::max(Time(), aBegin + kFlushTime - BootNow());
+  mExitTimer.expires_after(std::chrono::milliseconds(left.Milliseconds()));
+  mExitTimer.async_wait([this, aBegin](boost::system::error_code aError) {
+    if (!aError) {
+      ReportFinish(aBegin, true);
+    }
   });
 }
 
 void
 EntryDaemonBody::ReportFinish(Time aBegin, bool aAllClosed)
 {
-  Write(LogLine::Create(
-          { .mEvent = "node.finished",
-            .mSubject = mState.mSettings.Node(),
-            .mDetail = absl::StrCat("took_ms=",
-                                    (BootNow() - aBegin).Milliseconds(),
-                                    " connections=",
-                                    aAllClosed ? "all closed" : "left open at the end of grace") })
+  Write(LogLine::Create({ .mEvent = "node.finished",
+                          .mSubject = mState.mSettings.Node(),
+                          .mDetail = absl::StrCat("took_ms=",
+                                                  (BootNow() - aBegin).Milliseconds(),
+                                                  " connections=",
+                                                  aAllClosed ? "all closed" : "left open") })
           .value());
   mControl.stop();
 }
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -52,6 +52,7 @@
   void Perform(Effects aEffects);
   /// Ends the process once the calls that callers have sent are answered.
   void FinishCalls();
+  void FinishAfterFlush(Time aBegin);
   void ReportFinish(Time aBegin, bool aAllClosed);
   void PerformOnTraffic(const EntryEffect& aEffect);
   void Write(const LogLine& aLine);
