Prove workers by answers, and look at infeasible steps again

Steps of suspected tasks were never found infeasible, and waited among the first. Workers that leave count as no capacity. Infeasible steps asked for a placement pass by advice that they never query, which hid placement.missed, and were looked at again only on an event; they are every 5 s. Queries about unknown jobs are taken from the front of a queue in place of a copy of all of them in each step.

The words for such steps are those of the field: infeasible, feasible.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -99,7 +99,7 @@
   /// does not show it, since other nodes may claim the cell too.
   Time mClaimConfirmedAt{};
   /// Calls about jobs that this owner does not know, in the order of their arrival.
-  std::vector<UnknownJobQuery> mUnknownJobQueries;
+  std::deque<UnknownJobQuery> mUnknownJobQueries;
   /// When this node became the owner; leases granted by earlier owners end a bounded time after it.
   Time mOwnerSince{};
   /// Whether a worker, the store or the machines have refused this epoch; a fenced owner does no
@@ -109,7 +109,8 @@
   bool mIsBehind{ false };
   /// Whether entries of workers or the configuration have changed since the steps that fit nowhere
   /// were last examined.
-  bool mRoomMayHaveGrown{ false };
+  bool mCapacityMayHaveGrown{ false };
+  Time mNextFeasibilityCheck{};
   /// Whether capacity or ready steps have changed since the last placement pass.
   bool mPlacementNeeded{ false };
   /// The number of the last placement pass; passes are numbered from 1.
--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -95,7 +95,7 @@
 {
   for (const auto& entry : aEvent.Present()) {
     Register(aState, entry, aNow, aOut);
-    aState.mRoomMayHaveGrown = true;
+    aState.mCapacityMayHaveGrown = true;
   }
   for (const auto& id : aEvent.Gone()) {
     Unregister(aState, id, aNow, aOut);
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -229,26 +229,28 @@
 void
 AnswerUnknownJobQueries(CellState& aState, Time aNow, Effects& aOut)
 {
-  std::vector<UnknownJobQuery> waiting;
-  for (const auto& query : std::exchange(aState.mUnknownJobQueries, {})) {
-    const bool isConfirmed = query.mArrived <= aState.mClaimConfirmedAt;
+  auto& queries = aState.mUnknownJobQueries;
+  while (!queries.empty()) {
+    const bool isConfirmed = queries.front().mArrived <= aState.mClaimConfirmedAt;
+    if (!isConfirmed && aNow < queries.front().mArrived + kUnknownJobTimeout) {
+      return;
+    }
+    const auto query = std::move(queries.front());
+    queries.pop_front();
     const auto waited = absl::StrCat("waited_ms=", (aNow - query.mArrived).Milliseconds());
     if (IsKnown(aState, query.mRequest.Job())) {
       HandleRequest(aState, query.mCaller, query.mRequest, aNow, aOut);
     } else if (isConfirmed) {
-      detail::Log(aOut, "job.denied", query.mRequest.Job(), waited);
+      detail::Log(aOut, "job.unknown_confirmed", query.mRequest.Job(), waited);
       detail::Reply(aState, query.mCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
-    } else if (aNow >= query.mArrived + kUnknownJobTimeout) {
+    } else {
       detail::Log(aOut,
                   "call.refused",
                   query.mRequest.Job(),
                   absl::StrCat("reason=claim not confirmed ", waited));
       detail::ReplyRefused(aState, query.mCaller, kRetryDelay, aOut);
-    } else {
-      waiting.push_back(query);
     }
   }
-  aState.mUnknownJobQueries = std::move(waiting);
 }
 
 void
--- a/modules/by_cell/ReadyKey.h
+++ b/modules/by_cell/ReadyKey.h
@@ -12,8 +12,8 @@
 /// Key of a ready step; steps are placed in the order of their keys.
 struct ReadyKey
 {
-  /// Whether no worker has room for the step, however idle; such steps come last.
-  bool mFitsNowhere{ false };
+  /// Whether no worker has the capacity for the step, however idle; such steps come last.
+  bool mInfeasible{ false };
   /// How urgent the job is with respect to its objective.
   Urgency mUrgency{ Urgency::OnTime };
   /// The queue's priority; 0 is the highest.
--- a/modules/by_cell/StepRow.h
+++ b/modules/by_cell/StepRow.h
@@ -20,7 +20,7 @@
   Urgency mUrgency{ Urgency::OnTime };
   /// Whether no worker of its pool could host it, or all members of a gang, even without other
   /// runs.
-  bool mFitsNowhere{ false };
+  bool mInfeasible{ false };
   /// Whether all tasks of the step are done.
   bool mDone{ false };
   /// Its key among the ready steps; empty while none of its tasks can be placed.
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -25,6 +25,8 @@
 constexpr Time kCheckInterval = Time::FromMilliseconds(250);
 /// Interval between the passes over all workers that resend orders and end expired leases.
 constexpr Time kWorkerUpdateInterval = Time::FromMilliseconds(40);
+/// Interval between examinations of infeasible steps that no event requested.
+constexpr Time kFeasibilityInterval = Time::FromSeconds(5);
 
 /// An owner whose time of day differs by up to this much from that of the owner that stored an
 /// outcome keeps it long enough.
@@ -62,6 +64,9 @@
 HasDueAdviceQuery(const CellState& aState, Time aNow)
 {
   return std::any_of(aState.mReady.begin(), aState.mReady.end(), [&](const ReadyKey& aKey) {
+    if (aKey.mInfeasible) {
+      return false;
+    }
     const auto& job = aState.mJobs.at(aKey.mJob);
     const auto& advice = job.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep].mAdvice;
     return detail::PolicyOf(aState, job).Advice() && advice.mNextQuery <= aNow;
@@ -104,6 +109,10 @@
   detail::EvacuateDraining(aState, aNow, aOut);
   AdvanceWaves(aState, aNow, aOut);
   detail::UpdateUrgency(aState, aNow);
+  if (aNow >= aState.mNextFeasibilityCheck) {
+    aState.mNextFeasibilityCheck = aNow + kFeasibilityInterval;
+    aState.mCapacityMayHaveGrown = true;
+  }
   const bool wasDue = aState.mPlacementNeeded || aState.mStoreLostAt != Time::Never() ||
                       aState.mHasWaitingTrials || HasDueAdviceQuery(aState, aNow);
   const auto placed = detail::PlaceTasks(aState, aNow, aOut);
@@ -120,7 +129,7 @@
 ConfigureCell(CellState& aState, const ClusterConfig& aConfig)
 {
   aState.mConfig = aConfig;
-  aState.mRoomMayHaveGrown = true;
+  aState.mCapacityMayHaveGrown = true;
   for (auto& [id, job] : aState.mJobs) {
     for (const auto& [index, occurrence] : job.mOccurrences) {
       detail::RefreshOccurrence(aState, job, index);
--- a/modules/by_cell/detail/Feasibility.cpp
+++ b/modules/by_cell/detail/Feasibility.cpp
@@ -18,14 +18,15 @@
 /// @returns whether the registered workers of a pool could host a step, or all members of a gang,
 /// if they had no runs.
 bool
-FitsSomewhere(const CellState& aState, const std::string& aPool, const JobStep& aStep)
+IsFeasible(const CellState& aState, const std::string& aPool, const JobStep& aStep)
 {
   const std::uint32_t needed = aStep.Gang() ? aStep.Count() : 1;
   const auto limit = aStep.SpreadLimit() > 0 ? std::min(aStep.SpreadLimit(), needed) : needed;
   const auto demand = EffectiveDemand(aStep);
   std::uint32_t slots = 0;
   for (const auto& [id, worker] : aState.mWorkers) {
-    if (!worker.mRegistered || worker.mRegistration.Pool() != aPool ||
+    const bool isLeaving = worker.mRegistration.Draining() || worker.mEvacuating;
+    if (!worker.mRegistered || isLeaving || worker.mRegistration.Pool() != aPool ||
         !HasLabel(worker, aStep.RequiredLabel())) {
       continue;
     }
@@ -38,14 +39,14 @@
 }
 
 void
-SetFitsNowhere(CellState& aState, const ReadyKey& aKey, bool aFitsNowhere, Effects& aOut)
+SetInfeasible(CellState& aState, const ReadyKey& aKey, bool aInfeasible, Effects& aOut)
 {
   auto& job = aState.mJobs.at(aKey.mJob);
   auto& row = job.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
-  row.mFitsNowhere = aFitsNowhere;
+  row.mInfeasible = aInfeasible;
   const auto& step = StepOf(job, aKey.mStep);
   Log(aOut,
-      aFitsNowhere ? "step.fits_nowhere" : "step.fits",
+      aInfeasible ? "step.infeasible" : "step.feasible",
       absl::StrCat(aKey.mJob, ".", aKey.mOccurrence, ".", aKey.mStep),
       absl::StrCat("tasks=",
                    step.Count(),
@@ -61,37 +62,37 @@
 }
 
 bool
-FitsSomewhere(const CellState& aState, const ReadyKey& aKey)
+IsFeasible(const CellState& aState, const ReadyKey& aKey)
 {
   const auto& job = aState.mJobs.at(aKey.mJob);
-  return FitsSomewhere(aState, PolicyOf(aState, job).Pool(), StepOf(job, aKey.mStep));
+  return IsFeasible(aState, PolicyOf(aState, job).Pool(), StepOf(job, aKey.mStep));
 }
 
 } // namespace
 
 bool
-MarkIfFitsNowhere(CellState& aState, const ReadyKey& aKey, Effects& aOut)
+MarkIfInfeasible(CellState& aState, const ReadyKey& aKey, Effects& aOut)
 {
-  if (!aState.mRegistryRead || FitsSomewhere(aState, aKey)) {
+  if (!aState.mRegistryRead || IsFeasible(aState, aKey)) {
     return false;
   }
-  SetFitsNowhere(aState, aKey, true, aOut);
+  SetInfeasible(aState, aKey, true, aOut);
   return true;
 }
 
 void
-UnmarkStepsThatFit(CellState& aState, Effects& aOut)
+UnmarkFeasibleSteps(CellState& aState, Effects& aOut)
 {
   std::vector<ReadyKey> fitting;
   ReadyKey first;
-  first.mFitsNowhere = true;
+  first.mInfeasible = true;
   for (auto it = aState.mReady.lower_bound(first); it != aState.mReady.end(); ++it) {
-    if (FitsSomewhere(aState, *it)) {
+    if (IsFeasible(aState, *it)) {
       fitting.push_back(*it);
     }
   }
   for (const auto& key : fitting) {
-    SetFitsNowhere(aState, key, false, aOut);
+    SetInfeasible(aState, key, false, aOut);
   }
 }
 
--- a/modules/by_cell/detail/Feasibility.h
+++ b/modules/by_cell/detail/Feasibility.h
@@ -9,10 +9,10 @@
 /// its place among the ready steps to those that can run, until workers change.
 /// @returns whether the step is marked.
 bool
-MarkIfFitsNowhere(CellState& aState, const ReadyKey& aKey, Effects& aOut);
+MarkIfInfeasible(CellState& aState, const ReadyKey& aKey, Effects& aOut);
 
-/// Takes the mark from the steps that workers have room for by now.
+/// Takes the mark from the steps that workers have the capacity for by now.
 void
-UnmarkStepsThatFit(CellState& aState, Effects& aOut);
+UnmarkFeasibleSteps(CellState& aState, Effects& aOut);
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -204,7 +204,7 @@
   }
   const auto& policy = PolicyOf(aState, aJob);
   const auto objective = ObjectiveTime(aJob.mJob.Definition(), policy);
-  ReadyKey key{ .mFitsNowhere = step.mFitsNowhere,
+  ReadyKey key{ .mInfeasible = step.mInfeasible,
                 .mUrgency = step.mUrgency,
                 .mPriority = policy.Priority(),
                 .mLatestStart = occurrence.mDue + objective - step.mCriticalPath,
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -217,11 +217,12 @@
   const auto trial =
     row.mHasSuspects ? PlaceTrial(aPass, *job, aKey, candidates) : TrialOutcome::PlaceOthers;
   if (trial == TrialOutcome::Wait) {
+    MarkIfInfeasible(aPass.mState, aKey, aPass.mOut);
     return;
   }
   if (trial == TrialOutcome::PlaceOthers &&
       !PlaceWaitingTasks(aPass, *job, aKey, latestStart, candidates)) {
-    if (MarkIfFitsNowhere(aPass.mState, aKey, aPass.mOut)) {
+    if (MarkIfInfeasible(aPass.mState, aKey, aPass.mOut)) {
       return;
     }
     misses += candidates.empty() ? 0 : 1;
@@ -257,8 +258,8 @@
     // Nothing can be started before it is stored, and what is placed now would be out of date then.
     return 0;
   }
-  if (std::exchange(aState.mRoomMayHaveGrown, false)) {
-    UnmarkStepsThatFit(aState, aOut);
+  if (std::exchange(aState.mCapacityMayHaveGrown, false)) {
+    UnmarkFeasibleSteps(aState, aOut);
   }
   aState.mPlacementNeeded = false;
   aState.mHasWaitingTrials = false;
@@ -266,7 +267,7 @@
   PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   std::vector<ReadyKey> keys;
   for (const auto& key : aState.mReady) {
-    if (key.mFitsNowhere || keys.size() == kMaxStepsPerPass) {
+    if (key.mInfeasible || keys.size() == kMaxStepsPerPass) {
       break;
     }
     keys.push_back(key);
--- a/modules/by_cell/detail/PollTimes.cpp
+++ b/modules/by_cell/detail/PollTimes.cpp
@@ -42,7 +42,7 @@
 Time
 NextPollTime(CellState& aState, const WorkerRow& aWorker, Time aNow)
 {
-  const bool hasReady = !aState.mReady.empty() && !aState.mReady.begin()->mFitsNowhere;
+  const bool hasReady = !aState.mReady.empty() && !aState.mReady.begin()->mInfeasible;
   const bool isQuick = hasReady && !aState.mIsBehind;
   auto next = aNow + (isQuick ? kBusyPollInterval : aState.mSettings.PollInterval());
   for (const auto& [run, row] : aWorker.mRuns) {
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -58,15 +58,17 @@
   }
   for (const auto& [run, row] : aWorker.mRuns) {
     const auto start = StartOf(row);
+    const auto answered = aWorker.mWorkerClockReadAt;
     const bool isAtWork = row.mPhase == RunPhase::Confirmed && row.mPercent >= kFullPercent;
     if (row.mIsLongRunning && isAtWork && start >= aWorker.mQuarantinedUntil &&
-        aNow >= start + kProbeTime) {
+        answered >= start + kProbeTime) {
       aWorker.mConsecutiveFailures = 0;
       aWorker.mQuarantinedUntil = Time();
-      Log(aOut,
-          "worker.proven",
-          aWorker.mRegistration.Id(),
-          absl::StrCat("run=", FormatRunId(run), " at_work_ms=", (aNow - start).Milliseconds()));
+      Log(
+        aOut,
+        "worker.proven",
+        aWorker.mRegistration.Id(),
+        absl::StrCat("run=", FormatRunId(run), " ordered_ms_ago=", (aNow - start).Milliseconds()));
       return true;
     }
   }
--- a/tests/by_cell/FeasibilityTest.cpp
+++ b/tests/by_cell/FeasibilityTest.cpp
@@ -33,7 +33,7 @@
 /// those that could run.
 TEST_GROUP(Feasibility){};
 
-TEST(Feasibility, StepsThatFitNowhereHideNoOthers)
+TEST(Feasibility, InfeasibleStepsHideNoOthers)
 {
   for (const int count : { 70, 500 }) {
     CellFixture cell;
@@ -47,7 +47,7 @@
   }
 }
 
-TEST(Feasibility, GangThatFitsNowhereHidesNoOther)
+TEST(Feasibility, InfeasibleGangHidesNoOther)
 {
   CellFixture cell;
   for (int i = 0; i < 70; ++i) {
@@ -68,7 +68,7 @@
   CellFixture cell;
   SubmitLargeJobs(cell, 1);
   cell.PlayIdleWorkers(Time::FromMilliseconds(500));
-  CHECK(cell.mCell.mReady.begin()->mFitsNowhere);
+  CHECK(cell.mCell.mReady.begin()->mInfeasible);
   const auto grown = cell.mCell.mWorkers.at("w1").mRegistration.WithCapacity(LargeStep().mDemand);
   HandleWorkersChanged(
     cell.mCell, WorkersChanged::Create({ .mPresent = { grown } }).value(), cell.mNow, cell.mOut);
--- a/tests/by_cell/RequestsTest.cpp
+++ b/tests/by_cell/RequestsTest.cpp
@@ -127,6 +127,7 @@
   CellFixture cell;
   cell.Call(JobCallKind::Show, kJob);
   cell.SubmitUnstored(kJob, { CellFixture::Step(1) });
+  cell.mCell.mClaimConfirmedAt = cell.mNow;
   cell.Advance();
   const auto replies = cell.TakeReplies();
   CHECK_EQUAL(1, replies.size());
