Bound how long a half-closed caller's call is kept

Since the end of a caller's sending half no longer ends its call, a handler that never answers would have kept the session for good; it is dropped after 30 s now. Found by TimedOutCallClosesTheUnusedConnections- ThatMayBeSilentToo, which hung: its server never answers the call whose caller has left.

--- a/modules/by_web/WebSession.cpp
+++ b/modules/by_web/WebSession.cpp
@@ -24,6 +24,8 @@
 constexpr unsigned kPayloadTooLarge = 413;
 /// How long the caller may take to read the last answer and close its side.
 constexpr std::chrono::seconds kLingerBound{ 1 };
+/// A caller that has ended its sending half may have left, so its call is not kept for longer.
+constexpr std::chrono::seconds kHalfClosedBound{ 30 };
 /// Bytes that are thrown away at once while a connection lingers.
 constexpr std::size_t kPiece = 4096;
 
@@ -48,7 +50,7 @@
                        Closed aClosed,
                        Unanswered aUnanswered)
   : mSocket(std::move(aSocket))
-  , mLingerTimer(mSocket.get_executor())
+  , mDropTimer(mSocket.get_executor())
   , mKeptHeaders(std::move(aKeptHeaders))
   , mHandler(std::move(aHandler))
   , mClosed(std::move(aClosed))
@@ -162,6 +164,7 @@
   if (ec == asio::error::eof) {
     // A caller may shut down its sending side after its request and still wait for the answer.
     mKeepAlive = false;
+    DropAfter(kHalfClosedBound, "half-closed for too long");
   } else if (ec && ec != asio::error::would_block) {
     Drop("reset by the caller");
   }
@@ -242,13 +245,19 @@
   // Closing a socket with unread bytes resets the connection, and the caller loses the answer.
   ErrorCode ec;
   mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-  mLingerTimer.expires_after(kLingerBound);
-  mLingerTimer.async_wait([self = shared_from_this()](ErrorCode aError) {
+  DropAfter(kLingerBound, "lingered for too long");
+  Discard();
+}
+
+void
+WebSession::DropAfter(std::chrono::seconds aTime, const char* aReason)
+{
+  mDropTimer.expires_after(aTime);
+  mDropTimer.async_wait([self = shared_from_this(), aReason](ErrorCode aError) {
     if (!aError) {
-      self->Drop();
+      self->Drop(aReason);
     }
   });
-  Discard();
 }
 
 void
@@ -271,7 +280,7 @@
   const bool isUnanswered = (mCallOpen || mWriting) && mSocket.is_open();
   mCallOpen = false;
   mWriting = false;
-  mLingerTimer.cancel();
+  mDropTimer.cancel();
   ErrorCode ignored;
   mSocket.close(ignored);
   const auto unanswered = std::exchange(mUnanswered, nullptr);
--- a/modules/by_web/WebSession.h
+++ b/modules/by_web/WebSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -28,7 +29,7 @@
   using Handler = std::function<void(const WebRequest&, const std::shared_ptr<WebSession>&)>;
   /// Told once that the connection is closed.
   using Closed = std::function<void(WebSession*)>;
-  /// Told of each whole call whose answer did not reach the caller's connection.
+  /// Told of each whole call whose connection ended before the answer was handed to the kernel.
   using Unanswered = std::function<void(const UnansweredCall&)>;
 
   /// @param aKeptHeaders names of the headers that calls are given with.
@@ -65,10 +66,11 @@
   void WatchPeer();
   void OnReadable(ErrorCode aError);
   void Linger();
+  void DropAfter(std::chrono::seconds aTime, const char* aReason);
   void Discard();
 
   boost::asio::ip::tcp::socket mSocket;
-  boost::asio::steady_timer mLingerTimer;
+  boost::asio::steady_timer mDropTimer;
   std::vector<std::string> mKeptHeaders;
   Handler mHandler;
   Closed mClosed;
