--- a/scripts/soak_entry/judge.py
+++ b/scripts/soak_entry/judge.py
@@ -56,6 +56,9 @@
         return [(k, s, i) for k in occurrences for s, step in enumerate(self.body["steps"])
                 for i in range(step.get("count", 1))]
 
+    def may_have_failed(self):
+        return any(task.failed >= MAX_ATTEMPTS or task.crashes >= 2 for task in self.tasks.values())
+
     def is_done(self, key):
         """Whether the end of a task, or for a gang the end of one of its members, was listed as done."""
         k, s, _ = key
@@ -201,7 +204,7 @@
             if missing:
                 self.violate("MIXED", f"{what}: completed, but {missing[0]} is not done")
         elif state == "failed":
-            if not any(task.failed >= MAX_ATTEMPTS or task.crashes >= 2 for task in job.tasks.values()):
+            if not job.may_have_failed():
                 self.violate("LOST", f"{what}: failed without cause")
         elif state == "cancelled":
             if not job.cancel_sent_at:
@@ -216,7 +219,8 @@
         """Whether a job has ended and its outcome was known for long enough."""
         if job.cancelled_at:
             return now >= job.cancelled_at + self.retention_s
-        has_ended = job.state in ENDED or all(job.is_done(key) for key in job.wanted())
+        has_ended = (job.state in ENDED or job.may_have_failed() or
+                     all(job.is_done(key) for key in job.wanted()))
         return has_ended and now >= job.last_end_at + self.retention_s
 
     def finish(self):
