Count requests from the end of a process that the soak kills

By the schedule it was sent SIGKILL 1.1 s after the start of the load; its log has no later line, not even of the SIGTERM that followed, which the lock of the restart leaves out, and the next process starts 5.5 s later. The kernel took connections for it until then. The soak compared the requests with the time at which the signal was sent, until it learned of the end. Why the process took so long to end is not known.

--- a/scripts/soak_entry/nodes.py
+++ b/scripts/soak_entry/nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import signal
@@ -82,7 +83,8 @@
     async def kill(self):
         if self.process is not None and self.process.returncode is None:
             self.ending = True
-            self.killed_at = time.monotonic()
+            # The kernel may take seconds to end a process, and takes connections for it until then.
+            self.killed_at = math.inf
             self.signal(signal.SIGKILL)
             await self.process.wait()
             self.killed_at = time.monotonic()
