--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -107,7 +107,7 @@
   bool mFenced{ false };
   /// Whether the owner is behind with its events, so that it polls no more often than it has to.
   bool mIsBehind{ false };
-  /// Whether entries of workers or the configuration have changed since the steps that fit nowhere
+  /// Whether entries of workers or the configuration have changed since the infeasible steps
   /// were last examined.
   bool mCapacityMayHaveGrown{ false };
   Time mNextFeasibilityCheck{};
