Write an order only to the process of a worker that it is for

Callers saw TWICE after workers had started again under their ids. The id and the header that names it are the same for all processes of a worker, so that the next one takes calls that were meant for its predecessor: leases on the predecessor's clock, acknowledgements of the predecessor's ends, and starts.

What one process has and no other is its connections: they end with it. A call can now name the identity of the peer that may receive it. It is written only to a connection on which the peer has identified itself, for workers by a look that neither renews a lease nor acknowledges an end; a peer that is another one is reported with its answer, and the call has not been sent. Starts and looks carry the start time of the worker's process for that; stops do not, since a stop only keeps a run from starting, in whatever process.

No decision names a process yet. by_client's tests have six new cases, among them CallForAnEarlierProcessDoesNotReachTheNextOne.

--- a/modules/by_client/HttpClient.h
+++ b/modules/by_client/HttpClient.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,19 +28,26 @@
 public:
   /// Called once for each call, never from inside Send() or Cancel().
   using Handler = std::function<void(std::uint64_t aCall, const HttpResult& aResult)>;
+  /// Reads the peer's identity from a response.
+  /// @returns the identity, or an empty text if the response has none.
+  using IdentityReader = std::function<std::string(const HttpResult& aResult)>;
 
   /// Builds a client.
   /// @param aContext runs the client; outlives it.
+  /// @param aIdentity reads the identities of peers; without it no call may have a peer check.
   /// @returns the client, or InvalidArgument for settings out of their bounds.
   static absl::StatusOr<std::unique_ptr<HttpClient>> Create(boost::asio::io_context& aContext,
-                                                            const HttpClientSettings& aSettings);
+                                                            const HttpClientSettings& aSettings,
+                                                            IdentityReader aIdentity = {});
 
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
   /// Closes all connections; handlers of open calls are dropped without a call.
   ~HttpClient();
 
-  /// Starts a call.
+  /// Starts a call. One with a peer check is written to a connection only after the peer has
+  /// identified itself there; a process that takes the endpoint over can't receive it, since the
+  /// connections of its predecessor end with that one.
   /// @returns the number of the call.
   std::uint64_t Send(HttpCall aCall, Handler aHandler);
 
--- a/modules/by_client/detail/CallTable.cpp
+++ b/modules/by_client/detail/CallTable.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include "absl/strings/str_cat.h"
+
 #include "by_runtime/MachineClock.h"
 
 namespace by::detail {
@@ -15,6 +18,8 @@
 
 using boost::system::error_code;
 
+constexpr std::int64_t kOk = 200;
+
 HttpResult
 NotSent(std::string aDetail)
 {
@@ -24,9 +29,12 @@
 
 } // namespace
 
-CallTable::CallTable(boost::asio::io_context& aContext, const HttpClientSettings& aSettings)
+CallTable::CallTable(boost::asio::io_context& aContext,
+                     const HttpClientSettings& aSettings,
+                     HttpClient::IdentityReader aIdentity)
   : mContext(aContext)
   , mSettings(aSettings)
+  , mIdentity(std::move(aIdentity))
 {
 }
 
@@ -82,40 +90,113 @@
     }
     const auto number = *pool.mWaiting.begin();
     pool.mWaiting.erase(pool.mWaiting.begin());
-    Assign(number, aEndpoint);
+    Assign(number);
   }
 }
 
 std::shared_ptr<HttpConnection>
-CallTable::TakeConnection(const Endpoint& aEndpoint)
+CallTable::TakeConnection(const HttpCall& aCall)
 {
-  auto& pool = mPools[aEndpoint];
-  if (!pool.mIdle.empty()) {
-    auto connection = std::move(pool.mIdle.back());
-    pool.mIdle.pop_back();
+  const auto& endpoint = aCall.Endpoint();
+  auto& pool = mPools[endpoint];
+  auto it = pool.mIdle.rbegin();
+  if (aCall.PeerCheck()) {
+    const auto& expected = aCall.PeerCheck()->Expected();
+    // A connection to another peer is no longer of use: that process, or this call, is outdated.
+    pool.mOpen -= std::erase_if(pool.mIdle, [&](const auto& aIdle) {
+      const bool isOther = !aIdle->Peer().empty() && aIdle->Peer() != expected;
+      if (isOther) {
+        aIdle->CloseIdle();
+      }
+      return isOther;
+    });
+    it = std::find_if(pool.mIdle.rbegin(), pool.mIdle.rend(), [&](const auto& aIdle) {
+      return aIdle->Peer() == expected;
+    });
+    it = it == pool.mIdle.rend() ? pool.mIdle.rbegin() : it;
+  }
+  if (it != pool.mIdle.rend()) {
+    auto connection = *it;
+    pool.mIdle.erase(std::next(it).base());
     return connection;
   }
   ++pool.mOpen;
   const boost::asio::ip::tcp::endpoint peer(
-    boost::asio::ip::make_address(aEndpoint.Address()),
-    static_cast<boost::asio::ip::port_type>(aEndpoint.Port()));
+    boost::asio::ip::make_address(endpoint.Address()),
+    static_cast<boost::asio::ip::port_type>(endpoint.Port()));
   return std::make_shared<HttpConnection>(mContext, peer, mSettings);
 }
 
 void
-CallTable::Assign(std::uint64_t aNumber, const Endpoint& aEndpoint)
+CallTable::Assign(std::uint64_t aNumber)
 {
-  auto connection = TakeConnection(aEndpoint);
   auto& call = mCalls.at(aNumber);
-  call.mConnection = connection;
-  auto finished = [self = weak_from_this(), aNumber, held = std::weak_ptr(connection)](
+  call.mConnection = TakeConnection(call.mCall);
+  if (call.mCall.PeerCheck() && call.mConnection->Peer().empty()) {
+    Identify(aNumber, call.mConnection);
+  } else {
+    RunCall(aNumber, call.mConnection);
+  }
+}
+
+void
+CallTable::RunCall(std::uint64_t aNumber, const std::shared_ptr<HttpConnection>& aConnection)
+{
+  auto finished = [self = weak_from_this(), aNumber, held = std::weak_ptr(aConnection)](
                     const HttpResult& aResult, bool aReusable) {
     const auto table = self.lock();
     if (table) {
       table->OnFinished(aNumber, held.lock(), aResult, aReusable);
     }
   };
-  connection->Run(call.mCall, std::move(finished));
+  aConnection->Run(mCalls.at(aNumber).mCall, std::move(finished));
+}
+
+void
+CallTable::Identify(std::uint64_t aNumber, const std::shared_ptr<HttpConnection>& aConnection)
+{
+  const auto& call = mCalls.at(aNumber).mCall;
+  auto finished = [self = weak_from_this(), aNumber, held = std::weak_ptr(aConnection)](
+                    const HttpResult& aResult, bool aReusable) {
+    const auto table = self.lock();
+    if (table) {
+      table->OnIdentified(aNumber, held.lock(), aResult, aReusable);
+    }
+  };
+  aConnection->Run(call.WithTarget(call.PeerCheck()->Target()).WithBody(call.PeerCheck()->Body()),
+                   std::move(finished));
+}
+
+void
+CallTable::OnIdentified(std::uint64_t aNumber,
+                        const std::shared_ptr<HttpConnection>& aConnection,
+                        const HttpResult& aResult,
+                        bool aReusable)
+{
+  const auto it = mCalls.find(aNumber);
+  if (mClosed || it == mCalls.end()) {
+    return;
+  }
+  const auto call = it->second.mCall;
+  const bool isAnswered = aResult.Outcome() == CallOutcome::Completed;
+  const auto identity = isAnswered ? mIdentity(aResult) : std::string();
+  if (aConnection) {
+    aConnection->SetPeer(identity);
+  }
+  const bool isExpected = identity == call.PeerCheck()->Expected();
+  if (aReusable && isExpected) {
+    RunCall(aNumber, aConnection);
+    return;
+  }
+  Release(call.Endpoint(), aConnection, aReusable);
+  if (!identity.empty() && !isExpected) {
+    End(aNumber, aResult.WithOutcome(CallOutcome::OtherPeer));
+  } else if (isAnswered && aResult.StatusCode() != kOk) {
+    // A peer that turns its identification away would turn the call away too.
+    End(aNumber, aResult);
+  } else {
+    End(aNumber, NotSent(absl::StrCat("the peer did not identify itself: ", aResult.Detail())));
+  }
 }
 
 void
@@ -128,14 +209,24 @@
   if (mClosed || it == mCalls.end()) {
     return;
   }
-  const auto endpoint = it->second.mCall.Endpoint();
+  if (mIdentity && aReusable && aConnection->Peer().empty()) {
+    aConnection->SetPeer(mIdentity(aResult));
+  }
+  Release(it->second.mCall.Endpoint(), aConnection, aReusable);
+  End(aNumber, aResult);
+}
+
+void
+CallTable::Release(const Endpoint& aEndpoint,
+                   const std::shared_ptr<HttpConnection>& aConnection,
+                   bool aReusable)
+{
   if (aReusable) {
-    KeepIdle(endpoint, aConnection);
+    KeepIdle(aEndpoint, aConnection);
   } else {
-    --mPools[endpoint].mOpen;
+    --mPools[aEndpoint].mOpen;
   }
-  Dispatch(endpoint);
-  End(aNumber, aResult);
+  Dispatch(aEndpoint);
 }
 
 void
--- a/modules/by_client/detail/CallTable.h
+++ b/modules/by_client/detail/CallTable.h
@@ -40,7 +40,9 @@
 class CallTable : public std::enable_shared_from_this<CallTable>
 {
 public:
-  CallTable(boost::asio::io_context& aContext, const HttpClientSettings& aSettings);
+  CallTable(boost::asio::io_context& aContext,
+            const HttpClientSettings& aSettings,
+            HttpClient::IdentityReader aIdentity);
 
   /// Starts a call.
   std::uint64_t Send(HttpCall aCall, HttpClient::Handler aHandler);
@@ -54,12 +56,24 @@
 private:
   void StartTimer(std::uint64_t aNumber, OpenCall& aCall);
   void Dispatch(const Endpoint& aEndpoint);
-  void Assign(std::uint64_t aNumber, const Endpoint& aEndpoint);
-  std::shared_ptr<HttpConnection> TakeConnection(const Endpoint& aEndpoint);
+  void Assign(std::uint64_t aNumber);
+  /// @returns an unused connection whose peer may receive a call, or a new one.
+  std::shared_ptr<HttpConnection> TakeConnection(const HttpCall& aCall);
+  void RunCall(std::uint64_t aNumber, const std::shared_ptr<HttpConnection>& aConnection);
+  /// Requests the identity of a connection's peer before a call is written.
+  void Identify(std::uint64_t aNumber, const std::shared_ptr<HttpConnection>& aConnection);
+  void OnIdentified(std::uint64_t aNumber,
+                    const std::shared_ptr<HttpConnection>& aConnection,
+                    const HttpResult& aResult,
+                    bool aReusable);
   void OnFinished(std::uint64_t aNumber,
                   const std::shared_ptr<HttpConnection>& aConnection,
                   const HttpResult& aResult,
                   bool aReusable);
+  /// Returns a connection to its pool, or forgets it.
+  void Release(const Endpoint& aEndpoint,
+               const std::shared_ptr<HttpConnection>& aConnection,
+               bool aReusable);
   void KeepIdle(const Endpoint& aEndpoint, const std::shared_ptr<HttpConnection>& aConnection);
   /// Ends a call whose time limit has passed.
   void TimeOut(std::uint64_t aNumber);
@@ -71,6 +85,7 @@
 
   boost::asio::io_context& mContext;
   HttpClientSettings mSettings;
+  HttpClient::IdentityReader mIdentity;
   std::uint64_t mLastNumber{ 0 };
   bool mClosed{ false };
   std::unordered_map<std::uint64_t, OpenCall> mCalls;
--- a/modules/by_client/detail/HttpConnection.h
+++ b/modules/by_client/detail/HttpConnection.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -44,6 +45,10 @@
   /// @returns when the last answer arrived.
   Time AnsweredAt() const { return mAnsweredAt; }
 
+  /// The identity that the peer has shown on this connection; empty while it has not.
+  const std::string& Peer() const { return mPeerIdentity; }
+  void SetPeer(std::string aIdentity) { mPeerIdentity = std::move(aIdentity); }
+
   /// Closes the connection; a running call ends with the reason as its detail.
   void Close(std::string aReason);
 
@@ -71,6 +76,7 @@
   Stage mStage{ Stage::Closed };
   std::uint64_t mIdlePeriod{ 0 };
   Time mAnsweredAt{};
+  std::string mPeerIdentity;
   std::string mCloseReason;
   boost::beast::flat_buffer mBuffer;
   boost::beast::http::request<boost::beast::http::string_body> mRequest;
--- a/modules/by_schema/CallOutcome.h
+++ b/modules/by_schema/CallOutcome.h
@@ -16,6 +16,7 @@
   Completed = 0,
   NotSent = 1,
   Lost = 2,
+  OtherPeer = 3,
 };
 
 /// Returns the text of a value in settings and messages.
@@ -30,6 +31,8 @@
       return "not_sent";
     case CallOutcome::Lost:
       return "lost";
+    case CallOutcome::OtherPeer:
+      return "other_peer";
   }
   return "unknown";
 }
@@ -48,8 +51,11 @@
   if (aText == "lost") {
     return CallOutcome::Lost;
   }
+  if (aText == "other_peer") {
+    return CallOutcome::OtherPeer;
+  }
   return absl::InvalidArgumentError(
-    absl::StrCat("'", std::string(aText), "' is not one of completed, not_sent, lost"));
+    absl::StrCat("'", std::string(aText), "' is not one of completed, not_sent, lost, other_peer"));
 }
 
 } // namespace by
--- a/modules/by_schema/HttpCall.h
+++ b/modules/by_schema/HttpCall.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "by_schema/Endpoint.h"
 #include "by_schema/HttpHeader.h"
 #include "by_schema/HttpMethod.h"
+#include "by_schema/PeerCheck.h"
 
 namespace by {
 
@@ -37,6 +39,8 @@
     Time mTimeout{ Time::FromMilliseconds(5000) };
     /// Headers in addition to those that follow from the other fields.
     std::vector<HttpHeader> mHeaders{};
+    /// Check of the peer; absent if any peer at the endpoint may receive the call.
+    std::optional<by::PeerCheck> mPeerCheck{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -115,6 +119,16 @@
     return copy;
   }
 
+  /// Check of the peer; absent if any peer at the endpoint may receive the call.
+  const std::optional<by::PeerCheck>& PeerCheck() const { return mFields.mPeerCheck; }
+  /// @returns a copy of this value with another PeerCheck.
+  [[nodiscard]] HttpCall WithPeerCheck(std::optional<by::PeerCheck> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mPeerCheck = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const HttpCall&, const HttpCall&) = default;
   friend auto operator<=>(const HttpCall&, const HttpCall&) = default;
 
--- a/modules/by_schema/HttpResult.h
+++ b/modules/by_schema/HttpResult.h
@@ -23,7 +23,8 @@
     CallOutcome mOutcome{};
     /// HTTP status code; zero unless the call completed.
     std::int64_t mStatusCode{ 0 };
-    /// Body of the response; empty unless the call completed.
+    /// Body of the response; that of the other peer's identification if it was another one, and
+    /// empty if no response arrived.
     std::string mBody{};
     /// Cause in one sentence if the call did not complete.
     std::string mDetail{};
@@ -65,7 +66,8 @@
     return copy;
   }
 
-  /// Body of the response; empty unless the call completed.
+  /// Body of the response; that of the other peer's identification if it was another one, and empty
+  /// if no response arrived.
   const std::string& Body() const { return mFields.mBody; }
   /// @returns a copy of this value with another Body.
   [[nodiscard]] HttpResult WithBody(std::string aValue) const
--- a/modules/by_schema/OrderOutcome.h
+++ b/modules/by_schema/OrderOutcome.h
@@ -24,6 +24,7 @@
   WrongWorker = 8,
   NotSent = 9,
   Unanswered = 10,
+  OtherProcess = 11,
 };
 
 /// Returns the text of a value in settings and messages.
@@ -54,6 +55,8 @@
       return "not_sent";
     case OrderOutcome::Unanswered:
       return "unanswered";
+    case OrderOutcome::OtherProcess:
+      return "other_process";
   }
   return "unknown";
 }
@@ -96,11 +99,14 @@
   if (aText == "unanswered") {
     return OrderOutcome::Unanswered;
   }
+  if (aText == "other_process") {
+    return OrderOutcome::OtherProcess;
+  }
   return absl::InvalidArgumentError(
     absl::StrCat("'",
                  std::string(aText),
                  "' is not one of accepted, fenced, obsolete, late, no_room, no_ticket, unhealthy, "
-                 "malformed, wrong_worker, not_sent, unanswered"));
+                 "malformed, wrong_worker, not_sent, unanswered, other_process"));
 }
 
 } // namespace by
--- a/modules/by_schema/StartRun.h
+++ b/modules/by_schema/StartRun.h
@@ -42,6 +42,9 @@
     /// Number of the order: the epoch of its owner in the upper 32 bits; the lower ones are zero if
     /// the owner sends the order itself.
     std::uint64_t mNumber{ 0 };
+    /// Start time of the worker's process that the order is for, since 1970; no other process
+    /// receives the order. Zero if any may.
+    Time mProcessStart{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -158,6 +161,17 @@
     return copy;
   }
 
+  /// Start time of the worker's process that the order is for, since 1970; no other process
+  /// receives the order. Zero if any may.
+  Time ProcessStart() const { return mFields.mProcessStart; }
+  /// @returns a copy of this value with another ProcessStart.
+  [[nodiscard]] StartRun WithProcessStart(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mProcessStart = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const StartRun&, const StartRun&) = default;
   friend auto operator<=>(const StartRun&, const StartRun&) = default;
 
--- a/modules/by_schema/WorkerPolled.h
+++ b/modules/by_schema/WorkerPolled.h
@@ -8,6 +8,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Time.h"
 #include "by_schema/OrderOutcome.h"
 #include "by_schema/WorkerReport.h"
 
@@ -28,6 +29,9 @@
     WorkerReport mReport{};
     /// Number of the order.
     std::uint64_t mNumber{ 0 };
+    /// Start time of the process that the poll was for, as the poll named it; the report may be
+    /// that of a later one.
+    Time mProcessStart{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -86,6 +90,17 @@
     return copy;
   }
 
+  /// Start time of the process that the poll was for, as the poll named it; the report may be that
+  /// of a later one.
+  Time ProcessStart() const { return mFields.mProcessStart; }
+  /// @returns a copy of this value with another ProcessStart.
+  [[nodiscard]] WorkerPolled WithProcessStart(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mProcessStart = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const WorkerPolled&, const WorkerPolled&) = default;
   friend auto operator<=>(const WorkerPolled&, const WorkerPolled&) = default;
 
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -160,6 +160,7 @@
 #include "by_schema/OwnedVm.h"
 #include "by_schema/OwnerLeaving.h"
 #include "by_schema/Page.h"
+#include "by_schema/PeerCheck.h"
 #include "by_schema/PeerFrame.h"
 #include "by_schema/PeerHeartbeat.h"
 #include "by_schema/PeerSettings.h"
--- a/tests/by_client/HttpClientTest.cpp
+++ b/tests/by_client/HttpClientTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 
 #include <CppUTest/TestHarness.h>
@@ -22,17 +23,26 @@
   return Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 0 }).value();
 }
 
-/// Echoes the body of POST; "/drop" closes without an answer, "/hang" does not answer by itself.
+/// Echoes the body of POST; "/drop" closes without an answer, "/hang" does not answer by itself,
+/// and
+/// "/busy" refuses.
 void
 Handle(const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession)
 {
   if (aIncoming.mPath == "/drop") {
     aSession->Drop();
   } else if (aIncoming.mPath != "/hang") {
-    aSession->Answer(200, aIncoming.mBody);
+    aSession->Answer(aIncoming.mPath == "/busy" ? 503 : 200, aIncoming.mBody);
   }
 }
 
+/// The server's processes identify themselves at "/who" by a text that starts with "process".
+std::string
+ReadIdentity(const HttpResult& aResult)
+{
+  return aResult.Body().starts_with("process") ? aResult.Body() : std::string();
+}
+
 HttpClientSettings
 SettingsWith(std::int64_t aConnections, std::int64_t aWaiting)
 {
@@ -46,19 +56,12 @@
 {
   boost::asio::io_context mContext;
   std::vector<std::shared_ptr<WebSession>> mHung;
-  std::shared_ptr<WebServer> mServer =
-    WebServer::Create(
-      mContext,
-      AnyPort(),
-      kManyConnections,
-      [this](const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession) {
-        if (aIncoming.mPath == "/hang") {
-          mHung.push_back(aSession);
-        }
-        Handle(aIncoming, aSession);
-      })
-      .value();
-  std::unique_ptr<HttpClient> mClient = HttpClient::Create(mContext, SettingsWith(4, 1000)).value();
+  /// The identity of the server's process, and the paths of all calls that have reached it.
+  std::string mProcess{ "process 1" };
+  std::vector<std::string> mReceived;
+  std::shared_ptr<WebServer> mServer = Listen(AnyPort());
+  std::unique_ptr<HttpClient> mClient =
+    HttpClient::Create(mContext, SettingsWith(4, 1000), ReadIdentity).value();
   std::map<std::uint64_t, HttpResult> mResults;
 
   HttpCall Call(const std::string& aTarget, const std::string& aBody, std::int64_t aTimeout = 20000)
@@ -71,6 +74,45 @@
       .value();
   }
 
+  std::shared_ptr<WebServer> Listen(const Endpoint& aEndpoint)
+  {
+    return WebServer::Create(
+             mContext,
+             aEndpoint,
+             kManyConnections,
+             [this](const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession) {
+               mReceived.push_back(aIncoming.mPath);
+               if (aIncoming.mPath == "/hang") {
+                 mHung.push_back(aSession);
+               }
+               if (aIncoming.mPath == "/who") {
+                 aSession->Answer(200, mProcess);
+                 return;
+               }
+               Handle(aIncoming, aSession);
+             })
+      .value();
+  }
+
+  /// The process ends with its connections, and another one takes over its endpoint.
+  void Restart(const std::string& aProcess)
+  {
+    const auto endpoint = mServer->Listening();
+    mServer->Close();
+    mProcess = aProcess;
+    mServer = Listen(endpoint);
+  }
+
+  /// @returns a call for one process of the server.
+  HttpCall CallFor(const std::string& aProcess,
+                   const std::string& aTarget,
+                   const std::string& aWho = "/who",
+                   std::int64_t aTimeout = 20000)
+  {
+    return Call(aTarget, "x", aTimeout)
+      .WithPeerCheck(PeerCheck::Create({ .mExpected = aProcess, .mTarget = aWho }).value());
+  }
+
   std::uint64_t Send(const HttpCall& aCall)
   {
     return mClient->Send(aCall, [this](std::uint64_t aNumber, const HttpResult& aResult) {
@@ -190,3 +232,68 @@
   LONGS_EQUAL(503, mResults.at(second).StatusCode());
   LONGS_EQUAL(1, mServer->RefusedConnections());
 }
+
+TEST(HttpClient, CallForAProcessFollowsItsIdentificationOnEachConnection)
+{
+  Send(CallFor("process 1", "/echo"));
+  RunUntilAnswered(1);
+  const auto number = Send(CallFor("process 1", "/echo"));
+  RunUntilAnswered(2);
+  CHECK(mResults.at(number).Outcome() == CallOutcome::Completed);
+  CHECK((mReceived == std::vector<std::string>{ "/who", "/echo", "/echo" }));
+}
+
+/// An order for an earlier process of a server reached the one that had taken over its address.
+TEST(HttpClient, CallForAnEarlierProcessDoesNotReachTheNextOne)
+{
+  Send(CallFor("process 1", "/echo"));
+  RunUntilAnswered(1);
+  Restart("process 2");
+  mReceived.clear();
+  bool isKnown = false;
+  for (std::size_t n = 2; n <= 3; ++n) {
+    const auto number = Send(CallFor("process 1", "/echo"));
+    RunUntilAnswered(n);
+    // The first call may meet a connection whose end was not noticed yet.
+    CHECK(mResults.at(number).Outcome() != CallOutcome::Completed);
+    isKnown = isKnown || (mResults.at(number).Outcome() == CallOutcome::OtherPeer &&
+                          mResults.at(number).Body() == "process 2");
+  }
+  CHECK(isKnown);
+  CHECK(std::find(mReceived.begin(), mReceived.end(), "/echo") == mReceived.end());
+}
+
+TEST(HttpClient, ConnectionsOfAnEarlierProcessAreNotUsedForTheNextOne)
+{
+  Send(CallFor("process 1", "/echo"));
+  RunUntilAnswered(1);
+  Restart("process 2");
+  const auto number = Send(CallFor("process 2", "/echo"));
+  RunUntilAnswered(2);
+  CHECK(mResults.at(number).Outcome() == CallOutcome::Completed);
+}
+
+TEST(HttpClient, CallIsNotSentWhereThePeerDoesNotIdentifyItself)
+{
+  const auto dropped = Send(CallFor("process 1", "/echo", "/drop"));
+  const auto unnamed = Send(CallFor("process 1", "/echo", "/echo"));
+  RunUntilAnswered(2);
+  CHECK(mResults.at(dropped).Outcome() == CallOutcome::NotSent);
+  CHECK(mResults.at(unnamed).Outcome() == CallOutcome::NotSent);
+}
+
+TEST(HttpClient, RefusedIdentificationRefusesTheCall)
+{
+  const auto number = Send(CallFor("process 1", "/hang", "/busy"));
+  RunUntilAnswered(1);
+  LONGS_EQUAL(503, mResults.at(number).StatusCode());
+  CHECK((mReceived == std::vector<std::string>{ "/busy" }));
+}
+
+TEST(HttpClient, CallThatTimesOutDuringTheIdentificationIsNotSent)
+{
+  const auto number = Send(CallFor("process 1", "/echo", "/hang", 30));
+  RunUntilAnswered(1);
+  CHECK(mResults.at(number).Outcome() == CallOutcome::NotSent);
+  CHECK((mReceived == std::vector<std::string>{ "/hang" }));
+}
