Name in each start and poll the process of the worker that it is for

Cause: an id, and the address with it, names no single process of a worker. An order that was made for one process reached the next: its lease, on a clock that no longer existed, was shortened to the longest that a worker grants, ten seconds, while the owner reckoned with its own four; its acknowledgement made the new process forget ends that nobody had read; and a start could begin a run that the owner took for lost with the earlier process.

Change: starts and polls carry the start time of the process that they are for, and are written only to that one. The answer to a poll of an earlier process is ignored, and the next one is polled at once instead of after the timeout of the unanswered poll.

Random histories now restart workers under their names, with clocks that begin anew and entries that the registry shows late.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -135,6 +135,10 @@
     case OrderOutcome::WrongWorker:
       detail::RetireWorker(aState, worker, aNow, aOut);
       return;
+    case OrderOutcome::OtherProcess:
+      detail::SchedulePoll(aState, worker, aNow);
+      HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
+      return;
     case OrderOutcome::NoCapacity:
     case OrderOutcome::NoTicket:
     case OrderOutcome::Unhealthy:
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -89,7 +89,8 @@
                              .mWait = renews && aWorker.mUnresolvedRuns == 0
                                         ? aState.mSettings.PollWait()
                                         : Time(),
-                             .mNumber = OrderNumber(aState.mEpoch) };
+                             .mNumber = OrderNumber(aState.mEpoch),
+                             .mProcessStart = aWorker.mProcessStart };
   if (renews) {
     fields.mLeaseUntil = detail::NextLeaseEnd(aState, aWorker, aNow);
     aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, *fields.mLeaseUntil);
@@ -152,14 +153,19 @@
     return;
   }
   auto& worker = it->second;
-  worker.mPollInFlight = false;
-  if (worker.mNextPoll != Time::Never()) {
-    aState.mPollQueue.emplace(worker.mNextPoll, aEvent.Worker());
-  }
   if (aEvent.Outcome() == OrderOutcome::Fenced) {
+    worker.mPollInFlight = false;
     detail::MarkFencedByWorker(aState, aEvent.Worker(), aOut);
     return;
   }
+  if (aEvent.ProcessStart() != Time() && aEvent.ProcessStart() != worker.mProcessStart) {
+    // It answers a poll of an earlier incarnation. The current one is polled by itself.
+    return;
+  }
+  worker.mPollInFlight = false;
+  if (worker.mNextPoll != Time::Never()) {
+    aState.mPollQueue.emplace(worker.mNextPoll, aEvent.Worker());
+  }
   if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
     detail::RetireWorker(aState, worker, aNow, aOut);
     return;
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -99,6 +99,8 @@
     }
   }
   aWorker.mHealth = WorkerHealth::Unseen;
+  // A poll of the earlier incarnation may stay unanswered for a while; its answer is ignored.
+  aWorker.mPollInFlight = false;
   aWorker.mWorkerClock = Time();
   aWorker.mWorkerClockReadAt = Time();
   aWorker.mLeaseSent = Time();
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -320,7 +320,8 @@
                        .mEpoch = aState.mEpoch,
                        .mCheckpoint = task->mProgress.Checkpoint(),
                        .mTicket = ticket == advice.mTickets.end() ? std::string() : ticket->second,
-                       .mNumber = OrderNumber(aState.mEpoch) })
+                       .mNumber = OrderNumber(aState.mEpoch),
+                       .mProcessStart = aWorker.mProcessStart })
       .value());
 }
 
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -361,3 +361,83 @@
   CHECK(cell.TakeStarts().empty());
   CHECK_EQUAL(1, cell.TakeStops().size());
 }
+
+/// Starts and lease renewals for an earlier process of a worker reached the one that had begun
+/// under its name, whose clock and whose ends are others.
+TEST(Workers, StartsAndPollsNameTheProcessThatTheyAreFor)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto first = cell.mCell.mWorkers.at("w1").mProcessStart;
+  CHECK(cell.TakeStarts().front().ProcessStart() == first);
+  const auto next = first + Time::FromMilliseconds(5000);
+  cell.TakePolls();
+  cell.ReadRegistry({ cell.mCell.mWorkers.at("w1").mRegistration.WithProcessStart(next) });
+  cell.Advance();
+  const auto polls = cell.TakePolls();
+  CHECK_EQUAL(1, polls.size());
+  CHECK(polls.front().ProcessStart() == next);
+  CHECK(!polls.front().LeaseUntil());
+  CHECK_EQUAL(0, polls.front().Acknowledged());
+}
+
+TEST(Workers, StartThatMeetsAnotherProcessIsPlacedAgainOnceThatOneIsKnown)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.TakePolls();
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::OtherProcess);
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.empty());
+  cell.Advance();
+  CHECK_EQUAL(1, cell.TakePolls().size());
+  cell.Poll("w1", {}, {}, Time::FromMilliseconds(7777));
+  cell.PlayIdleWorkers(Time::FromMilliseconds(1500));
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  CHECK(starts.front().ProcessStart() == Time::FromMilliseconds(7777));
+}
+
+/// The answer to a poll of an earlier process, which a relay may deliver late, ended the runs of
+/// the current one.
+TEST(Workers, AnswerOfAnEarlierProcessSaysNothingOfTheCurrentOne)
+{
+  CellFixture cell(1);
+  const auto first = cell.mCell.mWorkers.at("w1").mProcessStart;
+  const auto next = first + Time::FromMilliseconds(5000);
+  cell.ReadRegistry({ cell.mCell.mWorkers.at("w1").mRegistration.WithProcessStart(next) });
+  cell.Poll("w1", {}, {}, next);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto run = CellFixture::Run("j", 0, 1);
+  cell.Started("w1", run, OrderOutcome::Accepted);
+  cell.Poll("w1", { CellFixture::Running(run) }, {}, next);
+  for (const auto outcome : { OrderOutcome::Accepted, OrderOutcome::Unanswered }) {
+    HandlePolled(
+      cell.mCell,
+      WorkerPolled::Create({ .mWorker = "w1",
+                             .mOutcome = outcome,
+                             .mReport = WorkerReport::Create({ .mProcessStart = first }).value(),
+                             .mProcessStart = first })
+        .value(),
+      cell.mNow,
+      cell.mOut);
+  }
+  const auto& worker = cell.mCell.mWorkers.at("w1");
+  CHECK(worker.mProcessStart == next);
+  CHECK(worker.mRuns.contains(run));
+  CHECK_EQUAL(0, worker.mPollFailures);
+}
+
+TEST(Workers, NextProcessIsPolledAlthoughAPollOfTheEarlierOneIsUnanswered)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.AdvanceTime(Time::FromMilliseconds(300));
+  CHECK(cell.mCell.mWorkers.at("w1").mPollInFlight);
+  cell.TakePolls();
+  const auto& entry = cell.mCell.mWorkers.at("w1").mRegistration;
+  cell.ReadRegistry({ entry.WithProcessStart(Time::FromMilliseconds(7777)) });
+  cell.Advance();
+  CHECK_EQUAL(1, cell.TakePolls().size());
+}
--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -118,6 +118,25 @@
               12000);
 }
 
+/// Orders for an earlier process of a worker reached the one that had begun under its name: they
+/// brought a lease on another clock, and acknowledged ends that nobody had read.
+TEST(CellHistory, RulesHoldWhenWorkersRestartUnderTheirNames)
+{
+  SimulateAll(250, { .mCutEvery = 5000, .mRestartEvery = 4000 }, 12000);
+}
+
+TEST(CellHistory, RulesHoldWhenWorkersRestartUnderTheirNamesAndOrdersAreLate)
+{
+  SimulateAll(250,
+              { .mLostOrders = 5,
+                .mLostAppends = 8,
+                .mTakeoverEvery = 3000,
+                .mCutEvery = 7000,
+                .mRestartEvery = 5000,
+                .mListedEnds = 2 },
+              12000);
+}
+
 TEST(CellHistory, RulesHoldUnderAllFaultsTogether)
 {
   SimulateAll(1200,
--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -13,12 +13,21 @@
 constexpr int kWorkers = 4;
 constexpr const char* kNode = "owner";
 
+/// @returns whether an order is for another process of a worker than the one that it reaches. Such
+/// an order is not sent, since it goes only over a connection to the process that it is for.
+template<class Worker>
+bool
+IsForOther(const Worker& aWorker, Time aProcessStart)
+{
+  return aProcessStart != Time() && aProcessStart != aWorker.mProcessStart;
+}
+
 } // namespace
 
 CellSimulation::CellSimulation(std::uint32_t aSeed, CellFaults aFaults)
   : mRandom(aSeed)
   , mFaults(aFaults)
-  , mCrashesAtRandom(aFaults.mCrashEvery > 0)
+  , mCrashesAtRandom(aFaults.mCrashEvery > 0 || aFaults.mRestartEvery > 0)
 {
   for (int i = 1; i <= kWorkers; ++i) {
     Worker worker;
@@ -49,8 +58,9 @@
   for (int t = 0; t < aMilliseconds && mViolations.empty(); t += kStep) {
     Step(false);
   }
-  constexpr int kFaultFreeTime = 60000;
-  for (int t = 0; t < kFaultFreeTime && mViolations.empty(); t += kStep) {
+  // Chains of long tasks take longer.
+  const int faultFreeTime = mFaults.mRestartEvery > 0 ? 120000 : 60000;
+  for (int t = 0; t < faultFreeTime && mViolations.empty(); t += kStep) {
     Step(true);
     if (t % 1000 == 0 && mOwner->mCell.mJobs.empty()) {
       break;
@@ -90,19 +100,14 @@
     if (worker.mUp && Every(mFaults.mCrashEvery)) {
       Crash(worker);
     }
+    if (worker.mUp && Every(mFaults.mRestartEvery)) {
+      Restart(worker);
+    }
     if (worker.mUp && Every(mFaults.mResizeEvery)) {
       Resize(worker);
     }
     if (!worker.mUp && worker.mDownUntil <= mNow) {
-      worker.mUp = true;
-      worker.mProcessStart = mNow;
-      worker.mCpu = kCpu;
-      worker.mLargerCpu.clear();
-      worker.mWorkerClock = 0;
-      Deliver(mOwner, [this, entry = Registration(worker)](CellState& aCell, Effects& aOut) {
-        HandleWorkersChanged(
-          aCell, WorkersChanged::Create({ .mPresent = { entry } }).value(), mNow, aOut);
-      });
+      Begin(worker);
     }
     Work(worker);
   }
@@ -148,6 +153,9 @@
       step.mDemand =
         Resources::Create({ .mCpuMillis = 500 + 500 * Draw(4), .mMemoryMb = 1 }).value();
       step.mEstimate = Time::FromMilliseconds(50 + Draw(800));
+      if (mFaults.mRestartEvery > 0 && Chance(30)) {
+        step.mEstimate = Time::FromMilliseconds(2000 + Draw(8000));
+      }
       step.mGang = Chance(30);
       step.mSpreadLimit = Chance(20) ? 2 : 0;
       if (s > 0) {
@@ -227,6 +235,7 @@
       Order(
         aOwner,
         start->Worker(),
+        start->ProcessStart(),
         [this, start = *start](Worker& aWorker) { return Start(aWorker, start, false); },
         [this, start = *start](CellState& aCell, Effects& aOut, OrderOutcome aOutcome) {
           if (aOutcome != OrderOutcome::Unanswered) {
@@ -245,6 +254,7 @@
       Order(
         aOwner,
         stop->Worker(),
+        Time(),
         [this, stop = *stop](Worker& aWorker) { return Stop(aWorker, stop); },
         [this, stop = *stop](CellState& aCell, Effects& aOut, OrderOutcome aOutcome) {
           HandleStopAnswered(aCell,
@@ -322,6 +332,7 @@
 void
 CellSimulation::Order(const std::shared_ptr<Owner>& aOwner,
                       const std::string& aWorker,
+                      Time aProcessStart,
                       const std::function<OrderOutcome(Worker&)>& aAction,
                       const std::function<void(CellState&, Effects&, OrderOutcome)>& aAnswer)
 {
@@ -332,20 +343,25 @@
   const int late = isLost && Chance(50) ? 2000 + Draw(6000) : 0;
   // A delayed order is lost when the worker's process ends.
   const auto processStart = mWorkers.at(aWorker).mProcessStart;
-  After(1 + Draw(4) + late, [this, aWorker, aAction, answer, isLost, late, processStart] {
-    auto& worker = mWorkers.at(aWorker);
-    const bool isReached =
-      worker.mUp && (late > 0 ? worker.mProcessStart == processStart : worker.mCutUntil <= mNow);
-    if (!isReached) {
-      After(500, [answer] { answer(OrderOutcome::Unanswered); });
-      return;
-    }
-    const auto outcome =
-      isLost && late == 0 && Chance(30) ? OrderOutcome::Unanswered : aAction(worker);
-    if (!isLost) {
-      After(1 + Draw(4), [answer, outcome] { answer(outcome); });
-    }
-  });
+  After(1 + Draw(4) + late,
+        [this, aWorker, aProcessStart, aAction, answer, isLost, late, processStart] {
+          auto& worker = mWorkers.at(aWorker);
+          const bool isReached = worker.mUp && (late > 0 ? worker.mProcessStart == processStart
+                                                         : worker.mCutUntil <= mNow);
+          if (!isReached) {
+            After(500, [answer] { answer(OrderOutcome::Unanswered); });
+            return;
+          }
+          if (IsForOther(worker, aProcessStart)) {
+            answer(OrderOutcome::OtherProcess);
+            return;
+          }
+          const auto outcome =
+            isLost && late == 0 && Chance(30) ? OrderOutcome::Unanswered : aAction(worker);
+          if (!isLost) {
+            After(1 + Draw(4), [answer, outcome] { answer(outcome); });
+          }
+        });
   if (isLost) {
     After(500, [answer] { answer(OrderOutcome::Unanswered); });
   }
@@ -354,14 +370,17 @@
 void
 CellSimulation::Poll(const std::shared_ptr<Owner>& aOwner, const PollWorker& aPoll)
 {
-  const auto answer = [this, aOwner, id = aPoll.Worker()](OrderOutcome aOutcome,
-                                                          const WorkerReport& aReport) {
+  const auto answer = [this, aOwner, id = aPoll.Worker(), processStart = aPoll.ProcessStart()](
+                        OrderOutcome aOutcome, const WorkerReport& aReport) {
     Deliver(aOwner, [&](CellState& aCell, Effects& aOut) {
-      HandlePolled(
-        aCell,
-        WorkerPolled::Create({ .mWorker = id, .mOutcome = aOutcome, .mReport = aReport }).value(),
-        mNow,
-        aOut);
+      HandlePolled(aCell,
+                   WorkerPolled::Create({ .mWorker = id,
+                                          .mOutcome = aOutcome,
+                                          .mReport = aReport,
+                                          .mProcessStart = processStart })
+                     .value(),
+                   mNow,
+                   aOut);
     });
   };
   After(1 + Draw(4), [this, aPoll, answer] {
@@ -375,11 +394,13 @@
       return;
     }
     worker.mToken = aPoll.Epoch();
-    if (aPoll.LeaseUntil()) {
+    // A process that the poll is not for is only asked to identify itself, by its report.
+    const bool isForOther = IsForOther(worker, aPoll.ProcessStart());
+    if (aPoll.LeaseUntil() && !isForOther) {
       ExtendLease(worker, static_cast<double>(aPoll.LeaseUntil()->Milliseconds()));
     }
     std::erase_if(worker.mEnded, [&](const EndedRun& aEnd) {
-      if (aEnd.Number() > aPoll.Acknowledged()) {
+      if (isForOther || aEnd.Number() > aPoll.Acknowledged()) {
         return false;
       }
       auto& facts = mFacts[aEnd.Task()];
@@ -409,7 +430,8 @@
     report.mProcessStart = worker.mProcessStart;
     for (const auto& run : worker.mRuns) {
       report.mRunning.push_back(
-        RunningRun::Create({ .mTask = run.mTask, .mRun = run.mRun, .mPercent = 50 }).value());
+        RunningRun::Create({ .mTask = run.mTask, .mRun = run.mRun, .mPercent = ProgressOf(run) })
+          .value());
     }
     report.mEnded = worker.mEnded;
     if (mFaults.mListedEnds > 0 && report.mEnded.size() > mFaults.mListedEnds) {
@@ -463,6 +485,17 @@
   });
 }
 
+std::uint32_t
+CellSimulation::ProgressOf(const Run& aRun)
+{
+  // A short run ends before an owner could take it for one that hangs.
+  constexpr int kLongWork = 1500;
+  const int left = std::max(0, aRun.mWork);
+  return aRun.mAllWork < kLongWork
+           ? 50
+           : static_cast<std::uint32_t>(100 * (aRun.mAllWork - left) / aRun.mAllWork);
+}
+
 const JobStep&
 CellSimulation::StepOf(const JobTaskKey& aTask) const
 {
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -30,6 +30,9 @@
   int mCutEvery{ 0 };
   /// Share of jobs one task of which crashes each worker that starts it. [percent]
   int mCrashingJobs{ 0 };
+  /// Mean time between restarts of a worker under its name, which the registry shows some time
+  /// later; zero for none. Some tasks are long then. [ms]
+  int mRestartEvery{ 0 };
   /// Mean time between changes of a worker's capacity; zero for none. [ms]
   int mResizeEvery{ 0 };
   /// How many ends a worker lists at a time at most, the oldest first; zero for all.
@@ -55,7 +58,9 @@
   {
     JobTaskKey mTask;
     std::uint32_t mRun;
+    /// What remains of its work, and all of it. [ms]
     int mWork;
+    int mAllWork;
     bool mFails;
     Time mBegan;
     /// When it crashes its worker; Never() for a harmless run.
@@ -127,8 +132,10 @@
   void Deliver(const std::shared_ptr<Owner>& aOwner,
                const std::function<void(CellState&, Effects&)>& aEvent);
   void Append(const std::shared_ptr<Owner>& aOwner, const AppendToCell& aAppend);
+  /// @param aProcessStart the process that the order is for; zero if any may receive it.
   void Order(const std::shared_ptr<Owner>& aOwner,
              const std::string& aWorker,
+             Time aProcessStart,
              const std::function<OrderOutcome(Worker&)>& aAction,
              const std::function<void(CellState&, Effects&, OrderOutcome)>& aAnswer);
   void Poll(const std::shared_ptr<Owner>& aOwner, const PollWorker& aPoll);
@@ -141,11 +148,17 @@
   void EndRunOf(Worker& aWorker, std::size_t aIndex, RunEnd aEnd);
   void WorkGangs();
   void Crash(Worker& aWorker);
+  /// Crashes a worker that is back soon, before the registry shows it.
+  void Restart(Worker& aWorker);
+  /// Begins the next process of a worker.
+  void Begin(Worker& aWorker);
   void Resize(Worker& aWorker);
   /// Crashes a worker if a run there does so now.
   void CrashByTask(Worker& aWorker);
   void CheckFailedJob(const std::string& aJob);
   void Reply(const JobReply& aReply);
+  /// @returns the progress that a worker reports of a run. [percent]
+  static std::uint32_t ProgressOf(const Run& aRun);
   const JobStep& StepOf(const JobTaskKey& aTask) const;
   WorkerRegistration Registration(const Worker& aWorker) const;
 
--- a/tests/properties/CellSimulationWorkers.cpp
+++ b/tests/properties/CellSimulationWorkers.cpp
@@ -118,10 +118,12 @@
   mFacts[aStart.Task()].mLastStart = mNow;
   const auto estimate = static_cast<int>(StepOf(aStart.Task()).Estimate().Milliseconds());
   const auto crashing = mCrashing.find(aStart.Task());
+  const int work = estimate / 2 + Draw(estimate + 1);
   aWorker.mRuns.push_back(
     { aStart.Task(),
       aStart.Run(),
-      estimate / 2 + Draw(estimate + 1),
+      work,
+      work,
       Chance(8),
       mNow,
       crashing == mCrashing.end() ? Time::Never() : mNow + crashing->second });
@@ -334,4 +336,32 @@
   aWorker.mLease = 0;
 }
 
+void
+CellSimulation::Restart(Worker& aWorker)
+{
+  Crash(aWorker);
+  aWorker.mDownUntil = mNow + Time::FromMilliseconds(5 + Draw(600));
+}
+
+void
+CellSimulation::Begin(Worker& aWorker)
+{
+  aWorker.mUp = true;
+  aWorker.mProcessStart = mNow;
+  aWorker.mCpu = kCpu;
+  aWorker.mLargerCpu.clear();
+  aWorker.mWorkerClock = mFaults.mRestartEvery > 0 ? Draw(100000) : 0;
+  const auto show = [this, entry = Registration(aWorker)] {
+    Deliver(mOwner, [&](CellState& aCell, Effects& aOut) {
+      HandleWorkersChanged(
+        aCell, WorkersChanged::Create({ .mPresent = { entry } }).value(), mNow, aOut);
+    });
+  };
+  if (mFaults.mRestartEvery > 0) {
+    After(Draw(1500), show);
+  } else {
+    show();
+  }
+}
+
 } // namespace by
