--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -170,7 +170,9 @@
     detail::RetireWorker(aState, worker, aNow, aOut);
     return;
   }
-  if (aEvent.Outcome() != OrderOutcome::Accepted) {
+  // A process other than the expected one identifies itself by its report too.
+  if (aEvent.Outcome() != OrderOutcome::Accepted &&
+      aEvent.Outcome() != OrderOutcome::OtherProcess) {
     CountFailedPoll(aState, worker, aNow, aOut);
     return;
   }
--- a/modules/by_client/HttpClient.h
+++ b/modules/by_client/HttpClient.h
@@ -34,7 +34,8 @@
 
   /// Builds a client.
   /// @param aContext runs the client; outlives it.
-  /// @param aIdentity reads the identities of peers; without it no call may have a peer check.
+  /// @param aIdentity reads the identities of peers; without it calls with a peer check are not
+  /// sent.
   /// @returns the client, or InvalidArgument for settings out of their bounds.
   static absl::StatusOr<std::unique_ptr<HttpClient>> Create(boost::asio::io_context& aContext,
                                                             const HttpClientSettings& aSettings,
--- a/modules/by_client/detail/CallTable.cpp
+++ b/modules/by_client/detail/CallTable.cpp
@@ -34,7 +34,7 @@
                      HttpClient::IdentityReader aIdentity)
   : mContext(aContext)
   , mSettings(aSettings)
-  , mIdentity(std::move(aIdentity))
+  , mReadIdentity(std::move(aIdentity))
 {
 }
 
@@ -104,14 +104,14 @@
     const auto& expected = aCall.PeerCheck()->Expected();
     // A connection to another peer is no longer of use: that process, or this call, is outdated.
     pool.mOpen -= std::erase_if(pool.mIdle, [&](const auto& aIdle) {
-      const bool isOther = !aIdle->Peer().empty() && aIdle->Peer() != expected;
+      const bool isOther = !aIdle->PeerIdentity().empty() && aIdle->PeerIdentity() != expected;
       if (isOther) {
         aIdle->CloseIdle();
       }
       return isOther;
     });
     it = std::find_if(pool.mIdle.rbegin(), pool.mIdle.rend(), [&](const auto& aIdle) {
-      return aIdle->Peer() == expected;
+      return aIdle->PeerIdentity() == expected;
     });
     it = it == pool.mIdle.rend() ? pool.mIdle.rbegin() : it;
   }
@@ -132,7 +132,7 @@
 {
   auto& call = mCalls.at(aNumber);
   call.mConnection = TakeConnection(call.mCall);
-  if (call.mCall.PeerCheck() && call.mConnection->Peer().empty()) {
+  if (call.mCall.PeerCheck() && call.mConnection->PeerIdentity().empty()) {
     Identify(aNumber, call.mConnection);
   } else {
     RunCall(aNumber, call.mConnection);
@@ -179,9 +179,9 @@
   }
   const auto call = it->second.mCall;
   const bool isAnswered = aResult.Outcome() == CallOutcome::Completed;
-  const auto identity = isAnswered ? mIdentity(aResult) : std::string();
+  const auto identity = isAnswered && mReadIdentity ? mReadIdentity(aResult) : std::string();
   if (aConnection) {
-    aConnection->SetPeer(identity);
+    aConnection->SetPeerIdentity(identity);
   }
   const bool isExpected = identity == call.PeerCheck()->Expected();
   if (aReusable && isExpected) {
@@ -195,7 +195,7 @@
     // A peer that turns its identification away would turn the call away too.
     End(aNumber, aResult);
   } else {
-    End(aNumber, NotSent(absl::StrCat("the peer did not identify itself: ", aResult.Detail())));
+    End(aNumber, NotSent(absl::StrCat("no identified connection: ", aResult.Detail())));
   }
 }
 
@@ -209,8 +209,8 @@
   if (mClosed || it == mCalls.end()) {
     return;
   }
-  if (mIdentity && aReusable && aConnection->Peer().empty()) {
-    aConnection->SetPeer(mIdentity(aResult));
+  if (mReadIdentity && aReusable && aConnection->PeerIdentity().empty()) {
+    aConnection->SetPeerIdentity(mReadIdentity(aResult));
   }
   Release(it->second.mCall.Endpoint(), aConnection, aReusable);
   End(aNumber, aResult);
--- a/modules/by_client/detail/CallTable.h
+++ b/modules/by_client/detail/CallTable.h
@@ -57,7 +57,8 @@
   void StartTimer(std::uint64_t aNumber, OpenCall& aCall);
   void Dispatch(const Endpoint& aEndpoint);
   void Assign(std::uint64_t aNumber);
-  /// @returns an unused connection whose peer may receive a call, or a new one.
+  /// @returns an unused connection whose peer is the expected one or not identified yet, or a new
+  /// connection.
   std::shared_ptr<HttpConnection> TakeConnection(const HttpCall& aCall);
   void RunCall(std::uint64_t aNumber, const std::shared_ptr<HttpConnection>& aConnection);
   /// Requests the identity of a connection's peer before a call is written.
@@ -85,7 +86,7 @@
 
   boost::asio::io_context& mContext;
   HttpClientSettings mSettings;
-  HttpClient::IdentityReader mIdentity;
+  HttpClient::IdentityReader mReadIdentity;
   std::uint64_t mLastNumber{ 0 };
   bool mClosed{ false };
   std::unordered_map<std::uint64_t, OpenCall> mCalls;
--- a/modules/by_client/detail/HttpConnection.h
+++ b/modules/by_client/detail/HttpConnection.h
@@ -46,8 +46,8 @@
   Time AnsweredAt() const { return mAnsweredAt; }
 
   /// The identity that the peer has shown on this connection; empty while it has not.
-  const std::string& Peer() const { return mPeerIdentity; }
-  void SetPeer(std::string aIdentity) { mPeerIdentity = std::move(aIdentity); }
+  const std::string& PeerIdentity() const { return mPeerIdentity; }
+  void SetPeerIdentity(std::string aIdentity) { mPeerIdentity = std::move(aIdentity); }
 
   /// Closes the connection; a running call ends with the reason as its detail.
   void Close(std::string aReason);
--- a/modules/by_schema/WorkerPolled.h
+++ b/modules/by_schema/WorkerPolled.h
@@ -25,7 +25,7 @@
     std::string mWorker{};
     /// Outcome of the poll.
     OrderOutcome mOutcome{};
-    /// Report of the worker; empty unless the poll was accepted.
+    /// Report of the process that answered; empty if none did.
     WorkerReport mReport{};
     /// Number of the order.
     std::uint64_t mNumber{ 0 };
@@ -70,7 +70,7 @@
     return copy;
   }
 
-  /// Report of the worker; empty unless the poll was accepted.
+  /// Report of the process that answered; empty if none did.
   const WorkerReport& Report() const { return mFields.mReport; }
   /// @returns a copy of this value with another Report.
   [[nodiscard]] WorkerPolled WithReport(WorkerReport aValue) const
