Acknowledge a stored end only to the process that reported it

What callers could see: a task that is done starts again (TWICE). Found by review, not seen in a run.

Cause: an end that waits for the store named the worker's incarnation by when this owner first saw it, which is zero for every worker that has not restarted. A worker that left the registry while the store was away, was forgotten, and came back under its name had the same zero: the end was acknowledged to its new process, which forgot its own ends with lower numbers, unread.

The end names the start time of the process. The test fails without that.

--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -157,8 +157,7 @@
 {
   for (const auto& end : aBatch.mEnds) {
     const auto worker = aState.mWorkers.find(end.mWorker);
-    if (worker != aState.mWorkers.end() &&
-        worker->second.mIncarnationSince == end.mIncarnationSince) {
+    if (worker != aState.mWorkers.end() && worker->second.mProcessStart == end.mProcessStart) {
       worker->second.mLastEndStored = std::max(worker->second.mLastEndStored, end.mNumber);
       // The next poll acknowledges the ends; a worker without runs has none scheduled yet. A worker
       // that lists a part of its ends lists the next part only then.
--- a/modules/by_cell/PendingEnd.h
+++ b/modules/by_cell/PendingEnd.h
@@ -12,8 +12,9 @@
 struct PendingEnd
 {
   std::string mWorker;
-  /// Start of the worker incarnation that reported it; the next one numbers its ends from 1 again.
-  Time mIncarnationSince{};
+  /// Start time of the worker's process that reported it; the next one numbers its ends from 1
+  /// again.
+  Time mProcessStart{};
   std::uint64_t mNumber{ 0 };
 
   friend bool operator==(const PendingEnd&, const PendingEnd&) = default;
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -57,7 +57,7 @@
   }
   if (HasUnstored(aState)) {
     aState.mNextBatch.mEnds.push_back(
-      { aWorker.mRegistration.Id(), aWorker.mIncarnationSince, aWorker.mLastEndSeen });
+      { aWorker.mRegistration.Id(), aWorker.mProcessStart, aWorker.mLastEndSeen });
   } else {
     aWorker.mLastEndStored = aWorker.mLastEndSeen;
     SchedulePoll(aState, aWorker, aNow + aState.mSettings.MinPollInterval());
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -441,3 +441,32 @@
   cell.Advance();
   CHECK_EQUAL(1, cell.TakePolls().size());
 }
+
+/// A worker left and came back under its name while the store was away. The row of the earlier
+/// process had been forgotten, so that nothing told the pending acknowledgement from one of its
+/// own: the new process forgot ends that nobody had read.
+TEST(Workers, PendingEndOfAForgottenWorkerIsNotAcknowledgedToItsNextProcess)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto entry = cell.mCell.mWorkers.at("w1").mRegistration;
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
+  cell.Poll("w1",
+            {},
+            { CellFixture::Ended(5, CellFixture::Run("j", 0, 1), RunEnd::Done) },
+            entry.ProcessStart());
+  cell.ReadRegistry({});
+  cell.AdvanceTime(Time::FromMilliseconds(100));
+  cell.TakePolls();
+  cell.Poll("w1",
+            {},
+            { CellFixture::Ended(5, CellFixture::Run("j", 0, 1), RunEnd::Done) },
+            entry.ProcessStart());
+  cell.AdvanceTime(Time::FromMilliseconds(3000));
+  cell.AdvanceTime(Time::FromMilliseconds(100));
+  CHECK(!cell.mCell.mWorkers.contains("w1"));
+  const auto next = entry.ProcessStart() + Time::FromMilliseconds(5000);
+  cell.ReadRegistry({ entry.WithProcessStart(next) });
+  cell.Store();
+  CHECK_EQUAL(0, cell.mCell.mWorkers.at("w1").mLastEndStored);
+}
