Place nothing on a worker of which only an earlier process is known

What callers could see: tasks that wait while other workers are free.

Cause: a start that met another process was requeued and placed again at once on the same worker, since it still counted as reachable; while a poll of the earlier process was unanswered, no other was sent, so that this went on until that one timed out or the registry showed the new process.

The worker counts as unseen and is polled at once.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -136,6 +136,10 @@
       detail::RetireWorker(aState, worker, aNow, aOut);
       return;
     case OrderOutcome::OtherProcess:
+      // No order can be sent before the new process is known. A poll of the earlier one may stay
+      // unanswered for a while.
+      worker.mHealth = WorkerHealth::Unseen;
+      worker.mPollInFlight = false;
       detail::SchedulePoll(aState, worker, aNow);
       HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
       return;
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -388,8 +388,8 @@
   cell.TakeStarts();
   cell.TakePolls();
   cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::OtherProcess);
+  cell.StoreAll();
   CHECK(cell.mCell.mWorkers.at("w1").mRuns.empty());
-  cell.Advance();
   CHECK_EQUAL(1, cell.TakePolls().size());
   cell.Poll("w1", {}, {}, Time::FromMilliseconds(7777));
   cell.PlayIdleWorkers(Time::FromMilliseconds(1500));
@@ -470,3 +470,19 @@
   cell.Store();
   CHECK_EQUAL(0, cell.mCell.mWorkers.at("w1").mLastEndStored);
 }
+
+/// Tasks were placed again and again on a worker of which only an earlier process was known, while
+/// a poll of that one was unanswered.
+TEST(Workers, WorkerWithAnotherProcessGetsNoTaskBeforeThatOneIsKnown)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  cell.AdvanceTime(Time::FromMilliseconds(300));
+  cell.mCell.mWorkers.at("w1").mPollInFlight = true;
+  cell.TakePolls();
+  cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::OtherProcess);
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(400));
+  CHECK(cell.TakeStarts().empty());
+  CHECK_EQUAL(1, cell.TakePolls().size());
+}
