Retire no worker for the refusal of a call to an earlier incarnation

What callers could see: TWICE, after the runs of a worker that is back at another address were taken for lost.

Cause: an answer that another worker is at the address was applied to the current incarnation, although the order had been sent to an earlier one.

Such an answer to an order from before the incarnation only says that the order was not carried out. The test fails without the change.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -133,7 +133,11 @@
       detail::SchedulePoll(aState, worker, aNow);
       return;
     case OrderOutcome::WrongWorker:
-      detail::RetireWorker(aState, worker, aNow, aOut);
+      if (row->mOrderedAt < worker.mIncarnationSince) {
+        HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
+      } else {
+        detail::RetireWorker(aState, worker, aNow, aOut);
+      }
       return;
     case OrderOutcome::OtherProcess:
       // No order can be sent before the new process is known. A poll of the earlier one may stay
@@ -163,11 +167,14 @@
   }
   auto& worker = aState.mWorkers.at(aEvent.Worker());
   row->mStopInFlight = false;
-  if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
+  // An order to an earlier incarnation says nothing of the current one, which may be at another
+  // address.
+  const bool isOutdated = row->mStopSentAt < worker.mIncarnationSince;
+  if (aEvent.Outcome() == OrderOutcome::WrongWorker && !isOutdated) {
     detail::RetireWorker(aState, worker, aNow, aOut);
     return;
   }
-  if (aEvent.Outcome() == OrderOutcome::Accepted && row->mStopSentAt >= worker.mIncarnationSince) {
+  if (aEvent.Outcome() == OrderOutcome::Accepted && !isOutdated) {
     row->mStopConfirmedAt = aNow;
     row->mUnlistedSinceReport = 0;
     detail::SchedulePoll(aState, worker, aNow + aState.mSettings.MinPollInterval());
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -486,3 +486,26 @@
   CHECK(cell.TakeStarts().empty());
   CHECK_EQUAL(1, cell.TakePolls().size());
 }
+
+/// The refusal of a call to an earlier process, by another worker at its address, ended the runs of
+/// the next one.
+TEST(Workers, RefusalOfAnEarlierProcessesCallDoesNotRetireTheNextOne)
+{
+  CellFixture cell(1);
+  cell.Submit("a", { CellFixture::Step(1) });
+  cell.TakeStarts();
+  const auto early = CellFixture::Run("a", 0, 1);
+  cell.Started("w1", early, OrderOutcome::Unanswered);
+  const auto next = Time::FromMilliseconds(7777);
+  cell.AdvanceTime(Time::FromMilliseconds(100));
+  cell.ReadRegistry({ cell.mCell.mWorkers.at("w1").mRegistration.WithProcessStart(next) });
+  cell.Poll("w1", {}, {}, next);
+  cell.Submit("b", { CellFixture::Step(1) });
+  const auto run = CellFixture::Run("b", 0, 1);
+  cell.Started("w1", run, OrderOutcome::Accepted);
+  cell.Poll("w1", { CellFixture::Running(run) }, {}, next);
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(early));
+  cell.Started("w1", early, OrderOutcome::WrongWorker);
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
+  CHECK(cell.mCell.mWorkers.at("w1").mHealth == WorkerHealth::Reachable);
+}
