Send no stored start without a recent confirmation of the owner

What callers could see: TWICE, when an owner that stood still sends a start after a successor has waited out its leases.

Cause: polls and repeated starts are sent only while the owner was confirmed within its authority timeout; the first start of a run, after its assignment was stored, was not checked.

Such a start is dropped and its task requeued. The test fails without that.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -70,17 +70,11 @@
   aState.mLostWorkers.erase(aWorker.mRegistration.Id());
 }
 
-bool
-MayRenewLeases(const CellState& aState, Time aNow)
-{
-  return aNow < aState.mConfirmedAt + aState.mSettings.AuthorityTimeout();
-}
-
 void
 SendPoll(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
   const bool renews = aWorker.mHealth == WorkerHealth::Reachable && !aWorker.mRuns.empty() &&
-                      MayRenewLeases(aState, aNow);
+                      detail::MayGrantLeases(aState, aNow);
   PollWorker::Fields fields{ .mWorker = aWorker.mRegistration.Id(),
                              .mEndpoint = aWorker.mRegistration.Endpoint(),
                              .mEpoch = aState.mEpoch,
@@ -126,7 +120,7 @@
     const bool hasAnswered = aWorker.mWorkerClockReadAt >= row.mStartTimedOutAt;
     if (aWorker.mRegistration.Draining() || detail::IsOverCapacity(aWorker)) {
       withdrawn.push_back(run.mTask);
-    } else if (hasAnswered && MayRenewLeases(aState, aNow)) {
+    } else if (hasAnswered && detail::MayGrantLeases(aState, aNow)) {
       detail::SendStart(aState, aWorker, run, aNow, aOut);
     }
   }
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -104,6 +104,9 @@
   if (aWorker.mRegistration.Draining() || aWorker.mHealth != WorkerHealth::Reachable) {
     return "worker no longer accepts runs";
   }
+  if (!detail::MayGrantLeases(aState, aNow)) {
+    return "the owner is not confirmed";
+  }
   if (detail::IsOverCapacity(aWorker)) {
     return "worker's capacity has shrunk";
   }
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -369,6 +369,12 @@
   RefreshStep(aState, *job, aTask.Occurrence(), aTask.Step());
 }
 
+bool
+MayGrantLeases(const CellState& aState, Time aNow)
+{
+  return aNow < aState.mConfirmedAt + aState.mSettings.AuthorityTimeout();
+}
+
 Time
 NextLeaseEnd(const CellState& aState, const WorkerRow& aWorker, Time aNow)
 {
--- a/modules/by_cell/detail/Runs.h
+++ b/modules/by_cell/detail/Runs.h
@@ -58,6 +58,11 @@
 void
 Requeue(CellState& aState, const JobTaskKey& aTask, Time aNow, Effects& aOut);
 
+/// @returns whether this owner was confirmed recently enough to grant leases. A successor counts on
+/// leases that end in time after the confirmation.
+bool
+MayGrantLeases(const CellState& aState, Time aNow);
+
 /// @returns the end of a lease that is granted now, on the worker's clock.
 Time
 NextLeaseEnd(const CellState& aState, const WorkerRow& aWorker, Time aNow);
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -509,3 +509,18 @@
   CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
   CHECK(cell.mCell.mWorkers.at("w1").mHealth == WorkerHealth::Reachable);
 }
+
+/// An owner that had stood still sent a start when its authority was over and a successor had
+/// placed the task again.
+TEST(Workers, StoredStartIsNotSentByAnOwnerThatIsNoLongerConfirmed)
+{
+  CellFixture cell(1);
+  cell.SubmitUnstored("j", { CellFixture::Step(1) });
+  cell.Store();
+  cell.AdvanceTime(Time::FromMilliseconds(20));
+  CHECK(cell.TakeStarts().empty());
+  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1").mRuns.size());
+  cell.mNow = cell.mNow + cell.mCell.mSettings.AuthorityTimeout() + Time::FromMilliseconds(1);
+  cell.Store();
+  CHECK(cell.TakeStarts().empty());
+}
