Reckon leases on the slowest clock that a worker may have

What callers could see: TWICE, when a worker is cut off just after a takeover.

Cause: the clock of a worker is extrapolated from the last report. An idle worker is not polled, and its clock may run 2 % slow, so that the lease of a start after a long rest ended later than one lease time from its arrival, which is what a successor takes for the most.

The extrapolation takes the slowest rate. A lease that is a little shorter is renewed in time. The test fails without the change.

--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -16,6 +16,9 @@
 
 namespace by {
 
+/// The slowest rate of a worker's clock, in percent of the owner's.
+constexpr std::int64_t kSlowestClockPercent = 98;
+
 /// The owner's view of one worker.
 struct WorkerRow
 {
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// The slowest rate of a worker's clock, in percent of the owner's.
-constexpr std::int64_t kSlowestClockPercent = 98;
-
 /// A worker that was frozen may notice this much later that its lease has expired.
 constexpr Time kExpiryMargin = Time::FromMilliseconds(500);
 
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::int64_t kFullPercent = 100;
+
 std::vector<JobTaskKey>
 GangMembers(const JobTaskKey& aTask, const StepRow& aStep)
 {
@@ -378,7 +380,10 @@
 Time
 NextLeaseEnd(const CellState& aState, const WorkerRow& aWorker, Time aNow)
 {
-  const auto clock = aWorker.mWorkerClock + (aNow - aWorker.mWorkerClockReadAt);
+  // A successor that reads the clock takes what is left for one lease time at most, so the lease is
+  // reckoned on the slowest clock.
+  const auto clock = aWorker.mWorkerClock +
+                     (aNow - aWorker.mWorkerClockReadAt) * kSlowestClockPercent / kFullPercent;
   return clock + std::min(aState.mSettings.Lease(), aState.mSettings.MaxLease());
 }
 
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -524,3 +524,21 @@
   cell.Store();
   CHECK(cell.TakeStarts().empty());
 }
+
+/// A successor takes what is left of a lease for one lease time at most. A start to a worker whose
+/// slow clock had not been read for long brought a lease that ended later.
+TEST(Workers, LeaseOfAnIdleWorkerIsReckonedOnTheSlowestClock)
+{
+  CellFixture cell(1);
+  cell.Poll("w1", {}, {});
+  const auto idle = Time::FromSeconds(50);
+  cell.AdvanceTime(idle);
+  cell.mCell.mConfirmedAt = cell.mNow;
+  const auto& worker = cell.mCell.mWorkers.at("w1");
+  const auto slowClock = worker.mWorkerClock + idle * 98 / 100;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  const auto slack = Time::FromMilliseconds(100);
+  CHECK(starts.front().LeaseUntil() <= slowClock + cell.mCell.mSettings.Lease() + slack);
+}
