--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -116,7 +116,7 @@
     if (row.mStartInFlight || row.mStartRetryAt > aNow) {
       continue;
     }
-    // A process that has started since would begin the run once more, so a poll comes first.
+    // A poll comes first, which tells whether the process that the start was for still runs.
     const bool hasAnswered = aWorker.mWorkerClockReadAt >= row.mStartTimedOutAt;
     if (aWorker.mRegistration.Draining() || detail::IsOverCapacity(aWorker)) {
       withdrawn.push_back(run.mTask);
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -75,8 +75,8 @@
   std::vector<RunId> ended;
   std::vector<RunId> unconfirmed;
   for (const auto& [run, row] : aWorker.mRuns) {
-    // The next incarnation has seen no epoch yet and may carry out an unanswered start; such a run
-    // is stopped there before its task is placed again.
+    // A start of an earlier owner may have named no process, and one without an answer may still be
+    // on its way. Such a run is stopped at the next incarnation before its task is placed again.
     const bool mayStartLate =
       row.mStartInFlight || row.mStartUnanswered || row.mPhase == RunPhase::Inherited;
     (mayStartLate ? unconfirmed : ended).push_back(run);
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -510,21 +510,6 @@
   CHECK(cell.mCell.mWorkers.at("w1").mHealth == WorkerHealth::Reachable);
 }
 
-/// An owner that had stood still sent a start when its authority was over and a successor had
-/// placed the task again.
-TEST(Workers, StoredStartIsNotSentByAnOwnerThatIsNoLongerConfirmed)
-{
-  CellFixture cell(1);
-  cell.SubmitUnstored("j", { CellFixture::Step(1) });
-  cell.Store();
-  cell.AdvanceTime(Time::FromMilliseconds(20));
-  CHECK(cell.TakeStarts().empty());
-  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1").mRuns.size());
-  cell.mNow = cell.mNow + cell.mCell.mSettings.AuthorityTimeout() + Time::FromMilliseconds(1);
-  cell.Store();
-  CHECK(cell.TakeStarts().empty());
-}
-
 /// A successor takes what is left of a lease for one lease time at most. A start to a worker whose
 /// slow clock had not been read for long brought a lease that ended later.
 TEST(Workers, LeaseOfAnIdleWorkerIsReckonedOnTheSlowestClock)
@@ -542,3 +527,18 @@
   const auto slack = Time::FromMilliseconds(100);
   CHECK(starts.front().LeaseUntil() <= slowClock + cell.mCell.mSettings.Lease() + slack);
 }
+
+/// An owner that had stood still sent a start when its authority was over and a successor had
+/// placed the task again.
+TEST(Workers, StoredStartIsNotSentByAnOwnerThatIsNoLongerConfirmed)
+{
+  CellFixture cell(1);
+  cell.SubmitUnstored("j", { CellFixture::Step(1) });
+  cell.Store();
+  cell.AdvanceTime(Time::FromMilliseconds(20));
+  CHECK(cell.TakeStarts().empty());
+  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1").mRuns.size());
+  cell.mNow = cell.mNow + cell.mCell.mSettings.AuthorityTimeout() + Time::FromMilliseconds(1);
+  cell.Store();
+  CHECK(cell.TakeStarts().empty());
+}
