--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -52,11 +52,17 @@
     aWorker.mLeaseSent = aReport.WorkerClock() + aState.mSettings.Lease();
   }
   if (aWorker.mHealth != WorkerHealth::Reachable) {
-    detail::Log(
-      aOut,
-      "worker.reachable",
-      aWorker.mRegistration.Id(),
-      absl::StrCat("was=", std::string(ToString(aWorker.mHealth)), " runs=", aWorker.mRuns.size()));
+    detail::Log(aOut,
+                "worker.reachable",
+                aWorker.mRegistration.Id(),
+                absl::StrCat("was=",
+                             std::string(ToString(aWorker.mHealth)),
+                             " runs=",
+                             aWorker.mRuns.size(),
+                             " born=",
+                             aWorker.mProcessStart.Milliseconds(),
+                             " clock=",
+                             aReport.WorkerClock().Milliseconds()));
     aState.mPlacementNeeded = true;
   }
   aWorker.mHealth = WorkerHealth::Reachable;
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -70,7 +70,16 @@
   Log(aOut,
       "worker.over",
       aWorker.mRegistration.Id(),
-      absl::StrCat("reason=", aReason, " runs=", aWorker.mRuns.size()));
+      absl::StrCat("reason=",
+                   aReason,
+                   " runs=",
+                   aWorker.mRuns.size(),
+                   " born=",
+                   aWorker.mProcessStart.Milliseconds(),
+                   " clock=",
+                   aWorker.mWorkerClock.Milliseconds(),
+                   " lease_sent=",
+                   aWorker.mLeaseSent.Milliseconds()));
   RecordCrash(aState, aWorker, aReason, aNow, aOut);
   std::vector<RunId> ended;
   std::vector<RunId> unconfirmed;
