Restart workers of the soak under their ids, and cut them off soon after

The soak gave each life of a worker an id of its own, so that no order for one life could reach the next, and missed it.

Change: a share of the seeds draws workers that crash, dark or with resets, are back under their ids after 0.1 to 0.7 s with nothing of before, and are cut off from all nodes 1 to 2.5 s later for 4 to 9 s; at times the owner is killed between. Tasks of 8 to 12 s run beside. `--restarts` forces it.

The stand-in and the judge, where lives share an id: an end is known by the life and its number; the expiry of an earlier life leaves the entry of the next one; a call that waited on the way ends with the process that took its connection, which the header can no longer tell.

--- a/scripts/soak_entry/faults.py
+++ b/scripts/soak_entry/faults.py
@@ -11,6 +11,7 @@
 WORKER_CRASH_PERIOD_S = 4.0
 OWNER = -1  # Stands for the node that owns the cell when the fault begins.
 RESIZE_SHARES = (0.0, 0.25, 0.5, 0.75)
+RESTART_SHARES = (0.0, 0.0, 0.1, 0.25)  # of the workers; drawn once for each run
 KINDS = ("stop", "kill", "freeze", "reload", "config", "redeal", "store", "worker", "link", "silence", "reset",
          "crash", "drain")
 WEIGHTS = (3, 4, 3, 1, 1, 1, 5, 4, 4, 2, 1, 3, 1)
@@ -39,21 +40,26 @@
         self.random = random.Random(f"{seed}/faults")
         self.options = options
         self.events = []
-        if options.no_faults:
-            return
-        if options.worker_crashes:
+        self.restart_share = options.restarts
+        if options.worker_crashes and not options.no_faults:
             self._draw_worker_crashes()
-            return
+        elif not options.no_faults:
+            self._draw_series()
+            self._draw_resizes(random.Random(f"{seed}/resizes"))
+            self._draw_rebirths(random.Random(f"{seed}/rebirths"))
+            self.restart_share = self.restart_share or random.Random(f"{seed}/restart-share").choice(RESTART_SHARES)
+        if self.restart_share:
+            self._draw_restarts(random.Random(f"{seed}/restarts"))
+        self.events.sort(key=lambda fault: fault.at)
+
+    def _draw_series(self):
         for _ in range(self.random.randrange(2, 6)):
             kind = self.random.choices(KINDS, WEIGHTS)[0]
-            at = self.random.uniform(0.2, options.seconds / 2)
+            at = self.random.uniform(0.2, self.options.seconds / 2)
             pause = self.random.choice((0.5, 1.0, 2.0, 4.0))
-            while at < options.seconds - 0.5 and len(self.events) < 60:
+            while at < self.options.seconds - 0.5 and len(self.events) < 60:
                 self.events.append(self._draw(kind, at))
                 at += pause * self.random.uniform(0.5, 1.5)
-        self._draw_resizes(random.Random(f"{seed}/resizes"))
-        self._draw_rebirths(random.Random(f"{seed}/rebirths"))
-        self.events.sort(key=lambda fault: fault.at)
 
     def _draw_worker_crashes(self):
         """A share of the workers crashes every few seconds, and the owner is killed once."""
@@ -66,7 +72,6 @@
             at += WORKER_CRASH_PERIOD_S
         self.events.append(Fault(at=round(self.random.uniform(0.2, 0.8) * self.options.seconds, 3), kind="kill",
                                  nodes=(OWNER,), pause=1.0))
-        self.events.sort(key=lambda fault: fault.at)
 
     def _draw_resizes(self, draw):
         """Workers whose capacity shrinks for a while, in half of the seeds."""
@@ -90,6 +95,22 @@
                                      seconds=round(draw.uniform(0.3, 0.7), 3), pause=round(draw.uniform(0.02, 0.1), 3)))
             at += draw.uniform(0.8, 2.0)
 
+    def _draw_restarts(self, draw):
+        """Workers that restart under their ids and are cut off soon after; at times the owner is killed between."""
+        at = draw.uniform(0.5, 2.0)
+        count = max(1, round(self.options.workers * self.restart_share))
+        while at < self.options.seconds - 0.5:
+            workers = tuple(sorted(draw.sample(range(self.options.workers), count)))
+            pause, wait = draw.uniform(0.1, 0.7), draw.uniform(1.0, 2.5)
+            self.events.append(Fault(at=round(at, 3), kind="restart", workers=workers, pause=round(pause, 3),
+                                     effect=draw.choice(("dark", "reset"))))
+            self.events.append(Fault(at=round(at + pause + wait, 3), kind="worker", effect="cut", workers=workers,
+                                     seconds=round(draw.uniform(4.0, 9.0), 3)))
+            if draw.random() < 0.4:
+                self.events.append(Fault(at=round(at + pause + wait * draw.random(), 3), kind="kill", nodes=(OWNER,),
+                                         pause=1.0))
+            at += draw.uniform(2.0, 5.0)
+
     def _some_nodes(self):
         draw = self.random.random()
         if draw < 0.4:
@@ -192,6 +213,8 @@
         site.network.reset(fault.scope, indexes)
     elif fault.kind == "resize":
         await asyncio.gather(*(site.cluster.workers[w].resize(fault.share, fault.seconds) for w in fault.workers))
+    elif fault.kind == "restart":
+        await asyncio.gather(*(site.cluster.restart(w, fault.pause, fault.effect == "dark") for w in fault.workers))
     elif fault.kind in ("crash", "drain"):
         await asyncio.gather(*(site.cluster.rebirth(w, fault.pause, fault.kind == "drain") for w in fault.workers))
     else:
@@ -200,6 +223,8 @@
         rule = net.Rule(fault.kind, fault.effect, 3.0 if late else fault.pause, fault.share, frozenset(indexes),
                         targets)
         site.network.rules.append(rule)
+        if fault.effect == "cut":
+            site.network.silence(fault.kind, indexes, targets)
         try:
             await asyncio.sleep(fault.seconds)
         finally:
--- a/scripts/soak_entry/judge.py
+++ b/scripts/soak_entry/judge.py
@@ -23,7 +23,7 @@
     failed_noted: int = 0
     done: bool = False  # an end `done` was listed
     done_noted: bool = False
-    done_ends: dict = field(default_factory=dict)  # (worker, number of the end) -> starts after it
+    done_ends: dict = field(default_factory=dict)  # (life of a worker, number of the end) -> starts after it
     checkpoints: set = field(default_factory=set)
     starts: int = 0
     last_end_at: float = 0.0  # when its last run ended
@@ -108,7 +108,7 @@
         """A worker has begun a task."""
         self.counts["starts"] += 1
         job, key = self.split(run.task)
-        what = f"{run.task} run {run.number} on {worker.id}"
+        what = f"{run.task} run {run.number} on {worker.name()}"
         if job is None or key not in set(job.wanted()):
             self.violate("UNASKED", f"{what} was never submitted")
             return
@@ -144,7 +144,7 @@
         for other in list(task.running):
             other.worker.check_lease()
         if task.running:
-            others = ", ".join(f"run {r.number} on {r.worker.id}" for r in task.running)
+            others = ", ".join(f"run {r.number} on {r.worker.name()}" for r in task.running)
             self.violate("TWICE", f"{what} beside {others}")
         if self._noted(job, key):
             self.violate("TWICE", f"{what}: it was done before, and that was acknowledged")
@@ -192,7 +192,7 @@
         self.counts[how] += 1
         if how == "done":
             task.done = True
-            task.done_ends[run.worker.id, number] = []
+            task.done_ends[run.worker.name(), number] = []
         elif how == "failed":
             task.failed += 1
 
--- a/scripts/soak_entry/net.py
+++ b/scripts/soak_entry/net.py
@@ -50,7 +50,9 @@
     """A fault in force on the calls of some nodes. Empty sets mean all."""
 
     kind: str  # store, worker or link
-    effect: str  # delay, refuse, reset, drop (not executed), lose (executed, not answered), late (executed later)
+    # delay, refuse, reset, drop (not executed), lose (executed, not answered), late (executed later), cut (drop, and
+    # open connections carry nothing any more)
+    effect: str
     seconds: float = 0.0
     share: float = 1.0  # of the calls
     nodes: frozenset = frozenset()
@@ -80,10 +82,11 @@
         return [r for r in self.rules
                 if r.meets(kind, node, target) and (r.share >= 1 or self.random.random() < r.share)]
 
-    def silence(self, kind, nodes):
+    def silence(self, kind, nodes, targets=()):
         """Open connections carry nothing any more; new ones work."""
         for connection in self.connections:
-            if connection.kind == kind and (not nodes or connection.node in nodes):
+            if (connection.kind == kind and (not nodes or connection.node in nodes) and
+                    (not targets or connection.target in targets)):
                 connection.silent = True
 
     def reset(self, kind, nodes):
@@ -108,6 +111,7 @@
     target: int
     writers: list
     silent: bool = False
+    unacked: bool = False  # sent something to a process that had ended; the next process resets it
 
     def abort(self):
         for writer in self.writers:
@@ -123,6 +127,7 @@
     body: bytes
     node: int
     target: int
+    process: int  # that took the connection
 
     def json(self):
         return json.loads(self.body or b"{}")
@@ -148,12 +153,26 @@
         self.handler = handler
         self.server = None
         self.open = set()
+        self.process = 0  # how often it has started
+        self.dark = False
 
     async def start(self, addresses, port):
+        if self.server:
+            self.server.close()
+        for connection in list(self.open):
+            if connection.unacked:
+                connection.abort()
+        self.dark = False
+        self.process += 1
         self.server = await asyncio.start_server(self._serve, addresses, port, limit=1 << 22, backlog=256)
 
-    def stop(self):
-        """Refuses new connections and resets the open ones."""
+    def stop(self, dark=False):
+        """Refuses new connections and resets the open ones; where it goes dark, all are silent."""
+        self.dark = dark
+        if dark:
+            for connection in self.open:
+                connection.silent = True
+            return
         if self.server:
             self.server.close()
         for connection in list(self.open):
@@ -161,7 +180,8 @@
 
     async def _serve(self, reader, writer):
         node, target = pair_of(writer.get_extra_info("sockname")[0])
-        connection = Connection(self.kind, node, target, [writer])
+        connection = Connection(self.kind, node, target, [writer], silent=self.dark)
+        process = self.process
         self.open.add(connection)
         self.network.connections.add(connection)
         try:
@@ -169,7 +189,11 @@
                 line, headers, body = await read_message(reader)
                 method, target_text, _ = line.split(" ", 2)
                 path, _, query = target_text.partition("?")
-                request = Request(method, path, dict(parse_qsl(query)), headers, body, node, target)
+                request = Request(method, path, dict(parse_qsl(query)), headers, body, node, target, process)
+                if process != self.process:
+                    connection.abort()
+                    return
+                connection.unacked = connection.unacked or self.dark
                 if connection.silent or not await self._answer(request, connection, writer):
                     connection.silent = True
         except (OSError, asyncio.IncompleteReadError):
@@ -190,7 +214,7 @@
             if rule.effect == "refuse":
                 self._write(writer, 503, b"{}")
                 return True
-            if rule.effect == "drop":
+            if rule.effect in ("drop", "cut"):
                 return False
             if rule.effect == "late":
                 self.network.spawn(self._late(request, rule.seconds * self.network.random.random()))
--- a/scripts/soak_entry/shapes.py
+++ b/scripts/soak_entry/shapes.py
@@ -95,6 +95,7 @@
     capacity: dict
     queues: dict
     kinds: tuple = ()  # empty for mixed jobs, each caller one after the other
+    beside_restarts: tuple = ()  # kinds of jobs that outlive leases, handed in where workers restart
     stop_s: float = 0.2
     restore_s: float = 0.6
     checkpoint_s: float = 0.5
@@ -116,7 +117,10 @@
 
 MIXED = Shape(
     nodes=8, workers=80, rack=8, capacity={"cpu": 4000, "mem_mb": 8192, "gpu": 0},
-    queues={"/batch/": Queue("svc-a", 6, priority=0), "/urgent/": Queue("svc-b", 6, priority=1)})
+    queues={"/batch/": Queue("svc-a", 6, priority=0), "/urgent/": Queue("svc-b", 6, priority=1)},
+    beside_restarts=(
+        Kind("/batch/", 2.0, steps=Amount(1, 0, 1), width=Amount(5, 0.4, 10), cpu=Amount(1000, 0, 1000),
+             mem_mb=Amount(512, 0, 512), work_ms=Amount(10000, 0.15, 12000), may_crash=False),))
 
 # A batch yard: wide gangs of seconds, wide steps, and many short pairs, on few large workers.
 YARD = Shape(
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -122,6 +122,8 @@
             callers = [self._submit_kind(kind, until) for kind in self.shape.kinds]
         else:
             callers = [Client(self, random.Random(f"{self.seed}/client{n}")).run(until) for n in range(CLIENTS)]
+        if schedule.restart_share:
+            callers += [self._submit_kind(kind, until) for kind in self.shape.beside_restarts]
         await asyncio.gather(schedule.play(self), *callers)
         await self._settle()
         await self._cancel_all(long_running)
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -7,6 +7,7 @@
 from . import net
 
 HEARTBEAT_S = 1.5
+FIRST_HEARTBEAT_S = 0.02
 MISSED_HEARTBEATS = 3
 HOLD_MAX_MS = 10000
 CRASH_PAUSE_S = (1.5, 4.0)
@@ -62,9 +63,10 @@
         self.up = False
         self.server = net.HttpServer(cluster.network, "worker", self.handle)
 
-    async def start(self):
+    async def start(self, name=None):
+        """Begins a life: under a new id, or again under the one that is given."""
         self.life += 1
-        self.id = f"w{self.index:03d}-{self.life}"
+        self.id = name or f"w{self.index:03d}-{self.life}"
         self.born_ms = int(time.time() * 1000)
         self.clock_base = self.cluster.random.randrange(1000, 900000)
         self.clock_rate = self.cluster.random.uniform(0.98, 1.0)
@@ -80,17 +82,21 @@
         self.up = True
         addresses = [net.worker_address(n, self.index) for n in range(self.cluster.nodes)]
         await self.server.start(addresses, self.cluster.port)
-        self.beat = self.cluster.network.spawn(self._heartbeat(self.life))
+        self.beat = self.cluster.network.spawn(self._heartbeat(self.life, HEARTBEAT_S if name else FIRST_HEARTBEAT_S))
+
+    def name(self):
+        """Names this life; an id may be that of several."""
+        return f"{self.id}/{self.life}"
 
-    def crash(self):
+    def crash(self, dark=False):
         """Everything that runs terminates; the entry stays until heartbeats were missed."""
         self.up = False
-        self.server.stop()
+        self.server.stop(dark)
         self.beat.cancel()
         for run in list(self.running.values()):
             self._end(run, "crashed")
         self.changed.set()
-        self.cluster.network.spawn(self._expire(self.id))
+        self.cluster.network.spawn(self._expire(self.id, self.life))
 
     def _crash_by(self, run):
         """The task ends the worker's process, which is back after some seconds."""
@@ -133,12 +139,13 @@
             self.crash()
             self.cluster.store.put("keyed.servers", name, None)
 
-    async def _expire(self, name):
+    async def _expire(self, name, life):
         await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
-        self.cluster.store.put("keyed.servers", name, None)
+        if self.id != name or self.life == life:  # otherwise the entry is that of a later life
+            self.cluster.store.put("keyed.servers", name, None)
 
-    async def _heartbeat(self, life):
-        await asyncio.sleep(0.02 * self.cluster.random.random())
+    async def _heartbeat(self, life, first):
+        await asyncio.sleep(first * self.cluster.random.random() ** 2)
         while self.up and self.life == life:
             self._register()
             await asyncio.sleep(HEARTBEAT_S)
@@ -185,7 +192,9 @@
             self.check_lease()
 
     async def handle(self, request):
-        if not self.up or request.headers.get("expect-instance", self.id) != self.id:
+        # A call ends with the process that took its connection.
+        if (not self.up or request.process != self.server.process or
+                request.headers.get("expect-instance", self.id) != self.id):
             return 421, {}
         handler = {"run-start": self._start, "run-stop": self._stop,
                    "hold": self._hold}.get(request.path.rpartition("/")[2])
@@ -312,7 +321,7 @@
         acked = order.get("acked_through", 0)
         for number, task, _, how, _ in self.ended:
             if number <= acked and number not in self.void:
-                self.cluster.judge.noted(task, how, self.id, number)
+                self.cluster.judge.noted(task, how, self.name(), number)
         self.ended = [row for row in self.ended if row[0] > acked]
         wait = min(order.get("wait_ms", 0), 2000) / 1000
         if wait and not self.ended:
@@ -362,6 +371,17 @@
         if not worker.up:
             await worker.start()
 
+    async def restart(self, index, pause, dark):
+        """A worker crashes and is back under its id; nothing else of it stays."""
+        worker = self.workers[index]
+        if not worker.up or worker.draining_until:
+            return
+        worker.crash(dark)
+        await asyncio.sleep(pause)
+        if not worker.up:
+            self.judge.counts["restarts"] += 1
+            await worker.start(worker.id)
+
     def stop(self):
         for worker in self.workers:
             worker.up = False
