Use a ticket of advice only for the process that it is for

Cause: a ticket is valid during one life of its worker, but the owner kept tickets by the worker's id. The next process got starts with tickets of the earlier one for as long as these seemed valid; so it did with tickets that the service gave after the restart for a query from before it.

Change: a query notes the start of each listed worker's process, and the ticket of the answer is bound to it. A restart costs nothing: the ticket is compared with the worker's process where it is used. That the worker may run the step is still known, so its ticket is renewed like an expired one.

The two new cases of AdviceTest fail without the comparison (a run is placed on the new process) and pass with it.

--- a/modules/by_cell/AdviceQuery.h
+++ b/modules/by_cell/AdviceQuery.h
@@ -17,6 +17,9 @@
   Time mDeadline{};
   /// The workers that it lists.
   std::vector<std::string> mWorkers;
+  /// When the processes of these workers started, in the same order; the tickets of the answer are
+  /// for them.
+  std::vector<Time> mProcessStarts;
 
   friend bool operator==(const AdviceQuery&, const AdviceQuery&) = default;
   friend auto operator<=>(const AdviceQuery&, const AdviceQuery&) = default;
--- a/modules/by_cell/HandleAdvice.cpp
+++ b/modules/by_cell/HandleAdvice.cpp
@@ -1,6 +1,8 @@
 #include "by_cell/HandleAdvice.h"
 
 #include <cstddef>
+#include <optional>
+#include <string>
 
 #include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
@@ -11,6 +13,23 @@
 
 namespace by {
 
+namespace {
+
+/// @returns when the process of a worker started that a query was about; zero where it is not
+/// known.
+Time
+ProcessStartOf(const std::optional<AdviceQuery>& aQuery, const std::string& aWorker)
+{
+  if (!aQuery) {
+    return {};
+  }
+  const auto it = absl::c_find(aQuery->mWorkers, aWorker);
+  return it == aQuery->mWorkers.end() ? Time()
+                                      : aQuery->mProcessStarts[it - aQuery->mWorkers.begin()];
+}
+
+} // namespace
+
 void
 HandleAdvice(CellState& aState, const AdviceAnswered& aEvent, Time aNow, Effects& aOut)
 {
@@ -21,7 +40,8 @@
   }
   auto& advice = occurrence->mSteps[aEvent.Step()].mAdvice;
   const auto& policy = detail::PolicyOf(aState, *job).Advice();
-  const bool isInTime = detail::CloseAdviceQuery(aState, advice, aEvent.Workers(), aNow);
+  const auto query = detail::CloseAdviceQuery(aState, advice, aEvent.Workers());
+  const bool isInTime = query && aNow <= query->mDeadline;
   aState.mPlacementNeeded = true;
   detail::Log(aOut,
               "advice.answered",
@@ -51,14 +71,15 @@
       continue;
     }
     advice.mDeniedWorkers.erase(worker);
-    allowed += advice.mTickets.insert_or_assign(worker, ticket.Text()).second ? 1 : 0;
     // The tickets of an answer that was read late may have expired.
-    advice.mValidUntil[worker] = isInTime ? aNow + policy->Validity() : aNow;
+    const WorkerTicket usable{ ticket.Text(),
+                               isInTime ? aNow + policy->Validity() : aNow,
+                               ProcessStartOf(query, worker) };
+    allowed += advice.mTickets.insert_or_assign(worker, usable).second ? 1 : 0;
   }
   for (const auto& worker : aEvent.Workers()) {
     if (advice.mDeniedWorkers.contains(worker)) {
       advice.mTickets.erase(worker);
-      advice.mValidUntil.erase(worker);
     }
   }
   detail::UpdateAllowedShare(aState, *job, queried, allowed);
--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -67,10 +67,9 @@
   const bool mayRunLate = aWorker.mRuns.at(aRun).mStartUnanswered;
   if (aOutcome == OrderOutcome::NoTicket) {
     if (auto* job = detail::FindJob(aState, aRun.mTask.Job())) {
-      auto& advice =
-        job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()].mAdvice;
-      advice.mTickets.erase(aWorker.mRegistration.Id());
-      advice.mValidUntil.erase(aWorker.mRegistration.Id());
+      job->mOccurrences.at(aRun.mTask.Occurrence())
+        .mSteps[aRun.mTask.Step()]
+        .mAdvice.mTickets.erase(aWorker.mRegistration.Id());
     }
   }
   if (aOutcome == OrderOutcome::Unhealthy || aOutcome == OrderOutcome::NoCapacity) {
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -112,8 +112,7 @@
     return nullptr;
   }
   const auto& step = job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()];
-  return detail::HasTicket(step.mAdvice, aWorker.mRegistration.Id(), aNow) ? nullptr
-                                                                           : "ticket expired";
+  return detail::HasTicket(step.mAdvice, aWorker, aNow) ? nullptr : "no valid ticket";
 }
 
 /// @returns the worker of a run that waits for its assignment to be stored; nullptr for any other.
--- a/modules/by_cell/StepAdvice.h
+++ b/modules/by_cell/StepAdvice.h
@@ -4,10 +4,10 @@
 #include <vector>
 
 #include "absl/container/btree_map.h"
-#include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
 #include "by_cell/AdviceQuery.h"
+#include "by_cell/WorkerTicket.h"
 #include "by_core/Time.h"
 
 namespace by {
@@ -15,10 +15,8 @@
 /// What the advice service has answered on the workers that may run a step, and the open queries.
 struct StepAdvice
 {
-  /// The tickets that permit a run, by worker.
-  absl::flat_hash_map<std::string, std::string> mTickets;
-  /// When the tickets expire, by worker; ordered, so that equal inputs give equal decisions.
-  absl::btree_map<std::string, Time> mValidUntil;
+  /// The tickets that permit a run, by worker; ordered, so that equal inputs give equal decisions.
+  absl::btree_map<std::string, WorkerTicket> mTickets;
   /// Workers that may not run the step; a denial is final, so that they are not queried again.
   absl::flat_hash_set<std::string> mDeniedWorkers;
   /// The queries that have not been answered; a wide step has several.
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -72,6 +73,17 @@
   return idle;
 }
 
+std::vector<Time>
+ProcessStartsOf(const CellState& aState, const std::vector<std::string>& aWorkers)
+{
+  std::vector<Time> starts;
+  starts.reserve(aWorkers.size());
+  for (const auto& worker : aWorkers) {
+    starts.push_back(aState.mWorkers.at(worker).mProcessStart);
+  }
+  return starts;
+}
+
 /// Sends a query through a free node.
 /// @returns whether a node was free.
 bool
@@ -91,7 +103,8 @@
   }
   const auto timeout =
     decisionTime * static_cast<std::int64_t>(proxy->mOpenQueries.size() + 1) + kAnswerMargin;
-  aAdvice.mOpenQueries.push_back({ proxy->mNode, aNow + timeout, aWorkers });
+  aAdvice.mOpenQueries.push_back(
+    { proxy->mNode, aNow + timeout, aWorkers, ProcessStartsOf(aState, aWorkers) });
   proxy->mOpenQueries.push_back(aNow + timeout);
   Log(aOut,
       "advice.asked",
@@ -125,17 +138,20 @@
 
 } // namespace
 
-bool
-IsTicketUsable(Time aValidUntil, Time aNow)
+const WorkerTicket*
+FindTicket(const StepAdvice& aAdvice, const WorkerRow& aWorker)
 {
-  return aNow + kTicketMargin < aValidUntil;
+  const auto it = aAdvice.mTickets.find(aWorker.mRegistration.Id());
+  const bool isOfProcess =
+    it != aAdvice.mTickets.end() && it->second.mProcessStart == aWorker.mProcessStart;
+  return isOfProcess ? &it->second : nullptr;
 }
 
 bool
-HasTicket(const StepAdvice& aAdvice, const std::string& aWorker, Time aNow)
+HasTicket(const StepAdvice& aAdvice, const WorkerRow& aWorker, Time aNow)
 {
-  const auto it = aAdvice.mValidUntil.find(aWorker);
-  return it != aAdvice.mValidUntil.end() && IsTicketUsable(it->second, aNow);
+  const auto* ticket = FindTicket(aAdvice, aWorker);
+  return ticket != nullptr && aNow + kTicketMargin < ticket->mValidUntil;
 }
 
 bool
@@ -184,20 +200,16 @@
     });
 }
 
-bool
-CloseAdviceQuery(CellState& aState,
-                 StepAdvice& aAdvice,
-                 const std::vector<std::string>& aWorkers,
-                 Time aNow)
+std::optional<AdviceQuery>
+CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers)
 {
   auto& open = aAdvice.mOpenQueries;
   const auto query = std::find_if(open.begin(), open.end(), [&](const AdviceQuery& aQuery) {
     return aQuery.mWorkers == aWorkers;
   });
   if (query == open.end()) {
-    return false;
+    return std::nullopt;
   }
-  const bool isInTime = aNow <= query->mDeadline;
   for (auto& proxy : aState.mAdviceProxies) {
     if (proxy.mNode == query->mNode) {
       const auto it =
@@ -207,8 +219,9 @@
       }
     }
   }
+  auto closed = std::move(*query);
   open.erase(query);
-  return isInTime;
+  return closed;
 }
 
 void
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "by_cell/CellState.h"
@@ -43,19 +44,17 @@
 CanQueryAdvice(const CellState& aState, Time aNow);
 
 /// Closes the query on a step that listed certain workers, so that its node is free for another.
-/// @returns whether the query was open and its deadline has not passed.
-bool
-CloseAdviceQuery(CellState& aState,
-                 StepAdvice& aAdvice,
-                 const std::vector<std::string>& aWorkers,
-                 Time aNow);
+/// @returns the query, or nothing where it was not open.
+std::optional<AdviceQuery>
+CloseAdviceQuery(CellState& aState, StepAdvice& aAdvice, const std::vector<std::string>& aWorkers);
 
-/// @returns whether a ticket stays valid long enough to be used.
-bool
-IsTicketUsable(Time aValidUntil, Time aNow);
+/// @returns the ticket that a worker's process holds for a step, expired or not, or nullptr.
+const WorkerTicket*
+FindTicket(const StepAdvice& aAdvice, const WorkerRow& aWorker);
 
-/// @returns whether a worker holds a ticket for a step that stays valid long enough to be used.
+/// @returns whether a worker's process holds a ticket for a step that stays valid long enough to be
+/// used.
 bool
-HasTicket(const StepAdvice& aAdvice, const std::string& aWorker, Time aNow);
+HasTicket(const StepAdvice& aAdvice, const WorkerRow& aWorker, Time aNow);
 
 } // namespace by::detail
--- a/modules/by_cell/detail/AdviceSelection.cpp
+++ b/modules/by_cell/detail/AdviceSelection.cpp
@@ -95,7 +95,8 @@
   Options options;
   for (const auto* worker : aCandidates) {
     const auto& id = worker->mRegistration.Id();
-    if (row.mAdvice.mDeniedWorkers.contains(id) || HasTicket(row.mAdvice, id, aTimes.mRenewed) ||
+    if (row.mAdvice.mDeniedWorkers.contains(id) ||
+        HasTicket(row.mAdvice, *worker, aTimes.mRenewed) ||
         !MayUseCapacity(state, *worker, step, row, latestStart, now)) {
       continue;
     }
@@ -127,9 +128,10 @@
   const auto& pool = PolicyOf(state, job).Pool();
   const auto latestStart = LatestStart(job, occurrence, index);
   auto tasks = waiting;
-  for (const auto& [id, until] : row.mAdvice.mValidUntil) {
+  for (const auto& [id, ticket] : row.mAdvice.mTickets) {
     const auto worker = state.mWorkers.find(id);
-    if (tasks == 0 || !IsTicketUsable(until, aTimes.mRenewed) || worker == state.mWorkers.end() ||
+    if (tasks == 0 || worker == state.mWorkers.end() ||
+        !HasTicket(row.mAdvice, worker->second, aTimes.mRenewed) ||
         !IsUsable(worker->second, pool, now) ||
         !MayUseCapacity(state, worker->second, step, row, latestStart, now)) {
       continue;
--- a/modules/by_cell/detail/PlacementPass.cpp
+++ b/modules/by_cell/detail/PlacementPass.cpp
@@ -45,13 +45,13 @@
   PoolOf(aPass, aPool);
   const auto& index = aPass.mPoolIndexes.at(aPool);
   AllowedWorkers allowed;
-  for (const auto& [id, until] : aAdvice.mValidUntil) {
+  for (const auto& [id, ticket] : aAdvice.mTickets) {
     const auto it = index.find(id);
     if (it == index.end()) {
       continue;
     }
     allowed.mAll.push_back(it->second);
-    if (IsTicketUsable(until, aPass.mNow)) {
+    if (HasTicket(aAdvice, *it->second, aPass.mNow)) {
       allowed.mWithTicket.push_back(it->second);
     }
   }
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/OrderNumber.h"
+#include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
@@ -298,7 +299,7 @@
   }
   const auto& advice =
     job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()].mAdvice;
-  const auto ticket = advice.mTickets.find(aWorker.mRegistration.Id());
+  const auto* ticket = FindTicket(advice, aWorker);
   const auto lease = NextLeaseEnd(aState, aWorker, aNow);
   aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, lease);
   if (row.mPhase == RunPhase::Planned) {
@@ -309,20 +310,19 @@
   }
   row.mStartInFlight = true;
   row.mStartRetryAt = Time::Never();
-  Emit(
-    aOut,
-    StartRun::Create({ .mWorker = aWorker.mRegistration.Id(),
-                       .mEndpoint = aWorker.mRegistration.Endpoint(),
-                       .mTask = aRun.mTask,
-                       .mRun = aRun.mRun,
-                       .mPayload = job->mJob.Definition().Payload(),
-                       .mLeaseUntil = lease,
-                       .mEpoch = aState.mEpoch,
-                       .mCheckpoint = task->mProgress.Checkpoint(),
-                       .mTicket = ticket == advice.mTickets.end() ? std::string() : ticket->second,
-                       .mNumber = OrderNumber(aState.mEpoch),
-                       .mProcessStart = aWorker.mProcessStart })
-      .value());
+  Emit(aOut,
+       StartRun::Create({ .mWorker = aWorker.mRegistration.Id(),
+                          .mEndpoint = aWorker.mRegistration.Endpoint(),
+                          .mTask = aRun.mTask,
+                          .mRun = aRun.mRun,
+                          .mPayload = job->mJob.Definition().Payload(),
+                          .mLeaseUntil = lease,
+                          .mEpoch = aState.mEpoch,
+                          .mCheckpoint = task->mProgress.Checkpoint(),
+                          .mTicket = ticket == nullptr ? std::string() : ticket->mText,
+                          .mNumber = OrderNumber(aState.mEpoch),
+                          .mProcessStart = aWorker.mProcessStart })
+         .value());
 }
 
 void
--- a/tests/by_cell/AdviceTest.cpp
+++ b/tests/by_cell/AdviceTest.cpp
@@ -182,3 +182,45 @@
   cell.AdvanceTime(Time::FromMilliseconds(900));
   CHECK_EQUAL(1, cell.TakeQueries().size());
 }
+
+namespace {
+
+/// Replaces the process of a worker by one that has answered.
+void
+Restart(CellFixture& aCell, const std::string& aWorker)
+{
+  const auto& entry = aCell.mCell.mWorkers.at(aWorker).mRegistration;
+  const auto start = entry.ProcessStart() + Time::FromMilliseconds(5000);
+  aCell.ReadRegistry({ entry.WithProcessStart(start) });
+  aCell.Poll(aWorker, {}, {}, start);
+}
+
+} // namespace
+
+// A ticket is valid during one life of its worker. The next process got starts with tickets of the
+// earlier one and refused them, each at a price.
+TEST(Advice, TicketOfAnEarlierProcessIsNotUsed)
+{
+  AdvisedCell cell(1);
+  cell.SubmitUnstored("j", { CellFixture::Step(1) });
+  cell.Answer("j", { "w1" }, { "w1" });
+  cell.TakeQueries();
+  Restart(cell, "w1");
+  cell.AdvanceTime(kPause);
+  CHECK_EQUAL(0, cell.CountRuns("w1"));
+  cell.AdvanceTime(Time::FromMilliseconds(500));
+  CHECK_EQUAL(1, cell.TakeQueries().size());
+  cell.Answer("j", { "w1" }, { "w1" });
+  cell.AdvanceTime(kPause);
+  CHECK_EQUAL(1, cell.CountRuns("w1"));
+}
+
+TEST(Advice, TicketThatWasAskedForAnEarlierProcessIsNotUsed)
+{
+  AdvisedCell cell(1);
+  cell.SubmitUnstored("j", { CellFixture::Step(1) });
+  Restart(cell, "w1");
+  cell.Answer("j", { "w1" }, { "w1" });
+  cell.AdvanceTime(kPause);
+  CHECK_EQUAL(0, cell.CountRuns("w1"));
+}
