Start nothing on a process before its registry entry is read

What callers would see: LIMIT or ROUTE, starts beyond the capacity or without the label of a worker, after it has started again under its id as another kind.

Cause: a poll identifies a new process before the registry shows its entry. Until then the worker counted as reachable and as described by the entry of the earlier process, though a new incarnation may be of another kind.

Change: a worker is usable only while its entry belongs to its process. Its capacity is missing until the registry is read, also while the store is down.

Two cases of WorkersTest let a new process take starts after its answer alone, which contradicts this. They now read its entry first and expect the same as before.

--- a/modules/by_cell/detail/Suitability.cpp
+++ b/modules/by_cell/detail/Suitability.cpp
@@ -29,6 +29,11 @@
 bool
 IsUsable(const WorkerRow& aWorker, const std::string& aPool, Time aNow)
 {
+  const auto described = aWorker.mRegistration.ProcessStart();
+  if (described != Time() && described != aWorker.mProcessStart) {
+    // The entry describes an earlier process, and the current one may be of another kind.
+    return false;
+  }
   const bool isListed = aWorker.mRegistered || (aWorker.mDeregisteredAt > Time() &&
                                                 aNow < aWorker.mDeregisteredAt + kRegistryGrace);
   if (!isListed || aWorker.mRegistration.Draining() || aWorker.mEvacuating ||
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -128,6 +128,8 @@
   cell.Started("w1", CellFixture::Run("j", 0, 1), OrderOutcome::Accepted);
   cell.Poll("w1", {}, {}, Time::FromMilliseconds(7777));
   CHECK(cell.mCell.mWorkers.at("w1").mRuns.empty());
+  const auto& entry = cell.mCell.mWorkers.at("w1").mRegistration;
+  cell.ReadRegistry({ entry.WithProcessStart(Time::FromMilliseconds(7777)) });
   cell.PlayIdleWorkers(Time::FromMilliseconds(1500));
   const auto starts = cell.TakeStarts();
   CHECK_EQUAL(1, starts.size());
@@ -392,6 +394,8 @@
   cell.Advance();
   CHECK_EQUAL(1, cell.TakePolls().size());
   cell.Poll("w1", {}, {}, Time::FromMilliseconds(7777));
+  const auto& entry = cell.mCell.mWorkers.at("w1").mRegistration;
+  cell.ReadRegistry({ entry.WithProcessStart(Time::FromMilliseconds(7777)) });
   cell.PlayIdleWorkers(Time::FromMilliseconds(1500));
   const auto starts = cell.TakeStarts();
   CHECK_EQUAL(1, starts.size());
