Ignore what late answers of an earlier process say of its worker

What callers would see: TWICE, after a worker has started again under its id at another address.

Cause: the answer to a start or a stop is matched by its run alone. One that was for an earlier process and arrives after the next is known counted for that one: 421 from whoever answers at the former address retired the worker and ended the runs of its living process, refusals quarantined it, and missing answers counted as its silence.

Change: an answer to an order from before the worker's restart only says whether that run can have begun; stops already had this rule for their confirmation.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -81,6 +81,34 @@
   detail::Requeue(aState, aRun.mTask, aNow, aOut);
 }
 
+/// Handles the answer to a start for an earlier process of its worker. It says nothing of the
+/// current one, and the run is being stopped there unless the answer shows that it never began.
+void
+HandleLateStartAnswer(CellState& aState,
+                      WorkerRow& aWorker,
+                      const RunId& aRun,
+                      OrderOutcome aOutcome,
+                      Effects& aOut)
+{
+  auto& row = aWorker.mRuns.at(aRun);
+  const bool mayHaveBegun =
+    aOutcome == OrderOutcome::Accepted || aOutcome == OrderOutcome::Obsolete ||
+    aOutcome == OrderOutcome::LeaseExpired || aOutcome == OrderOutcome::Unanswered;
+  row.mStartUnanswered = row.mStartUnanswered || mayHaveBegun;
+  detail::Log(aOut,
+              "start.late_answer",
+              detail::FormatRunId(aRun),
+              absl::StrCat("worker=",
+                           aWorker.mRegistration.Id(),
+                           " outcome=",
+                           std::string(ToString(aOutcome)),
+                           " may_have_begun=",
+                           row.mStartUnanswered));
+  if (!row.mStartUnanswered) {
+    detail::RemoveRun(aState, aWorker, aRun);
+  }
+}
+
 } // namespace
 
 void
@@ -93,6 +121,10 @@
   }
   auto& worker = aState.mWorkers.at(aEvent.Worker());
   row->mStartInFlight = false;
+  if (row->mOrderedAt < worker.mIncarnationSince) {
+    HandleLateStartAnswer(aState, worker, run, aEvent.Outcome(), aOut);
+    return;
+  }
   switch (aEvent.Outcome()) {
     case OrderOutcome::Accepted:
       detail::ConfirmRun(aState, run, *row, aNow);
@@ -158,11 +190,12 @@
   }
   auto& worker = aState.mWorkers.at(aEvent.Worker());
   row->mStopInFlight = false;
-  if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
+  const bool isForProcess = row->mStopSentAt >= worker.mIncarnationSince;
+  if (aEvent.Outcome() == OrderOutcome::WrongWorker && isForProcess) {
     detail::RetireWorker(aState, worker, aNow, aOut);
     return;
   }
-  if (aEvent.Outcome() == OrderOutcome::Accepted && row->mStopSentAt >= worker.mIncarnationSince) {
+  if (aEvent.Outcome() == OrderOutcome::Accepted && isForProcess) {
     row->mStopConfirmedAt = aNow;
     row->mUnlistedSinceReport = 0;
     detail::SchedulePoll(aState, worker, aNow + aState.mSettings.MinPollInterval());
