Let answers decide which process of a worker lives, not the times they claim

What callers would see: a worker whose time of day was set back before it started again is never used, or used with the capacity, state and address of its earlier process; and TWICE, if the entry of an earlier process that claims a later start is read after the next one has answered.

Cause: of two entries the one with the later `born` was taken for the newer life, but `born` is the worker's time of day.

Change: an entry with an earlier start than the known process is kept in doubt and the worker is polled; while that is silent, every other poll goes to the address of the entry. The entry applies once its process has answered. An entry of the process before is ignored whatever start it claims. An answer from another worker at a doubtful address drops the entry, not the runs.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "by_cell/HandleRegistry.h"
 #include "by_cell/OrderNumber.h"
 #include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
@@ -76,13 +77,29 @@
   return aNow < aState.mConfirmedAt + aState.mSettings.AuthorityTimeout();
 }
 
+/// While a worker's process does not answer, every other poll goes to where an entry shows another
+/// one.
+bool
+IsOtherPolled(const WorkerRow& aWorker)
+{
+  return aWorker.mDoubtfulEntry &&
+         (aWorker.mRegistration.Endpoint().Port() == 0 || aWorker.mPollFailures % 2 == 1);
+}
+
+const Endpoint&
+PolledEndpoint(const WorkerRow& aWorker)
+{
+  return IsOtherPolled(aWorker) ? aWorker.mDoubtfulEntry->Endpoint()
+                                : aWorker.mRegistration.Endpoint();
+}
+
 void
 SendPoll(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
   const bool renews = aWorker.mHealth == WorkerHealth::Reachable && !aWorker.mRuns.empty() &&
                       MayRenewLeases(aState, aNow);
   PollWorker::Fields fields{ .mWorker = aWorker.mRegistration.Id(),
-                             .mEndpoint = aWorker.mRegistration.Endpoint(),
+                             .mEndpoint = PolledEndpoint(aWorker),
                              .mEpoch = aState.mEpoch,
                              .mAcknowledged = aWorker.mLastEndStored,
                              .mLeaseUntil = std::nullopt,
@@ -104,7 +121,7 @@
 bool
 CanBePolled(const WorkerRow& aWorker)
 {
-  return !aWorker.mPollInFlight && aWorker.mRegistration.Endpoint().Port() > 0;
+  return !aWorker.mPollInFlight && PolledEndpoint(aWorker).Port() > 0;
 }
 
 /// Resends the start and stop orders whose retry time has come.
@@ -167,8 +184,14 @@
     aState.mPollQueue.emplace(worker.mNextPoll, aEvent.Worker());
   }
   if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
-    detail::RetireWorker(aState, worker, aNow, aOut);
-    return;
+    if (IsOtherPolled(worker)) {
+      worker.mDoubtfulEntry.reset();
+    } else {
+      detail::RetireWorker(aState, worker, aNow, aOut);
+    }
+    if (worker.mHealth == WorkerHealth::LeaseExpired && !worker.mDoubtfulEntry) {
+      return;
+    }
   }
   if (aEvent.Outcome() != OrderOutcome::Accepted) {
     CountFailedPoll(aState, worker, aNow, aOut);
@@ -181,6 +204,7 @@
   if (report.ProcessStart() > Time()) {
     worker.mProcessStart = report.ProcessStart();
   }
+  ApplyDoubtfulEntry(aState, worker, aNow, aOut);
   const bool wasUnreachable = worker.mHealth != WorkerHealth::Reachable;
   MarkReachable(aState, worker, report, aOut);
   worker.mWorkerClock = report.WorkerClock();
@@ -231,7 +255,8 @@
       detail::EndAllRuns(aState, worker, RunEnd::LeaseExpired, aNow, aOut);
       detail::RecordIfReplaced(aState, worker, aNow, aOut);
     }
-    if (!worker.mRegistered && worker.mRuns.empty() && !worker.mPollInFlight) {
+    if (!worker.mRegistered && !worker.mDoubtfulEntry && worker.mRuns.empty() &&
+        !worker.mPollInFlight) {
       forgotten.push_back(id);
       continue;
     }
--- a/modules/by_cell/HandleRegistry.cpp
+++ b/modules/by_cell/HandleRegistry.cpp
@@ -15,20 +15,48 @@
 
 namespace {
 
+/// Keeps an entry that does not belong to the worker's process, unless it is left over from the
+/// process before.
+void
+KeepDoubtfulEntry(CellState& aState,
+                  WorkerRow& aWorker,
+                  const WorkerRegistration& aEntry,
+                  Time aNow,
+                  Effects& aOut)
+{
+  const bool isLeftOver = aEntry.ProcessStart() == aWorker.mFormerProcessStart;
+  detail::Log(aOut,
+              "worker.stale_entry",
+              aEntry.Id(),
+              absl::StrCat("born=",
+                           aEntry.ProcessStart().Milliseconds(),
+                           " known=",
+                           aWorker.mProcessStart.Milliseconds(),
+                           " decision=",
+                           isLeftOver ? "ignore" : "look"));
+  if (!isLeftOver) {
+    aWorker.mDoubtfulEntry = aEntry;
+    detail::SchedulePoll(aState, aWorker, aNow);
+  }
+}
+
+bool
+IsOfFormerProcess(const WorkerRow& aWorker, const WorkerRegistration& aEntry)
+{
+  const auto start = aEntry.ProcessStart();
+  return start > Time() && start != aWorker.mProcessStart &&
+         (start < aWorker.mProcessStart || start == aWorker.mFormerProcessStart);
+}
+
 void
 Register(CellState& aState, const WorkerRegistration& aEntry, Time aNow, Effects& aOut)
 {
   auto& worker = aState.mWorkers[aEntry.Id()];
-  if (aEntry.ProcessStart() > Time() && aEntry.ProcessStart() < worker.mProcessStart) {
-    detail::Log(aOut,
-                "worker.stale_entry",
-                aEntry.Id(),
-                absl::StrCat("born=",
-                             aEntry.ProcessStart().Milliseconds(),
-                             " known=",
-                             worker.mProcessStart.Milliseconds()));
+  if (IsOfFormerProcess(worker, aEntry)) {
+    KeepDoubtfulEntry(aState, worker, aEntry, aNow, aOut);
     return;
   }
+  worker.mDoubtfulEntry.reset();
   const bool isNew = !worker.mRegistered;
   const bool moved = worker.mRegistration.Endpoint() != aEntry.Endpoint();
   if (isNew) {
@@ -76,7 +104,11 @@
 Unregister(CellState& aState, const std::string& aId, Time aNow, Effects& aOut)
 {
   const auto it = aState.mWorkers.find(aId);
-  if (it == aState.mWorkers.end() || !it->second.mRegistered) {
+  if (it == aState.mWorkers.end()) {
+    return;
+  }
+  it->second.mDoubtfulEntry.reset();
+  if (!it->second.mRegistered) {
     return;
   }
   it->second.mRegistered = false;
@@ -90,6 +122,16 @@
 
 } // namespace
 
+void
+ApplyDoubtfulEntry(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut)
+{
+  if (aWorker.mDoubtfulEntry && aWorker.mDoubtfulEntry->ProcessStart() == aWorker.mProcessStart) {
+    const auto entry = *aWorker.mDoubtfulEntry;
+    Register(aState, entry, aNow, aOut);
+    aState.mCapacityMayHaveGrown = true;
+  }
+}
+
 void
 HandleWorkersChanged(CellState& aState, const WorkersChanged& aEvent, Time aNow, Effects& aOut)
 {
--- a/modules/by_cell/HandleRegistry.h
+++ b/modules/by_cell/HandleRegistry.h
@@ -10,4 +10,8 @@
 void
 HandleWorkersChanged(CellState& aState, const WorkersChanged& aEvent, Time aNow, Effects& aOut);
 
+/// Applies the entry that waits for its process to answer, if that is the one that has answered.
+void
+ApplyDoubtfulEntry(CellState& aState, WorkerRow& aWorker, Time aNow, Effects& aOut);
+
 } // namespace by
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -32,6 +32,11 @@
   bool mEvacuating{ false };
   /// When its process started, since 1970; zero while unknown.
   Time mProcessStart{};
+  /// The same of the process before; zero where none is known.
+  Time mFormerProcessStart{};
+  /// An entry whose process seems to have started before the known one: it is left over, or the
+  /// worker's time of day was set back. Its process counts once it has answered.
+  std::optional<WorkerRegistration> mDoubtfulEntry;
   /// The worker's clock in its last report, and when that report arrived.
   Time mWorkerClock{};
   Time mWorkerClockReadAt{};
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -87,6 +87,7 @@
   for (const auto& run : ended) {
     EndRun(aState, aWorker, run, RunEnd::LeaseExpired, "", aNow, aOut);
   }
+  aWorker.mFormerProcessStart = aWorker.mProcessStart;
   aWorker.mLateOrdersUntil = aNow + kLateOrderWindow;
   aWorker.mIncarnationSince = aNow;
   for (const auto& run : unconfirmed) {
@@ -127,6 +128,9 @@
   EndAllRuns(aState, aWorker, RunEnd::LeaseExpired, aNow, aOut);
   aWorker.mHealth = WorkerHealth::LeaseExpired;
   aWorker.mNextPoll = Time::Never();
+  if (aWorker.mDoubtfulEntry) {
+    SchedulePoll(aState, aWorker, aNow);
+  }
 }
 
 bool
--- a/tests/by_cell/IncarnationsTest.cpp
+++ b/tests/by_cell/IncarnationsTest.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// A process start later than that of the fixture's worker.
+/// Process starts later and earlier than that of the fixture's worker.
 constexpr Time kLater = Time::FromMilliseconds(7777);
+constexpr Time kEarlier = Time::FromMilliseconds(500);
 
 WorkerRegistration
 EntryOf(const CellFixture& aCell, Time aProcessStart)
@@ -15,10 +16,101 @@
   return aCell.mCell.mWorkers.at("w1").mRegistration.WithProcessStart(aProcessStart);
 }
 
+/// Fails a poll, and sends the next one.
+void
+PollFails(CellFixture& aCell, OrderOutcome aOutcome)
+{
+  HandlePolled(aCell.mCell,
+               WorkerPolled::Create({ .mWorker = "w1", .mOutcome = aOutcome }).value(),
+               aCell.mNow,
+               aCell.mOut);
+  aCell.AdvanceTime(Time::FromMilliseconds(200));
+}
+
 } // namespace
 
 TEST_GROUP(Incarnations){};
 
+// The registry's entry of a process whose time of day had been set back was ignored for good, and
+// with it that process' state, capacity and address.
+TEST(Incarnations, ProcessWhoseTimeOfDayWasSetBackIsUsedOnceItHasAnswered)
+{
+  CellFixture cell(1);
+  const auto small = Resources::Create({ .mCpuMillis = 1000, .mMemoryMb = 1024 }).value();
+  cell.TakePolls();
+  cell.ReadRegistry({ EntryOf(cell, kEarlier).WithCapacity(small) });
+  cell.Advance();
+  CHECK_EQUAL(1, cell.TakePolls().size());
+  cell.Poll("w1", {}, {}, kEarlier);
+  cell.Submit("j", { CellFixture::Step(2) });
+  const auto starts = cell.TakeStarts();
+  CHECK_EQUAL(1, starts.size());
+  CHECK(starts.front().ProcessStart() == kEarlier);
+}
+
+TEST(Incarnations, ProcessWhoseTimeOfDayWasSetBackIsFoundAtAnotherAddress)
+{
+  CellFixture cell(1);
+  const auto endpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9100 }).value();
+  cell.ReadRegistry({ EntryOf(cell, kEarlier).WithEndpoint(endpoint) });
+  cell.Advance();
+  cell.TakePolls();
+  PollFails(cell, OrderOutcome::Unanswered);
+  const auto polls = cell.TakePolls();
+  CHECK_EQUAL(1, polls.size());
+  CHECK(polls.front().Endpoint() == endpoint);
+  cell.Poll("w1", {}, {}, kEarlier);
+  cell.Submit("j", { CellFixture::Step(1) });
+  CHECK(cell.TakeStarts().front().Endpoint() == endpoint);
+}
+
+TEST(Incarnations, ProcessWhoseTimeOfDayWasSetBackIsFoundWhereAnotherWorkerAnswers)
+{
+  CellFixture cell(1);
+  const auto endpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9100 }).value();
+  cell.ReadRegistry({ EntryOf(cell, kEarlier).WithEndpoint(endpoint) });
+  cell.Advance();
+  cell.TakePolls();
+  PollFails(cell, OrderOutcome::WrongWorker);
+  const auto polls = cell.TakePolls();
+  CHECK_EQUAL(1, polls.size());
+  CHECK(polls.front().Endpoint() == endpoint);
+}
+
+// An entry that is left over may show an address that another worker has taken.
+TEST(Incarnations, AnswerAtTheAddressOfADoubtfulEntryDoesNotRetireTheWorker)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto run = CellFixture::Run("j", 0, 1);
+  cell.Started("w1", run, OrderOutcome::Accepted);
+  const auto endpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9100 }).value();
+  cell.ReadRegistry({ EntryOf(cell, kEarlier).WithEndpoint(endpoint) });
+  PollFails(cell, OrderOutcome::Unanswered);
+  PollFails(cell, OrderOutcome::WrongWorker);
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
+  cell.Poll("w1", { CellFixture::Running(run) }, {});
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
+}
+
+// The entry of a former process whose time of day had been ahead was taken for a new process, and
+// the runs of the living one were ended while they ran.
+TEST(Incarnations, LeftOverEntryOfAProcessThatSeemsYoungerEndsNoRuns)
+{
+  CellFixture cell(1);
+  cell.ReadRegistry({ EntryOf(cell, kLater) });
+  cell.Poll("w1", {}, {}, kLater);
+  const auto left = EntryOf(cell, kLater);
+  cell.ReadRegistry({ EntryOf(cell, kEarlier) });
+  cell.Poll("w1", {}, {}, kEarlier);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto run = CellFixture::Run("j", 0, 1);
+  cell.Started("w1", run, OrderOutcome::Accepted);
+  cell.ReadRegistry({ left.WithDraining(true) });
+  CHECK(cell.mCell.mWorkers.at("w1").mProcessStart == kEarlier);
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
+}
+
 // The late answer to an order for the earlier process, from where another worker answers by then,
 // ended the runs of the current process while they ran.
 TEST(Incarnations, LateAnswersToOrdersForAnEarlierProcessDoNotRetireTheNext)
