Take the latest recorded process of a worker for the current one

What callers would see: after a change of owner, tasks that run on a restarted worker count as part of a crash that happened before they began, and one crash counts twice against the others.

Cause: the records of runs on one worker may name two of its processes, since a run of the earlier one stays recorded until its stop is confirmed. The successor took the process of whichever record came first for the worker's, and the entry of the current one for a restart.

Change: the latest recorded start counts. If that is wrong, since the worker's time of day was set back, the worker's answer corrects it.

The new case of IncarnationsTest fails without the change (`worker.crashed`) and passes with it.

--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -69,8 +69,9 @@
   auto& worker = aState.mWorkers[id];
   if (worker.mRegistration.Id().empty()) {
     worker.mRegistration = worker.mRegistration.WithId(id);
-    worker.mProcessStart = aProgress.WorkerProcessStart();
   }
+  // The records may name earlier processes too; the worker's report shows that their runs ended.
+  worker.mProcessStart = std::max(worker.mProcessStart, aProgress.WorkerProcessStart());
   auto row = detail::MakeRunRow(detail::StepOf(aJob, aTask.Step()), RunPhase::Inherited, aNow);
   // A waiting task whose record names a worker was requeued; its run there still has to be stopped.
   row.mStopRequested = aProgress.Phase() == JobTaskPhase::Waiting;
--- a/tests/by_cell/IncarnationsTest.cpp
+++ b/tests/by_cell/IncarnationsTest.cpp
@@ -1,4 +1,5 @@
 #include "by_cell/CellFixture.h"
+#include "by_cell/TakeAll.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -169,3 +170,26 @@
   cell.StoreAll();
   CHECK_EQUAL(1, cell.TakeStarts().size());
 }
+
+// The records named two processes of a worker. The successor took the first for the current one and
+// counted the change that its predecessor had seen as another crash, also of runs begun since.
+TEST(Incarnations, SuccessorTakesTheLatestRecordedProcessForTheCurrentOne)
+{
+  CellFixture cell(1);
+  cell.Submit("a", { CellFixture::Step(1) });
+  cell.ReadRegistry({ EntryOf(cell, kLater) });
+  cell.Poll("w1", {}, {}, kLater);
+  cell.Submit("b", { CellFixture::Step(1) });
+  const auto run = CellFixture::Run("b", 0, 1);
+  cell.Started("w1", run, OrderOutcome::Accepted);
+  cell.StoreAll();
+  auto next = cell.Successor();
+  next.Poll("w1", { CellFixture::Running(run) }, {}, kLater);
+  next.StoreAll();
+  for (const auto& line : TakeAll<LogLine>(next.mOut)) {
+    CHECK(line.Event() != "worker.crashed");
+  }
+  const auto& runs = next.mCell.mWorkers.at("w1").mRuns;
+  CHECK(runs.contains(run));
+  CHECK(!runs.contains(CellFixture::Run("a", 0, 1)));
+}
