--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -67,10 +67,9 @@
   const bool mayRunLate = aWorker.mRuns.at(aRun).mStartUnanswered;
   if (aOutcome == OrderOutcome::NoTicket) {
     if (auto* job = detail::FindJob(aState, aRun.mTask.Job())) {
-      auto& advice =
-        job->mOccurrences.at(aRun.mTask.Occurrence()).mSteps[aRun.mTask.Step()].mAdvice;
-      advice.mTickets.erase(aWorker.mRegistration.Id());
-      advice.mValidUntil.erase(aWorker.mRegistration.Id());
+      job->mOccurrences.at(aRun.mTask.Occurrence())
+        .mSteps[aRun.mTask.Step()]
+        .mAdvice.mTickets.erase(aWorker.mRegistration.Id());
     }
   }
   if (aOutcome == OrderOutcome::Unhealthy || aOutcome == OrderOutcome::NoCapacity) {
@@ -82,6 +81,34 @@
   detail::Requeue(aState, aRun.mTask, aNow, aOut);
 }
 
+/// Handles the answer to a start for an earlier process of its worker. It says nothing of the
+/// current one, and the run is being stopped there unless the answer shows that it never began.
+void
+HandleLateStartAnswer(CellState& aState,
+                      WorkerRow& aWorker,
+                      const RunId& aRun,
+                      OrderOutcome aOutcome,
+                      Effects& aOut)
+{
+  auto& row = aWorker.mRuns.at(aRun);
+  const bool mayHaveBegun =
+    aOutcome == OrderOutcome::Accepted || aOutcome == OrderOutcome::Obsolete ||
+    aOutcome == OrderOutcome::LeaseExpired || aOutcome == OrderOutcome::Unanswered;
+  row.mStartUnanswered = row.mStartUnanswered || mayHaveBegun;
+  detail::Log(aOut,
+              "start.late_answer",
+              detail::FormatRunId(aRun),
+              absl::StrCat("worker=",
+                           aWorker.mRegistration.Id(),
+                           " outcome=",
+                           std::string(ToString(aOutcome)),
+                           " may_have_begun=",
+                           row.mStartUnanswered));
+  if (!row.mStartUnanswered) {
+    detail::RemoveRun(aState, aWorker, aRun);
+  }
+}
+
 } // namespace
 
 void
@@ -94,6 +121,10 @@
   }
   auto& worker = aState.mWorkers.at(aEvent.Worker());
   row->mStartInFlight = false;
+  if (row->mOrderedAt < worker.mIncarnationSince) {
+    HandleLateStartAnswer(aState, worker, run, aEvent.Outcome(), aOut);
+    return;
+  }
   switch (aEvent.Outcome()) {
     case OrderOutcome::Accepted:
       detail::ConfirmRun(aState, run, *row, aNow);
@@ -133,11 +164,7 @@
       detail::SchedulePoll(aState, worker, aNow);
       return;
     case OrderOutcome::WrongWorker:
-      if (row->mOrderedAt < worker.mIncarnationSince) {
-        HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
-      } else {
-        detail::RetireWorker(aState, worker, aNow, aOut);
-      }
+      detail::RetireWorker(aState, worker, aNow, aOut);
       return;
     case OrderOutcome::OtherProcess:
       // No order can be sent before the new process is known. A poll of the earlier one may stay
@@ -167,14 +194,12 @@
   }
   auto& worker = aState.mWorkers.at(aEvent.Worker());
   row->mStopInFlight = false;
-  // An order to an earlier incarnation says nothing of the current one, which may be at another
-  // address.
-  const bool isOutdated = row->mStopSentAt < worker.mIncarnationSince;
-  if (aEvent.Outcome() == OrderOutcome::WrongWorker && !isOutdated) {
+  const bool isForProcess = row->mStopSentAt >= worker.mIncarnationSince;
+  if (aEvent.Outcome() == OrderOutcome::WrongWorker && isForProcess) {
     detail::RetireWorker(aState, worker, aNow, aOut);
     return;
   }
-  if (aEvent.Outcome() == OrderOutcome::Accepted && !isOutdated) {
+  if (aEvent.Outcome() == OrderOutcome::Accepted && isForProcess) {
     row->mStopConfirmedAt = aNow;
     row->mUnlistedSinceReport = 0;
     detail::SchedulePoll(aState, worker, aNow + aState.mSettings.MinPollInterval());
