Let a run whose end nobody saw use up a start of a task that crashes its workers

A run on probation whose lease expires while its worker is out of reach is now remembered and stored as a lapse, in the batch that ends the run and before it. A lapse has no weight and causes no trial; once four crashes on probation are known, with any weight, it uses up one of the starts that are left. The bound for healthy tasks stays at four known crashes and a weight. It is a new kind of record, since a changed one could not be read by nodes of the version before.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -76,6 +76,8 @@
   absl::btree_set<JobTaskKey> mNewProgress;
   /// Tasks under which a worker has crashed since then.
   absl::btree_set<JobTaskKey> mNewCrashes;
+  /// Tasks with a run that may have crashed its worker unseen, or that was cleared of it.
+  absl::btree_set<JobTaskKey> mNewLapses;
   std::vector<std::string> mNewOutcomes;
   std::vector<std::string> mDeletedKeys;
   /// The batch that collects starts and ends for the next append.
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -10,6 +10,7 @@
 #include "by_cell/detail/Incarnations.h"
 #include "by_cell/detail/PollTimes.h"
 #include "by_cell/detail/Runs.h"
+#include "by_cell/detail/SuspectedTasks.h"
 #include "by_cell/detail/Tables.h"
 #include "by_cell/detail/WorkerReports.h"
 #include "by_cell/detail/WorkerStatistics.h"
@@ -214,6 +215,7 @@
 UpdateWorkers(CellState& aState, Time aNow, Effects& aOut)
 {
   std::vector<std::string> forgotten;
+  std::vector<JobTaskKey> lapsed;
   for (auto& [id, worker] : aState.mWorkers) {
     if (!worker.mRuns.empty() && IsAbsent(aState, worker, aNow)) {
       detail::StopRenewingLease(aState, worker, aOut);
@@ -224,6 +226,10 @@
       worker.mLostRuns = detail::ActiveRuns(aState, worker);
       for (auto& run : worker.mLostRuns) {
         run.mFacts.mMayHaveEnded = true;
+        if (detail::MayHaveCrashedUnseen(worker, run)) {
+          detail::AddLapse(aState, run.mRun);
+          lapsed.push_back(run.mRun.mTask);
+        }
       }
       if (!worker.mLostRuns.empty()) {
         aState.mLostWorkers.insert(id);
@@ -243,6 +249,9 @@
     }
     ResendOrders(aState, worker, aNow, aOut);
   }
+  for (const auto& task : lapsed) {
+    detail::GiveUpIfHopeless(aState, task, aNow, aOut);
+  }
   for (const auto& id : forgotten) {
     const auto& worker = aState.mWorkers.at(id);
     const auto delay = worker.mLostRuns.empty() ? kForgetDelay : kLostForgetDelay;
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -261,8 +261,9 @@
 HasUnstored(const CellState& aState)
 {
   return aState.mInFlight.has_value() || !aState.mNewJobs.empty() || !aState.mNewProgress.empty() ||
-         !aState.mNewCrashes.empty() || !aState.mNewOutcomes.empty() ||
-         !aState.mDeletedKeys.empty() || !aState.mNewMaintenance.empty();
+         !aState.mNewCrashes.empty() || !aState.mNewLapses.empty() ||
+         !aState.mNewOutcomes.empty() || !aState.mDeletedKeys.empty() ||
+         !aState.mNewMaintenance.empty();
 }
 
 void
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -28,6 +28,7 @@
   std::vector<const OccurrenceProgress*> mOccurrences;
   std::vector<const TaskRecord*> mTasks;
   std::vector<const TaskCrashes*> mCrashes;
+  std::vector<const TaskLapses*> mLapses;
   std::vector<const JobOutcome*> mOutcomes;
   std::vector<const MaintenanceRecord*> mMaintenance;
 };
@@ -47,6 +48,8 @@
       sorted.mTasks.push_back(task);
     } else if (const auto* crashes = std::get_if<TaskCrashes>(&body)) {
       sorted.mCrashes.push_back(crashes);
+    } else if (const auto* lapses = std::get_if<TaskLapses>(&body)) {
+      sorted.mLapses.push_back(lapses);
     } else if (const auto* occurrence = std::get_if<OccurrenceProgress>(&body)) {
       sorted.mOccurrences.push_back(occurrence);
     } else if (const auto* outcome = std::get_if<JobOutcome>(&body)) {
@@ -135,7 +138,7 @@
   }
   auto& task = occurrence->mTasks[aRecord.Index()];
   task.mCrashesRecorded = true;
-  task.mCrashes = { .mRuns = {}, .mLastCrash = aRecord.LastCrash() };
+  task.mCrashes = { .mRuns = {}, .mLapsed = {}, .mLastCrash = aRecord.LastCrash() };
   for (const auto run : aRecord.Runs()) {
     task.mCrashes.mRuns.push_back({ .mRun = run, .mAge = kUnknownAge, .mIsSuspect = true });
   }
@@ -150,6 +153,20 @@
   }
 }
 
+void
+RestoreLapses(CellState& aState, const TaskLapses& aRecord)
+{
+  auto* occurrence = RecordedOccurrence(aState, aRecord.Job(), aRecord.Occurrence());
+  if (occurrence == nullptr || aRecord.Index() >= occurrence->mTasks.size()) {
+    return;
+  }
+  auto& task = occurrence->mTasks[aRecord.Index()];
+  task.mLapsesRecorded = true;
+  for (const auto run : aRecord.Runs()) {
+    task.mCrashes = WithLapse(std::move(task.mCrashes), run);
+  }
+}
+
 /// Deletes the records of jobs that have ended. An owner that is lost between two appends of one
 /// batch leaves them beside the outcome; once the outcome is no longer kept they would bring the
 /// job back.
@@ -238,6 +255,9 @@
   for (const auto* crashes : sorted.mCrashes) {
     RestoreCrashes(state, *crashes);
   }
+  for (const auto* lapses : sorted.mLapses) {
+    RestoreLapses(state, *lapses);
+  }
   std::vector<std::string> complete;
   for (auto& [id, job] : state.mJobs) {
     for (auto& [index, occurrence] : job.mOccurrences) {
--- a/modules/by_cell/TaskRow.h
+++ b/modules/by_cell/TaskRow.h
@@ -21,6 +21,9 @@
   CrashHistory mCrashes;
   /// Whether the store holds a record of them, or may hold one.
   bool mCrashesRecorded{ false };
+  /// Whether the store holds a record of the runs that may have crashed their worker unseen, or may
+  /// hold one.
+  bool mLapsesRecorded{ false };
   /// Whether the task waits until it is known what its last crash says about it.
   bool mIsCrashOpen{ false };
 
--- a/modules/by_cell/detail/AppendSize.cpp
+++ b/modules/by_cell/detail/AppendSize.cpp
@@ -52,6 +52,8 @@
     size += task->Job().size() + SizeOf(task->Progress());
   } else if (const auto* crashes = std::get_if<TaskCrashes>(&body)) {
     size += kTaskOverhead + crashes->Job().size() + crashes->Runs().size() * sizeof(std::uint32_t);
+  } else if (const auto* lapses = std::get_if<TaskLapses>(&body)) {
+    size += kTaskOverhead + lapses->Job().size() + lapses->Runs().size() * sizeof(std::uint32_t);
   }
   return size;
 }
--- a/modules/by_cell/detail/ChangedRecords.cpp
+++ b/modules/by_cell/detail/ChangedRecords.cpp
@@ -100,6 +100,26 @@
   aState.mNewCrashes.clear();
 }
 
+void
+AddLapseRecords(CellState& aState, AppendBatch& aBatch)
+{
+  for (const auto& key : aState.mNewLapses) {
+    const auto* occurrence = FindOccurrence(aState, key.Job(), key.Occurrence());
+    if (occurrence == nullptr) {
+      continue;
+    }
+    const auto index = occurrence->mSteps[key.Step()].mFirst + key.Index();
+    auto record = TaskLapses::Create({ .mJob = key.Job(),
+                                       .mOccurrence = key.Occurrence(),
+                                       .mIndex = index,
+                                       .mRuns = occurrence->mTasks[index].mCrashes.mLapsed })
+                    .value();
+    aBatch.mRecords.push_back(MakeKeyedRecord(LapseRecordKey(key.Job(), key.Occurrence(), index),
+                                              MakeCellRecord(std::move(record))));
+  }
+  aState.mNewLapses.clear();
+}
+
 void
 AddOutcomeRecords(CellState& aState, AppendBatch& aBatch)
 {
@@ -139,8 +159,10 @@
 AddChangedRecords(CellState& aState, AppendBatch& aBatch)
 {
   AddJobRecords(aState, aBatch);
-  AddProgressRecords(aState, aBatch);
+  // A batch may be split, and the end of a run must not be known without what it says of the task.
+  AddLapseRecords(aState, aBatch);
   AddCrashRecords(aState, aBatch);
+  AddProgressRecords(aState, aBatch);
   AddOutcomeRecords(aState, aBatch);
   AddMaintenanceRecords(aState, aBatch);
 }
--- a/modules/by_cell/detail/Crashes.cpp
+++ b/modules/by_cell/detail/Crashes.cpp
@@ -154,6 +154,13 @@
   return runs;
 }
 
+bool
+MayHaveCrashedUnseen(const WorkerRow& aWorker, const LostRun& aRun)
+{
+  return !aWorker.mRegistration.Draining() && !aWorker.mEvacuating &&
+         aRun.mFacts.mSurvived < aRun.mFacts.mProbation;
+}
+
 void
 RecordCrash(CellState& aState, WorkerRow& aWorker, const char* aReason, Time aNow, Effects& aOut)
 {
--- a/modules/by_cell/detail/Crashes.h
+++ b/modules/by_cell/detail/Crashes.h
@@ -11,6 +11,10 @@
 std::vector<LostRun>
 ActiveRuns(CellState& aState, const WorkerRow& aWorker);
 
+/// @returns whether a run whose lease has expired may have crashed its worker.
+bool
+MayHaveCrashedUnseen(const WorkerRow& aWorker, const LostRun& aRun);
+
 /// Handles the end of a worker's process that was not announced. A process that drained or was
 /// evacuated has not crashed.
 /// @param aReason what shows that the process has ended.
--- a/modules/by_cell/detail/JobOfRecord.cpp
+++ b/modules/by_cell/detail/JobOfRecord.cpp
@@ -20,6 +20,9 @@
   if (const auto* crashes = std::get_if<TaskCrashes>(&body)) {
     return &crashes->Job();
   }
+  if (const auto* lapses = std::get_if<TaskLapses>(&body)) {
+    return &lapses->Job();
+  }
   const auto* task = std::get_if<TaskRecord>(&body);
   return task == nullptr ? nullptr : &task->Job();
 }
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -102,6 +102,7 @@
 {
   RemoveTasksOf(aJob, aState.mNewProgress);
   RemoveTasksOf(aJob, aState.mNewCrashes);
+  RemoveTasksOf(aJob, aState.mNewLapses);
 }
 
 /// Drops the records of a job that the store holds or may hold.
@@ -122,6 +123,9 @@
       if (occurrence.mTasks[i].mCrashesRecorded) {
         keys.push_back(CrashRecordKey(id, index, i));
       }
+      if (occurrence.mTasks[i].mLapsesRecorded) {
+        keys.push_back(LapseRecordKey(id, index, i));
+      }
     }
   }
 }
--- a/modules/by_cell/detail/SuspectedTasks.cpp
+++ b/modules/by_cell/detail/SuspectedTasks.cpp
@@ -55,6 +55,18 @@
   return aHistory.mRuns.size() > kEarlierCrashes ? aRun.mSilentAfter * 2 : Time();
 }
 
+/// Replaces the history of a task, and marks the runs that may have crashed their worker unseen to
+/// be stored where they differ.
+void
+ChangeHistory(CellState& aState, const JobTaskKey& aTask, TaskRow& aRow, CrashHistory aHistory)
+{
+  if (aHistory.mLapsed != aRow.mCrashes.mLapsed) {
+    aRow.mLapsesRecorded = true;
+    aState.mNewLapses.insert(aTask);
+  }
+  aRow.mCrashes = std::move(aHistory);
+}
+
 } // namespace
 
 void
@@ -86,7 +98,7 @@
     aNow);
   aRun.mIsNew = history != task->mCrashes;
   if (aRun.mIsNew) {
-    task->mCrashes = std::move(history);
+    ChangeHistory(aState, aRun.mRun.mTask, *task, std::move(history));
     task->mIsCrashOpen = true;
     if (aRun.mExposure > Time()) {
       MarkCrashesChanged(aState, aRun.mRun.mTask, *task);
@@ -94,6 +106,24 @@
   }
 }
 
+void
+AddLapse(CellState& aState, const RunId& aRun)
+{
+  auto* task = FindTask(aState, aRun.mTask);
+  if (task != nullptr && task->mProgress.Phase() != JobTaskPhase::Done) {
+    ChangeHistory(aState, aRun.mTask, *task, WithLapse(task->mCrashes, aRun.mRun));
+  }
+}
+
+void
+DropLapse(CellState& aState, const RunId& aRun)
+{
+  auto* task = FindTask(aState, aRun.mTask);
+  if (task != nullptr && !task->mCrashes.mLapsed.empty()) {
+    ChangeHistory(aState, aRun.mTask, *task, WithoutLapse(task->mCrashes, aRun.mRun));
+  }
+}
+
 void
 Weigh(CellState& aState, const WorkerCrash& aCrash, Effects& aOut)
 {
@@ -125,13 +155,13 @@
              Effects& aOut)
 {
   auto* task = FindTask(aState, aRun.mTask);
-  if (task == nullptr || task->mCrashes.mRuns.empty()) {
+  if (task == nullptr || (task->mCrashes.mRuns.empty() && task->mCrashes.mLapsed.empty())) {
     return;
   }
   const auto before = task->mCrashes.mRuns.size();
   // It had begun when its start was confirmed, and went on when the worker was polled.
   const auto age = std::max(Time(), aWorker.mPollSentAt - aRow.mPhaseSince);
-  task->mCrashes = WithSurvival(std::move(task->mCrashes), age);
+  ChangeHistory(aState, aRun.mTask, *task, WithSurvival(task->mCrashes, age));
   if (task->mCrashes.mRuns.size() == before) {
     return;
   }
@@ -154,7 +184,7 @@
 GiveUpIfHopeless(CellState& aState, const JobTaskKey& aTask, Time aNow, Effects& aOut)
 {
   const auto* task = FindTask(aState, aTask);
-  if (task == nullptr || !IsHopeless(task->mCrashes)) {
+  if (task == nullptr || task->mIsCrashOpen || !IsHopeless(task->mCrashes)) {
     return;
   }
   Log(aOut,
@@ -163,7 +193,9 @@
       absl::StrCat("reason=crashes its workers crashes=",
                    task->mCrashes.mRuns.size(),
                    " blame=",
-                   BlameOf(task->mCrashes)));
+                   BlameOf(task->mCrashes),
+                   " lapses=",
+                   task->mCrashes.mLapsed.size()));
   EndJob(aState, aTask.Job(), JobState::Failed, aNow, aOut);
 }
 
--- a/modules/by_cell/detail/SuspectedTasks.h
+++ b/modules/by_cell/detail/SuspectedTasks.h
@@ -17,6 +17,14 @@
 void
 AddToHistory(CellState& aState, RunInCrash& aRun, Time aNow);
 
+/// Remembers that a run may have crashed its worker unseen, where that still matters.
+void
+AddLapse(CellState& aState, const RunId& aRun);
+
+/// Forgets it for a run whose worker reports its end.
+void
+DropLapse(CellState& aState, const RunId& aRun);
+
 /// Weighs a crash as evidence against the tasks that ran on the worker, by what the other workers
 /// of its pool did.
 void
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -50,6 +50,7 @@
       continue;
     }
     aWorker.mLastEndSeen = std::max(aWorker.mLastEndSeen, end.Number());
+    DropLapse(aState, { end.Task(), end.Run() });
     EndRun(aState, aWorker, { end.Task(), end.Run() }, end.End(), end.Checkpoint(), aNow, aOut);
   }
   if (aWorker.mLastEndSeen == before) {
--- a/modules/by_crashes/CrashHistories.cpp
+++ b/modules/by_crashes/CrashHistories.cpp
@@ -19,6 +19,8 @@
 /// Workers crash for other reasons too, so that a service loses a few over its lifetime.
 constexpr Time kMemory = Time::FromSeconds(3600);
 constexpr std::size_t kMaxRuns = 8;
+/// Most crashes come at a younger age than this; that of a run that nobody saw end is not known.
+constexpr Time kUnseenAge = Time::FromMilliseconds(750);
 
 /// Two crashes without another explanation.
 constexpr std::uint32_t kHopelessBlame = 8;
@@ -58,18 +60,25 @@
 }
 
 /// @returns whether the task has used up the starts that it has after its third crash, also for
-/// runs that ended without one.
+/// runs that ended without one. Runs that may have crashed a worker unseen use up starts too.
 bool
 HasUsedItsStarts(const CrashHistory& aHistory)
 {
-  std::size_t n = 0;
-  std::uint32_t last = 0;
+  if (CountSuspectedRuns(aHistory) <= kKnownCrashes) {
+    return false;
+  }
+  auto runs = aHistory.mLapsed;
+  auto newest = aHistory.mRuns.back().mRun;
+  for (const auto run : aHistory.mLapsed) {
+    newest = std::max(newest, run);
+  }
   for (const auto& run : aHistory.mRuns) {
-    if (run.mIsSuspect && ++n == kKnownCrashes) {
-      last = run.mRun + kStartsAfterCrashes;
+    if (run.mIsSuspect) {
+      runs.push_back(run.mRun);
     }
   }
-  return n > kKnownCrashes && aHistory.mRuns.back().mRun >= last;
+  std::sort(runs.begin(), runs.end());
+  return newest >= runs[kKnownCrashes - 1] + kStartsAfterCrashes;
 }
 
 } // namespace
@@ -90,6 +99,7 @@
   if (HasRun(aHistory, aRun.mRun)) {
     return aHistory;
   }
+  std::erase(aHistory.mLapsed, aRun.mRun);
   if (aNow > aHistory.mLastCrash + kMemory) {
     aHistory.mRuns.clear();
   }
@@ -104,6 +114,27 @@
   return aHistory;
 }
 
+CrashHistory
+WithLapse(CrashHistory aHistory, std::uint32_t aRun)
+{
+  auto& lapsed = aHistory.mLapsed;
+  if (HasRun(aHistory, aRun) || std::find(lapsed.begin(), lapsed.end(), aRun) != lapsed.end()) {
+    return aHistory;
+  }
+  lapsed.push_back(aRun);
+  if (lapsed.size() > kMaxRuns) {
+    lapsed.erase(lapsed.begin());
+  }
+  return aHistory;
+}
+
+CrashHistory
+WithoutLapse(CrashHistory aHistory, std::uint32_t aRun)
+{
+  std::erase(aHistory.mLapsed, aRun);
+  return aHistory;
+}
+
 CrashHistory
 WithBlame(CrashHistory aHistory, std::uint32_t aRun, std::uint32_t aBlame)
 {
@@ -120,6 +151,9 @@
 {
   std::erase_if(aHistory.mRuns,
                 [&](const CrashedRun& aRun) { return aAge >= ClearingAge(aRun.mAge); });
+  if (aAge >= ClearingAge(kUnseenAge)) {
+    aHistory.mLapsed.clear();
+  }
   return aHistory;
 }
 
--- a/modules/by_crashes/CrashHistories.h
+++ b/modules/by_crashes/CrashHistories.h
@@ -17,6 +17,15 @@
 CrashHistory
 WithCrash(CrashHistory aHistory, const CrashedRun& aRun, Time aNow);
 
+/// @returns the history with one more run that may have crashed its worker unseen, or unchanged
+/// where it has the run already.
+CrashHistory
+WithLapse(CrashHistory aHistory, std::uint32_t aRun);
+
+/// @returns the history without a run that turned out not to have crashed its worker.
+CrashHistory
+WithoutLapse(CrashHistory aHistory, std::uint32_t aRun);
+
 /// @returns the history with another weight for the crash of a run, if it has it.
 CrashHistory
 WithBlame(CrashHistory aHistory, std::uint32_t aRun, std::uint32_t aBlame);
--- a/modules/by_jobs/RecordKeys.cpp
+++ b/modules/by_jobs/RecordKeys.cpp
@@ -22,6 +22,12 @@
   return absl::StrCat("crash/", aJob, "/", aOccurrence, "/", aIndex);
 }
 
+std::string
+LapseRecordKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aIndex)
+{
+  return absl::StrCat("lapse/", aJob, "/", aOccurrence, "/", aIndex);
+}
+
 std::string
 ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence)
 {
--- a/modules/by_jobs/RecordKeys.h
+++ b/modules/by_jobs/RecordKeys.h
@@ -19,6 +19,11 @@
 std::string
 CrashRecordKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aIndex);
 
+/// @param aIndex the index of the task among the occurrence's tasks.
+/// @returns the key of the record of the runs that may have crashed their worker unseen.
+std::string
+LapseRecordKey(const std::string& aJob, std::uint32_t aOccurrence, std::uint32_t aIndex);
+
 /// @returns the key of the record of an occurrence's progress, which earlier versions wrote.
 std::string
 ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence);
--- a/modules/by_schema/CellRecord.h
+++ b/modules/by_schema/CellRecord.h
@@ -14,6 +14,7 @@
 #include "by_schema/MaintenanceRecord.h"
 #include "by_schema/OccurrenceProgress.h"
 #include "by_schema/TaskCrashes.h"
+#include "by_schema/TaskLapses.h"
 #include "by_schema/TaskRecord.h"
 
 namespace by {
@@ -26,7 +27,13 @@
   struct Fields
   {
     /// The record.
-    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord, TaskCrashes>
+    std::variant<Job,
+                 OccurrenceProgress,
+                 JobOutcome,
+                 MaintenanceRecord,
+                 TaskRecord,
+                 TaskCrashes,
+                 TaskLapses>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -47,16 +54,25 @@
   Fields ToFields() const { return mFields; }
 
   /// The record.
-  const std::
-    variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord, TaskCrashes>&
-    Body() const
+  const std::variant<Job,
+                     OccurrenceProgress,
+                     JobOutcome,
+                     MaintenanceRecord,
+                     TaskRecord,
+                     TaskCrashes,
+                     TaskLapses>&
+  Body() const
   {
     return mFields.mBody;
   }
   /// @returns a copy of this value with another Body.
-  [[nodiscard]] CellRecord WithBody(
-    std::variant<Job, OccurrenceProgress, JobOutcome, MaintenanceRecord, TaskRecord, TaskCrashes>
-      aValue) const
+  [[nodiscard]] CellRecord WithBody(std::variant<Job,
+                                                 OccurrenceProgress,
+                                                 JobOutcome,
+                                                 MaintenanceRecord,
+                                                 TaskRecord,
+                                                 TaskCrashes,
+                                                 TaskLapses> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -256,6 +256,7 @@
 #include "by_schema/TaskAssignments.h"
 #include "by_schema/TaskCommand.h"
 #include "by_schema/TaskCrashes.h"
+#include "by_schema/TaskLapses.h"
 #include "by_schema/TaskProgress.h"
 #include "by_schema/TaskRecord.h"
 #include "by_schema/TaskReport.h"
--- a/tests/by_cell/CrashTest.cpp
+++ b/tests/by_cell/CrashTest.cpp
@@ -289,6 +289,44 @@
   }
 }
 
+/// One of the crashes is unknown to the owner: it took over after the crash, and the worker came
+/// back under another name. Workers that crash at the same time keep the evidence weak, so that the
+/// task is given up for the number of its crashes alone.
+TEST(Crash, CrashThatNoOwnerHasSeenCountsForTheStartsThatAreLeft)
+{
+  constexpr int kWorkers = 24;
+  constexpr std::uint32_t kCrashes = 5;
+  for (int unseen = 2; unseen <= 5; ++unseen) {
+    WorkerPlay play(kWorkers);
+    play.mIsRenamed = true;
+    play.mDurations["service"] = kLong * 10;
+    play.LetCrash(Task("bad"), kSoon);
+    play.Submit("service", { Service(kWorkers) });
+    play.Play(Time::FromSeconds(2));
+    play.Submit("bad", { CellFixture::Step(1) });
+    int starts = 0;
+    for (auto waited = Time(); waited < kLong * 2; waited = waited + kSoon) {
+      play.Play(kSoon);
+      if (play.Starts(Task("bad")) == starts) {
+        continue;
+      }
+      starts = play.Starts(Task("bad"));
+      play.Play(kSoon);
+      if (starts == unseen) {
+        play.TakeOverFromWorkersThatAreUp();
+      } else if (starts > 1) {
+        for (std::uint32_t n = 0; n < kCrashes; ++n) {
+          for (const auto& host : play.WorkersOf(Task("service", n))) {
+            play.Crash(host);
+          }
+        }
+      }
+    }
+    CHECK(play.StateOf("bad") == JobState::Failed);
+    CHECK_EQUAL(5, play.Starts(Task("bad")));
+  }
+}
+
 TEST(Crash, SuccessorKnowsTheCrashesThatWereSeenBefore)
 {
   WorkerPlay play(6);
--- a/tests/by_cell/WorkerPlay.cpp
+++ b/tests/by_cell/WorkerPlay.cpp
@@ -76,6 +76,22 @@
   Perform();
 }
 
+void
+WorkerPlay::TakeOverFromWorkersThatAreUp()
+{
+  mCell.mOut.clear();
+  mTimeouts.clear();
+  mCell = mCell.SuccessorWithoutRegistry();
+  std::vector<WorkerRegistration> workers;
+  for (const auto& [machine, worker] : mWorkers) {
+    if (worker.mIsUp) {
+      workers.push_back(worker.mEntry);
+    }
+  }
+  mCell.ReadRegistry(workers);
+  Perform();
+}
+
 void
 WorkerPlay::SetCpu(const std::string& aWorker, std::int64_t aCpuMillis)
 {
--- a/tests/by_cell/WorkerPlay.h
+++ b/tests/by_cell/WorkerPlay.h
@@ -27,6 +27,8 @@
   void Crash(const std::string& aWorker);
   /// Replaces the owner of the cell by one that knows what is stored.
   void TakeOver();
+  /// The same for an owner that finds only the workers that are up in the registry.
+  void TakeOverFromWorkersThatAreUp();
   /// Registers a worker with another capacity.
   void SetCpu(const std::string& aWorker, std::int64_t aCpuMillis);
 
--- a/tests/by_crashes/CrashHistoriesTest.cpp
+++ b/tests/by_crashes/CrashHistoriesTest.cpp
@@ -121,6 +121,59 @@
   CHECK_FALSE(IsHopeless(WithCrash(thrice, last, kNow)));
 }
 
+/// One of five crashes was seen by an owner that could not store it any more, or by none, and the
+/// task started a sixth time.
+TEST(CrashHistories, CrashThatMayHaveHappenedUnseenCountsForTheStartsThatAreLeft)
+{
+  const auto crash = [](CrashHistory aHistory, std::uint32_t aRun) {
+    return WithCrash(
+      std::move(aHistory), { .mRun = aRun, .mAge = kSoon, .mIsSuspect = true, .mBlame = 1 }, kNow);
+  };
+  for (std::uint32_t unseen = 1; unseen <= 5; ++unseen) {
+    CrashHistory history;
+    for (std::uint32_t run = 1; run <= 5; ++run) {
+      CHECK_FALSE(IsHopeless(history));
+      history = run == unseen ? WithLapse(std::move(history), run) : crash(std::move(history), run);
+    }
+    CHECK(IsHopeless(history));
+    // A start without a crash uses up one of the starts after the third crash.
+    CHECK_EQUAL(unseen == 4, IsHopeless(WithoutLapse(history, unseen)));
+  }
+}
+
+TEST(CrashHistories, LapsesAreNoEvidence)
+{
+  CrashHistory history;
+  for (std::uint32_t run = 1; run <= 20; ++run) {
+    history = WithLapse(std::move(history), run);
+  }
+  CHECK_FALSE(NeedsTrial(history));
+  CHECK(ProbationOf(history) == ProbationOf({}));
+  for (int n = 0; n < 3; ++n) {
+    history = With(history, 1);
+    CHECK_FALSE(IsHopeless(history));
+  }
+  const auto dismissed = With(With(With(With(WithLapse({}, 1), 0), 0), 0), 0);
+  CHECK_FALSE(IsHopeless(dismissed));
+}
+
+TEST(CrashHistories, LapseThatTurnsOutToBeACrashCountsOnce)
+{
+  const auto lapsed = WithLapse(WithLapse({}, 1), 1);
+  CHECK_EQUAL(1, lapsed.mLapsed.size());
+  const auto crashed = With(lapsed, 1);
+  CHECK_EQUAL(1, crashed.mRuns.size());
+  CHECK(crashed.mLapsed.empty());
+  CHECK(WithLapse(crashed, 1) == crashed);
+}
+
+TEST(CrashHistories, RunThatGoesOnForLongerClearsALapse)
+{
+  const auto lapsed = WithLapse({}, 1);
+  CHECK(WithSurvival(lapsed, Time::FromMilliseconds(1900)) == lapsed);
+  CHECK(WithSurvival(lapsed, Time::FromMilliseconds(2000)).mLapsed.empty());
+}
+
 TEST(CrashHistories, DoubtfulCrashesCountForLess)
 {
   CrashHistory history;
