Take the age at which a run has passed its probation from its confirmation

Cause: whether a run had passed its probation was judged by the time since the first order for it. Where the order was late, or reset and sent again, the run was younger than that: it crashed its worker 10 to 150 ms after its start and seemed to have run for 0.8 and 1.0 s before. So it was a bystander, without weight, and the crash was not stored. NoteSurvival has taken the confirmation since it exists; the upper bound of the age stays with the order.

Evidence: RunWhoseOrderWasSentAgainIsOnProbationSinceItsConfirmation fails without it. by_cell 138 and all 15 of CellHistory pass.

--- a/modules/by_cell/detail/Crashes.cpp
+++ b/modules/by_cell/detail/Crashes.cpp
@@ -29,12 +29,14 @@
   return aRow.mOrderedAt > Time() ? aRow.mOrderedAt : aRow.mPhaseSince;
 }
 
-/// @returns how long after the start of a run its worker still answered.
+/// @returns how long after the start of a run its worker still answered. The order may have arrived
+/// late, or only when it was sent again, so that the run is as old as its confirmation at the
+/// least.
 Time
 SurvivedOf(const WorkerRow& aWorker, const RunRow& aRow)
 {
   return aRow.mPhase == RunPhase::Confirmed
-           ? std::max(Time(), aWorker.mWorkerClockReadAt - KnownStartOf(aRow))
+           ? std::max(Time(), aWorker.mWorkerClockReadAt - aRow.mPhaseSince)
            : Time();
 }
 
--- a/tests/by_cell/CrashTest.cpp
+++ b/tests/by_cell/CrashTest.cpp
@@ -327,6 +327,27 @@
   }
 }
 
+/// The age of a run was taken from the first order for it, which never arrived, so that its crash
+/// seemed to come after its probation.
+TEST(Crash, RunWhoseOrderWasSentAgainIsOnProbationSinceItsConfirmation)
+{
+  constexpr int kWorkers = 4;
+  WorkerPlay play(kWorkers);
+  play.mDurations["service"] = kLong * 10;
+  play.Submit("service", { Service(kWorkers) });
+  play.Play(Time::FromSeconds(2));
+  play.mLosesFirstOrders = true;
+  play.LetCrash(Task("bad"), Time::FromMilliseconds(150));
+  play.Submit("bad", { CellFixture::Step(1) });
+  while (play.Logged("worker.crashed") == 0) {
+    play.Play(kSoon);
+  }
+  CHECK_EQUAL(1, play.Starts(Task("bad")));
+  const auto& task = play.mCell.mCell.mJobs.at("bad").mOccurrences.at(0).mTasks.at(0);
+  CHECK_EQUAL(1, task.mCrashes.mRuns.size());
+  CHECK(task.mCrashes.mRuns.front().mIsSuspect);
+}
+
 TEST(Crash, SuccessorKnowsTheCrashesThatWereSeenBefore)
 {
   WorkerPlay play(6);
--- a/tests/by_cell/WorkerPlay.cpp
+++ b/tests/by_cell/WorkerPlay.cpp
@@ -216,6 +216,10 @@
     return;
   }
   const auto& task = aStart.Task();
+  if (mLosesFirstOrders && mLostOrders.insert({ task, aStart.Run() }).second) {
+    mTimeouts.emplace_back(mCell.mNow + kOrderTimeout, aStart);
+    return;
+  }
   ++mStarts[task];
   NoteAway(task);
   const auto own = mDurations.find(task.Job());
--- a/tests/by_cell/WorkerPlay.h
+++ b/tests/by_cell/WorkerPlay.h
@@ -58,6 +58,8 @@
   Time mDuration{ Time::FromMilliseconds(300) };
   /// Whether a worker that is down leaves calls unanswered instead of refusing connections.
   bool mIsSilent{ false };
+  /// Whether the first order of each start is lost, so that it is sent again.
+  bool mLosesFirstOrders{ false };
 
 private:
   struct Active
@@ -97,6 +99,7 @@
   std::map<JobTaskKey, Time> mAwaySince;
   std::map<JobTaskKey, Time> mLongestAway;
   std::vector<std::pair<Time, StartRun>> mTimeouts;
+  std::set<RunId> mLostOrders;
   std::vector<std::string> mEvents;
   int mCrashes{ 0 };
   int mLostBeside{ 0 };
