--- a/tests/by_cell/WorkerPlay.cpp
+++ b/tests/by_cell/WorkerPlay.cpp
@@ -76,6 +76,22 @@
   Perform();
 }
 
+void
+WorkerPlay::TakeOverFromWorkersThatAreUp()
+{
+  mCell.mOut.clear();
+  mTimeouts.clear();
+  mCell = mCell.SuccessorWithoutRegistry();
+  std::vector<WorkerRegistration> workers;
+  for (const auto& [machine, worker] : mWorkers) {
+    if (worker.mIsUp) {
+      workers.push_back(worker.mEntry);
+    }
+  }
+  mCell.ReadRegistry(workers);
+  Perform();
+}
+
 void
 WorkerPlay::SetCpu(const std::string& aWorker, std::int64_t aCpuMillis)
 {
@@ -200,6 +216,10 @@
     return;
   }
   const auto& task = aStart.Task();
+  if (mLosesFirstOrders && mLostOrders.insert({ task, aStart.Run() }).second) {
+    mTimeouts.emplace_back(mCell.mNow + kOrderTimeout, aStart);
+    return;
+  }
   ++mStarts[task];
   NoteAway(task);
   const auto own = mDurations.find(task.Job());
--- a/tests/by_cell/WorkerPlay.h
+++ b/tests/by_cell/WorkerPlay.h
@@ -27,6 +27,8 @@
   void Crash(const std::string& aWorker);
   /// Replaces the owner of the cell by one that knows what is stored.
   void TakeOver();
+  /// The same for an owner that finds only the workers that are up in the registry.
+  void TakeOverFromWorkersThatAreUp();
   /// Registers a worker with another capacity.
   void SetCpu(const std::string& aWorker, std::int64_t aCpuMillis);
 
@@ -56,6 +58,8 @@
   Time mDuration{ Time::FromMilliseconds(300) };
   /// Whether a worker that is down leaves calls unanswered instead of refusing connections.
   bool mIsSilent{ false };
+  /// Whether the first order of each start is lost, so that it is sent again.
+  bool mLosesFirstOrders{ false };
 
 private:
   struct Active
@@ -95,6 +99,7 @@
   std::map<JobTaskKey, Time> mAwaySince;
   std::map<JobTaskKey, Time> mLongestAway;
   std::vector<std::pair<Time, StartRun>> mTimeouts;
+  std::set<RunId> mLostOrders;
   std::vector<std::string> mEvents;
   int mCrashes{ 0 };
   int mLostBeside{ 0 };
