--- a/tests/by_client/HttpClientTest.cpp
+++ b/tests/by_client/HttpClientTest.cpp
@@ -24,7 +24,6 @@
 }
 
 /// Echoes the body of POST; "/drop" closes without an answer, "/hang" does not answer by itself,
-/// and
 /// "/busy" refuses.
 void
 Handle(const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession)
