--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -47,7 +47,7 @@
   Time mLeaseSent{};
   /// When its current incarnation was first seen.
   Time mIncarnationSince{};
-  /// Until when orders sent to an earlier incarnation may still be carried out.
+  /// Until when orders that named no process, sent before the current one, may be carried out.
   Time mLateOrdersUntil{};
   /// When its lease has expired for certain, while it is not renewed.
   Time mLeaseExpiresAt{ Time::Never() };
