Decode teams and their keys, and authenticate callers at each node

Callers of a deployment whose configuration has teams were served with any key, or without one: nothing read the keys. The configuration's teams, open queues and connection limits are now decoded; a node looks a caller's key up in an immutable table of the configuration in force and answers 401 for an unknown one, 503 while its configuration was not confirmed within the trust time. A job keeps its team in a record of its own, which nodes of an earlier version leave out, and calls of other teams about it are answered as about an unknown job. Without teams nothing changes.

Measured: tests of by_entry, by_cell, by_web, by_http, platform and by_teams pass.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -65,6 +65,21 @@
   return aState.mJobs.contains(aJob) || aState.mOutcomes.contains(aJob);
 }
 
+/// @returns whether a known job belongs to another team than the caller's. Nobody learns of the
+/// jobs of other teams.
+bool
+IsOfAnotherTeam(const CellState& aState, const CellRequest& aRequest)
+{
+  TeamId team;
+  if (const auto open = aState.mJobs.find(aRequest.Job()); open != aState.mJobs.end()) {
+    team = open->second.mTeam;
+  } else if (const auto ended = aState.mOutcomes.find(aRequest.Job());
+             ended != aState.mOutcomes.end()) {
+    team = ended->second.mTeam;
+  }
+  return !team.IsEmpty() && !aRequest.Team().IsEmpty() && team != aRequest.Team();
+}
+
 /// Answers a repeated submission: at once where the record is stored, else when it is.
 /// @tparam Row a JobRow or an OutcomeRow.
 template<class Row>
@@ -117,6 +132,7 @@
     return;
   }
   auto& job = aState.mJobs[aRequest.Job()];
+  job.mTeam = aRequest.Team();
   job.mJob = Job::Create({ .mId = aRequest.Job(),
                            .mQueue = aRequest.Queue(),
                            .mDefinition = *aRequest.Definition(),
@@ -134,6 +150,8 @@
                            aRequest.Queue().PathPrefix(),
                            " priority=",
                            aRequest.Queue().Priority(),
+                           " team=",
+                           aRequest.Team().Text(),
                            " tasks=",
                            CountTasks(*aRequest.Definition()),
                            " objective_ms=",
@@ -204,6 +222,12 @@
               Time aNow,
               Effects& aOut)
 {
+  if (IsOfAnotherTeam(aState, aRequest)) {
+    detail::Log(
+      aOut, "job.of_another_team", aRequest.Job(), absl::StrCat("caller=", aRequest.Team().Text()));
+    detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::UnknownJob }, aOut);
+    return;
+  }
   switch (aRequest.Kind()) {
     case JobCallKind::Submit:
       Submit(aState, aCaller, aRequest, aNow, aOut);
--- a/modules/by_cell/JobRow.h
+++ b/modules/by_cell/JobRow.h
@@ -6,6 +6,7 @@
 
 #include "by_cell/OccurrenceRow.h"
 #include "by_cell/PendingCaller.h"
+#include "by_core/Identifier.h"
 #include "by_core/Time.h"
 #include "by_schema/Job.h"
 
@@ -15,6 +16,10 @@
 struct JobRow
 {
   Job mJob;
+  /// The team that submitted it; empty if its queue needs no key.
+  TeamId mTeam;
+  /// Whether its submission exceeded the rate of its team, so that it runs after all others.
+  bool mIsExcess{ false };
   /// Whether the record of its acceptance is stored.
   bool mStored{ false };
   /// Whether a worker is known to have started one of its tasks; also set when the job ends.
--- a/modules/by_cell/OutcomeRow.h
+++ b/modules/by_cell/OutcomeRow.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "by_cell/PendingCaller.h"
+#include "by_core/Identifier.h"
 #include "by_core/Time.h"
 #include "by_schema/JobState.h"
 
@@ -13,6 +14,8 @@
 struct OutcomeRow
 {
   JobState mState{ JobState::Completed };
+  /// The team that submitted the job; empty if its queue needs no key.
+  TeamId mTeam;
   /// Whether the outcome is stored; until then callers see the job as running.
   bool mStored{ false };
   /// When the job ended.
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -31,6 +31,7 @@
   std::vector<const TaskLapses*> mLapses;
   std::vector<const JobOutcome*> mOutcomes;
   std::vector<const MaintenanceRecord*> mMaintenance;
+  std::vector<const JobTeam*> mTeams;
 };
 
 Sorted
@@ -56,6 +57,8 @@
       sorted.mOutcomes.push_back(outcome);
     } else if (const auto* maintenance = std::get_if<MaintenanceRecord>(&body)) {
       sorted.mMaintenance.push_back(maintenance);
+    } else if (const auto* team = std::get_if<JobTeam>(&body)) {
+      sorted.mTeams.push_back(team);
     }
   }
   return sorted;
@@ -176,7 +179,10 @@
 {
   for (const auto& record : aRecords) {
     const auto* job = detail::JobOfRecord(record);
-    if (job != nullptr && !aState.mJobs.contains(*job)) {
+    const bool isTeamOfOutcome = record.Record() &&
+                                 std::holds_alternative<JobTeam>(record.Record()->Body()) &&
+                                 job != nullptr && aState.mOutcomes.contains(*job);
+    if (job != nullptr && !aState.mJobs.contains(*job) && !isTeamOfOutcome) {
       aState.mDeletedKeys.push_back(record.Key());
     }
   }
@@ -245,6 +251,13 @@
       accepted->Accepted() + ObjectiveTime(accepted->Definition(), accepted->Queue());
     detail::OpenDueOccurrences(state, job, aNow);
   }
+  for (const auto* team : sorted.mTeams) {
+    if (auto* job = detail::FindJob(state, team->Job())) {
+      job->mTeam = team->Team();
+    } else if (const auto it = state.mOutcomes.find(team->Job()); it != state.mOutcomes.end()) {
+      it->second.mTeam = team->Team();
+    }
+  }
   DropRecordsOfEndedJobs(state, aRecords, aOut);
   for (const auto* occurrence : sorted.mOccurrences) {
     RestoreOccurrence(state, *occurrence);
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -52,7 +52,10 @@
          aState.mOutcomesByEnd.begin()->first + retention < aNow) {
     const auto id = aState.mOutcomesByEnd.begin()->second;
     aState.mOutcomesByEnd.erase(aState.mOutcomesByEnd.begin());
-    aState.mOutcomes.erase(id);
+    const auto outcome = aState.mOutcomes.extract(id);
+    if (!outcome.empty() && !outcome.mapped().mTeam.IsEmpty()) {
+      aState.mDeletedKeys.push_back(TeamRecordKey(id));
+    }
     detail::Log(aOut, "job.forgotten", id, absl::StrCat("retention_ms=", retention.Milliseconds()));
     aState.mDeletedKeys.push_back(OutcomeRecordKey(id));
   }
--- a/modules/by_cell/detail/ChangedRecords.cpp
+++ b/modules/by_cell/detail/ChangedRecords.cpp
@@ -42,6 +42,12 @@
 {
   for (const auto& id : aState.mNewJobs) {
     if (const auto* job = FindJob(aState, id)) {
+      // A batch may be split, and a job must not be known without its team.
+      if (!job->mTeam.IsEmpty()) {
+        aBatch.mRecords.push_back(MakeKeyedRecord(
+          TeamRecordKey(id),
+          MakeCellRecord(JobTeam::Create({ .mJob = id, .mTeam = job->mTeam }).value())));
+      }
       aBatch.mRecords.push_back(MakeKeyedRecord(JobRecordKey(id), MakeCellRecord(job->mJob)));
       aBatch.mJobs.push_back(id);
     }
--- a/modules/by_cell/detail/JobOfRecord.cpp
+++ b/modules/by_cell/detail/JobOfRecord.cpp
@@ -23,6 +23,9 @@
   if (const auto* lapses = std::get_if<TaskLapses>(&body)) {
     return &lapses->Job();
   }
+  if (const auto* team = std::get_if<JobTeam>(&body)) {
+    return &team->Job();
+  }
   const auto* task = std::get_if<TaskRecord>(&body);
   return task == nullptr ? nullptr : &task->Job();
 }
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -343,6 +343,7 @@
   RemoveReadySteps(aState, job);
   auto& outcome = aState.mOutcomes[aJob];
   outcome.mState = aOutcome;
+  outcome.mTeam = job.mTeam;
   outcome.mEnded = aNow;
   outcome.mSubmitters = std::move(job.mSubmitters);
   aState.mOutcomesByEnd.emplace(aNow, aJob);
--- a/modules/by_core/by_core.h
+++ b/modules/by_core/by_core.h
@@ -6,6 +6,7 @@
 /// Dependencies: absl.
 
 #include "by_core/CheckRange.h"
+#include "by_core/ConstantTime.h"
 #include "by_core/Findings.h"
 #include "by_core/Identifier.h"
 #include "by_core/Time.h"
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -18,6 +18,7 @@
 #include "by_schema/EntrySettings.h"
 #include "by_schema/MaintenanceWave.h"
 #include "by_schema/WorkerAnswer.h"
+#include "by_teams/KeyTable.h"
 
 namespace by {
 
@@ -27,6 +28,8 @@
   EntrySettings mSettings;
   /// The configuration in force; empty until the first one arrives.
   std::optional<ClusterConfig> mConfig;
+  /// The keys of that configuration.
+  KeyTable mKeys;
   /// The maintenance waves requested by operators, by number.
   std::map<std::uint64_t, MaintenanceWave> mWaves;
 
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -56,11 +56,21 @@
     if (mState.mConfig && mState.mConfig->Version() >= aEvent.Version()) {
       return;
     }
+    mState.mConfig = aEvent;
+    mState.mKeys = KeyTable::Create(aEvent);
     detail::Log(mOut,
                 "config.in_force",
                 absl::StrCat("version ", aEvent.Version()),
-                absl::StrCat("queues=", aEvent.Queues().size(), " pools=", aEvent.Pools().size()));
-    mState.mConfig = aEvent;
+                absl::StrCat("queues=",
+                             aEvent.Queues().size(),
+                             " pools=",
+                             aEvent.Pools().size(),
+                             " teams=",
+                             aEvent.Teams().size(),
+                             " keys=",
+                             mState.mKeys.CountKeys(),
+                             " ambiguous_keys=",
+                             mState.mKeys.CountAmbiguousKeys()));
     if (mState.mCell) {
       ConfigureCell(*mState.mCell, aEvent);
     }
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -8,6 +8,7 @@
 
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Authentication.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
@@ -160,6 +161,24 @@
     Answer(aCall.Call(), { .mOutcome = JobCallOutcome::UnknownQueue }, aOut);
     return;
   }
+  const auto caller = Authenticate(aState, *queue, aCall.Key(), aNow);
+  if (caller.mCheck != KeyCheck::Passed) {
+    Log(aOut,
+        "call.refused",
+        aCall.Path(),
+        absl::StrCat("reason=",
+                     std::string(ToString(caller.mCheck)),
+                     " config=",
+                     aState.mConfig->Version(),
+                     " confirmed_ms_ago=",
+                     (aNow - ConfigConfirmedAt(aState)).Milliseconds()));
+    if (caller.mCheck == KeyCheck::Unknown) {
+      Answer(aCall.Call(), { .mOutcome = JobCallOutcome::Unauthorized }, aOut);
+    } else {
+      Refuse(aState, aCall.Call(), aNow, aOut);
+    }
+    return;
+  }
   const bool isSubmit = aCall.Kind() == JobCallKind::Submit;
   if (isSubmit && aState.mConfig->BodyLimit() > 0 &&
       aCall.BodySize() > aState.mConfig->BodyLimit()) {
@@ -178,7 +197,8 @@
                                         .mKind = isCountQuery ? JobCallKind::Count : aCall.Kind(),
                                         .mQueue = *queue,
                                         .mJob = jobName,
-                                        .mDefinition = aCall.Definition() })
+                                        .mDefinition = aCall.Definition(),
+                                        .mTeam = caller.mTeam })
                     .value();
   auto& pending = aState.mCalls[aCall.Call()] = std::move(open);
   if (CanForward(aState)) {
--- a/modules/by_http/Authorize.cpp
+++ b/modules/by_http/Authorize.cpp
@@ -1,6 +1,6 @@
 #include "by_http/Authorize.h"
 
-#include <cstddef>
+#include "by_core/ConstantTime.h"
 
 namespace by {
 
@@ -10,17 +10,6 @@
 
 } // namespace
 
-bool
-EqualInConstantTime(std::string_view aSecret, std::string_view aGiven)
-{
-  volatile unsigned difference = aSecret.size() == aGiven.size() ? 0U : 1U;
-  for (std::size_t i = 0; i < aGiven.size(); ++i) {
-    const auto expected = aSecret.empty() ? '\0' : aSecret[i % aSecret.size()];
-    difference = difference | static_cast<unsigned char>(expected ^ aGiven[i]);
-  }
-  return difference == 0;
-}
-
 Caller
 FindCaller(std::string_view aAuthorization, const HttpAccess& aAccess)
 {
--- a/modules/by_http/Authorize.h
+++ b/modules/by_http/Authorize.h
@@ -7,13 +7,6 @@
 
 namespace by {
 
-/// Compares two texts in a time that depends only on the length of the second.
-/// @param aSecret the text that must not be guessed.
-/// @param aGiven what a caller gave.
-/// @returns whether they are equal.
-bool
-EqualInConstantTime(std::string_view aSecret, std::string_view aGiven);
-
 /// Finds out who calls.
 /// @param aAuthorization the Authorization header, "Bearer TOKEN".
 /// @returns the caller; its kind is Nobody where the token is missing or known to no one.
--- a/modules/by_jobs/RecordKeys.cpp
+++ b/modules/by_jobs/RecordKeys.cpp
@@ -34,6 +34,12 @@
   return absl::StrCat("progress/", aJob, "/", aOccurrence);
 }
 
+std::string
+TeamRecordKey(const std::string& aJob)
+{
+  return absl::StrCat("team/", aJob);
+}
+
 std::string
 OutcomeRecordKey(const std::string& aJob)
 {
--- a/modules/by_jobs/RecordKeys.h
+++ b/modules/by_jobs/RecordKeys.h
@@ -28,6 +28,10 @@
 std::string
 ProgressRecordKey(const std::string& aJob, std::uint32_t aOccurrence);
 
+/// @returns the key of the record of the team that submitted a job.
+std::string
+TeamRecordKey(const std::string& aJob);
+
 /// @returns the key of the record of how a job ended.
 std::string
 OutcomeRecordKey(const std::string& aJob);
--- a/modules/by_schema/CellRecord.h
+++ b/modules/by_schema/CellRecord.h
@@ -11,6 +11,7 @@
 
 #include "by_schema/Job.h"
 #include "by_schema/JobOutcome.h"
+#include "by_schema/JobTeam.h"
 #include "by_schema/MaintenanceRecord.h"
 #include "by_schema/OccurrenceProgress.h"
 #include "by_schema/TaskCrashes.h"
@@ -33,7 +34,8 @@
                  MaintenanceRecord,
                  TaskRecord,
                  TaskCrashes,
-                 TaskLapses>
+                 TaskLapses,
+                 JobTeam>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -60,7 +62,8 @@
                      MaintenanceRecord,
                      TaskRecord,
                      TaskCrashes,
-                     TaskLapses>&
+                     TaskLapses,
+                     JobTeam>&
   Body() const
   {
     return mFields.mBody;
@@ -72,7 +75,8 @@
                                                  MaintenanceRecord,
                                                  TaskRecord,
                                                  TaskCrashes,
-                                                 TaskLapses> aValue) const
+                                                 TaskLapses,
+                                                 JobTeam> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/CellRequest.h
+++ b/modules/by_schema/CellRequest.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Identifier.h"
 #include "by_core/Time.h"
 #include "by_schema/JobCallKind.h"
 #include "by_schema/JobDefinition.h"
@@ -36,6 +37,8 @@
     /// How long the forwarding node waits for the reply; zero for no limit. A request that waited
     /// longer has no caller any more.
     Time mTimeout{};
+    /// Team of the caller; empty if the queue needs no key.
+    TeamId mTeam{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -115,6 +118,16 @@
     return copy;
   }
 
+  /// Team of the caller; empty if the queue needs no key.
+  const TeamId& Team() const { return mFields.mTeam; }
+  /// @returns a copy of this value with another Team.
+  [[nodiscard]] CellRequest WithTeam(TeamId aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mTeam = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const CellRequest&, const CellRequest&) = default;
   friend auto operator<=>(const CellRequest&, const CellRequest&) = default;
 
--- a/modules/by_schema/ClusterConfig.h
+++ b/modules/by_schema/ClusterConfig.h
@@ -9,8 +9,11 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_schema/ConnectionLimits.h"
 #include "by_schema/PoolPolicy.h"
+#include "by_schema/QueueAddress.h"
 #include "by_schema/QueuePolicy.h"
+#include "by_schema/TeamPolicy.h"
 
 namespace by {
 
@@ -29,6 +32,13 @@
     std::vector<PoolPolicy> mPools{};
     /// Largest accepted body of a caller's request.
     std::int64_t mBodyLimit{ 0 };
+    /// Policies of all teams; without any, callers need no keys.
+    std::vector<TeamPolicy> mTeams{};
+    /// Limits of the connections of callers.
+    by::ConnectionLimits mConnectionLimits{};
+    /// Queues whose callers need no key. Not part of QueuePolicy, since stored jobs contain one and
+    /// nodes of an earlier version read them.
+    std::vector<QueueAddress> mOpenQueues{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -87,6 +97,37 @@
     return copy;
   }
 
+  /// Policies of all teams; without any, callers need no keys.
+  const std::vector<TeamPolicy>& Teams() const { return mFields.mTeams; }
+  /// @returns a copy of this value with another Teams.
+  [[nodiscard]] ClusterConfig WithTeams(std::vector<TeamPolicy> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mTeams = std::move(aValue);
+    return copy;
+  }
+
+  /// Limits of the connections of callers.
+  const by::ConnectionLimits& ConnectionLimits() const { return mFields.mConnectionLimits; }
+  /// @returns a copy of this value with another ConnectionLimits.
+  [[nodiscard]] ClusterConfig WithConnectionLimits(by::ConnectionLimits aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mConnectionLimits = std::move(aValue);
+    return copy;
+  }
+
+  /// Queues whose callers need no key. Not part of QueuePolicy, since stored jobs contain one and
+  /// nodes of an earlier version read them.
+  const std::vector<QueueAddress>& OpenQueues() const { return mFields.mOpenQueues; }
+  /// @returns a copy of this value with another OpenQueues.
+  [[nodiscard]] ClusterConfig WithOpenQueues(std::vector<QueueAddress> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mOpenQueues = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const ClusterConfig&, const ClusterConfig&) = default;
   friend auto operator<=>(const ClusterConfig&, const ClusterConfig&) = default;
 
--- a/modules/by_schema/EntrySettings.h
+++ b/modules/by_schema/EntrySettings.h
@@ -54,6 +54,9 @@
     std::uint32_t mProcessorShare{ 1000 };
     /// An owner whose events wait longer than this takes no new jobs.
     Time mOverloadDelay{ Time::FromMilliseconds(400) };
+    /// How long a node that neither the store nor the owner confirms its configuration to goes on
+    /// accepting keys.
+    Time mKeyTrust{ Time::FromMilliseconds(5000) };
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -224,6 +227,17 @@
     return copy;
   }
 
+  /// How long a node that neither the store nor the owner confirms its configuration to goes on
+  /// accepting keys.
+  Time KeyTrust() const { return mFields.mKeyTrust; }
+  /// @returns a copy of this value with another KeyTrust.
+  [[nodiscard]] EntrySettings WithKeyTrust(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mKeyTrust = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
   friend auto operator<=>(const EntrySettings&, const EntrySettings&) = default;
 
--- a/modules/by_schema/JobCall.h
+++ b/modules/by_schema/JobCall.h
@@ -38,6 +38,8 @@
     std::int64_t mBodySize{ 0 };
     /// How long the caller waits for the reply; zero if the caller does not say.
     Time mTimeout{};
+    /// Key of the caller; empty without a bearer token.
+    std::string mKey{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -133,6 +135,16 @@
     return copy;
   }
 
+  /// Key of the caller; empty without a bearer token.
+  const std::string& Key() const { return mFields.mKey; }
+  /// @returns a copy of this value with another Key.
+  [[nodiscard]] JobCall WithKey(std::string aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mKey = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const JobCall&, const JobCall&) = default;
   friend auto operator<=>(const JobCall&, const JobCall&) = default;
 
--- a/modules/by_schema/JobCallOutcome.h
+++ b/modules/by_schema/JobCallOutcome.h
@@ -23,6 +23,8 @@
   Uncertain = 7,
   Malformed = 8,
   TooLarge = 9,
+  Unauthorized = 10,
+  Throttled = 11,
 };
 
 /// Returns the text of a value in settings and messages.
@@ -51,6 +53,10 @@
       return "malformed";
     case JobCallOutcome::TooLarge:
       return "too_large";
+    case JobCallOutcome::Unauthorized:
+      return "unauthorized";
+    case JobCallOutcome::Throttled:
+      return "throttled";
   }
   return "unknown";
 }
@@ -90,11 +96,17 @@
   if (aText == "too_large") {
     return JobCallOutcome::TooLarge;
   }
+  if (aText == "unauthorized") {
+    return JobCallOutcome::Unauthorized;
+  }
+  if (aText == "throttled") {
+    return JobCallOutcome::Throttled;
+  }
   return absl::InvalidArgumentError(
     absl::StrCat("'",
                  std::string(aText),
                  "' is not one of accepted, shown, cancelled, counted, unknown_job, unknown_queue, "
-                 "refused, uncertain, malformed, too_large"));
+                 "refused, uncertain, malformed, too_large, unauthorized, throttled"));
 }
 
 } // namespace by
--- a/modules/by_schema/LinkHeartbeat.h
+++ b/modules/by_schema/LinkHeartbeat.h
@@ -4,10 +4,13 @@
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_schema/TeamLoad.h"
+
 namespace by {
 
 /// Keepalive on a link, sent in both directions.
@@ -28,6 +31,10 @@
     /// The largest processor share of the nodes that are linked to the owner; zero if it is
     /// unknown.
     std::uint32_t mLargestShare{ 0 };
+    /// Version of the configuration in force at the sender; zero for none.
+    std::uint64_t mConfigVersion{ 0 };
+    /// From the owner: teams whose submissions nodes forward only in part.
+    std::vector<TeamLoad> mTeamLoads{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -96,6 +103,26 @@
     return copy;
   }
 
+  /// Version of the configuration in force at the sender; zero for none.
+  std::uint64_t ConfigVersion() const { return mFields.mConfigVersion; }
+  /// @returns a copy of this value with another ConfigVersion.
+  [[nodiscard]] LinkHeartbeat WithConfigVersion(std::uint64_t aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mConfigVersion = std::move(aValue);
+    return copy;
+  }
+
+  /// From the owner: teams whose submissions nodes forward only in part.
+  const std::vector<TeamLoad>& TeamLoads() const { return mFields.mTeamLoads; }
+  /// @returns a copy of this value with another TeamLoads.
+  [[nodiscard]] LinkHeartbeat WithTeamLoads(std::vector<TeamLoad> aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mTeamLoads = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkHeartbeat&, const LinkHeartbeat&) = default;
   friend auto operator<=>(const LinkHeartbeat&, const LinkHeartbeat&) = default;
 
--- a/modules/by_schema/LinkMessage.h
+++ b/modules/by_schema/LinkMessage.h
@@ -12,6 +12,8 @@
 #include "by_schema/AdviceAnswered.h"
 #include "by_schema/CellClaim.h"
 #include "by_schema/CellRequest.h"
+#include "by_schema/ClusterConfig.h"
+#include "by_schema/ConfigRequest.h"
 #include "by_schema/JobReply.h"
 #include "by_schema/LinkHeartbeat.h"
 #include "by_schema/LinkHello.h"
@@ -39,7 +41,9 @@
                  OwnerLeaving,
                  RelayOrders,
                  RelayAnswers,
-                 CellClaim>
+                 CellClaim,
+                 ConfigRequest,
+                 ClusterConfig>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -69,7 +73,9 @@
                      OwnerLeaving,
                      RelayOrders,
                      RelayAnswers,
-                     CellClaim>&
+                     CellClaim,
+                     ConfigRequest,
+                     ClusterConfig>&
   Body() const
   {
     return mFields.mBody;
@@ -84,7 +90,9 @@
                                                   OwnerLeaving,
                                                   RelayOrders,
                                                   RelayAnswers,
-                                                  CellClaim> aValue) const
+                                                  CellClaim,
+                                                  ConfigRequest,
+                                                  ClusterConfig> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_web/WebSession.cpp
+++ b/modules/by_web/WebSession.cpp
@@ -130,9 +130,12 @@
   ReadTarget(std::string_view(request.target().data(), request.target().size()), incoming);
   incoming.mHost = std::string(request[http::field::host]);
   for (const auto& name : mKeptHeaders) {
-    const auto it = request.find(name);
-    if (it != request.end()) {
-      incoming.mHeaders.emplace(name, std::string(it->value()));
+    // Repeated fields are one list of values.
+    const auto fields = request.equal_range(name);
+    for (auto it = fields.first; it != fields.second; ++it) {
+      auto& value = incoming.mHeaders[name];
+      value += value.empty() ? "" : ", ";
+      value += std::string_view(it->value().data(), it->value().size());
     }
   }
   mKeepAlive = mKeepAlive && request.keep_alive();
