Exchange configurations over links, and confirm them by the owner

A node that the store turned away went on serving withdrawn keys until key_trust had passed and then refused every caller, although the owner had the newer configuration; an owner cut off from the store refused its callers although its members had it.

Heartbeats of both directions now name the version in force. A node that hears of a higher version and does not get it from the store within 300 ms asks a node that named it, and repeats the request after 1 s or over the next link. The owner sends a configuration to one member after another: a large one sent to fifteen members at once would hold up heartbeats on a link of 10 Mbit/s for longer than the link timeout. A configuration is also confirmed by the owner's heartbeats and, at the owner, by its own calls to the store. The heartbeat gets a field for the age of that confirmation, since an owner without work notices late that the store is gone. A higher version that was named ends the confirmation from then on, and an unknown key then gets 503 instead of 401. Without teams heartbeats hold two zeros and nothing is sent.

Refused calls are counted in one line key.refused a second instead of one line each. The line key.shared names teams that hold a key in common. A caller of an open queue, who has no team, could end a team's job by its name; it now finds only the jobs of that queue.

Tests: by_entry 147 passed, by_teams 5 passed.

--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -66,13 +66,19 @@
 }
 
 /// @returns whether a known job belongs to another team than the caller's. Nobody learns of the
-/// jobs of other teams.
+/// jobs of other teams. Callers of an open queue have no team; they see the jobs of that queue,
+/// also those that were accepted before it was opened.
 bool
 IsOfAnotherTeam(const CellState& aState, const CellRequest& aRequest)
 {
   TeamId team;
   if (const auto open = aState.mJobs.find(aRequest.Job()); open != aState.mJobs.end()) {
     team = open->second.mTeam;
+    const auto& queue = open->second.mJob.Queue();
+    if (aRequest.Team().IsEmpty() && (queue.Host() != aRequest.Queue().Host() ||
+                                      queue.PathPrefix() != aRequest.Queue().PathPrefix())) {
+      return !team.IsEmpty();
+    }
   } else if (const auto ended = aState.mOutcomes.find(aRequest.Job());
              ended != aState.mOutcomes.end()) {
     team = ended->second.mTeam;
--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "by_cell/CellState.h"
+#include "by_entry/ConfigExchangeState.h"
 #include "by_entry/HandoverState.h"
+#include "by_entry/KeyRefusals.h"
 #include "by_entry/LoadState.h"
 #include "by_entry/MemberRow.h"
 #include "by_entry/OpenCall.h"
@@ -30,6 +32,10 @@
   std::optional<ClusterConfig> mConfig;
   /// The keys of that configuration.
   KeyTable mKeys;
+  /// What is known of the configurations of other nodes.
+  ConfigExchangeState mConfigExchange;
+  /// Calls that were refused because of their key.
+  KeyRefusals mKeyRefusals;
   /// The maintenance waves requested by operators, by number.
   std::map<std::uint64_t, MaintenanceWave> mWaves;
 
--- a/modules/by_entry/MemberRow.h
+++ b/modules/by_entry/MemberRow.h
@@ -19,6 +19,11 @@
   /// When the link was established, and when its last message arrived.
   Time mLinkedAt{};
   Time mHeardAt{};
+  /// The version of the configuration that the node has named over this link; zero for none.
+  std::uint64_t mConfigVersion{ 0 };
+  /// The version that was last sent over this link, and when; zero for none.
+  std::uint64_t mSentConfig{ 0 };
+  Time mConfigSentAt{};
 
   friend bool operator==(const MemberRow&, const MemberRow&) = default;
   friend auto operator<=>(const MemberRow&, const MemberRow&) = default;
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -7,7 +7,9 @@
 
 #include "by_cell/by_cell.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Authentication.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/ConfigExchange.h"
 #include "by_entry/detail/ErrorRecovery.h"
 #include "by_entry/detail/GroupMembership.h"
 #include "by_entry/detail/Handover.h"
@@ -41,8 +43,10 @@
     detail::UpdateLoad(mState, aEvent.QueueDelay(), mNow, mOut);
     detail::RetryClaim(mState, mNow, mOut);
     detail::MaintainLink(mState, mNow, mOut);
+    detail::ExchangeConfig(mState, mNow, mOut);
     detail::ExpireCalls(mState, mNow, mOut);
     detail::ReportDroppedRequests(mState, mNow, mOut);
+    detail::ReportKeyRefusals(mState, mNow, mOut);
     detail::ExpireRelayedOrders(mState, mNow, mOut);
     if (mState.mCell) {
       CheckCell(*mState.mCell, mNow, mOut);
@@ -53,27 +57,7 @@
   void operator()(const JobCall& aEvent) const { detail::HandleCall(mState, aEvent, mNow, mOut); }
   void operator()(const ClusterConfig& aEvent) const
   {
-    if (mState.mConfig && mState.mConfig->Version() >= aEvent.Version()) {
-      return;
-    }
-    mState.mConfig = aEvent;
-    mState.mKeys = KeyTable::Create(aEvent);
-    detail::Log(mOut,
-                "config.in_force",
-                absl::StrCat("version ", aEvent.Version()),
-                absl::StrCat("queues=",
-                             aEvent.Queues().size(),
-                             " pools=",
-                             aEvent.Pools().size(),
-                             " teams=",
-                             aEvent.Teams().size(),
-                             " keys=",
-                             mState.mKeys.CountKeys(),
-                             " ambiguous_keys=",
-                             mState.mKeys.CountAmbiguousKeys()));
-    if (mState.mCell) {
-      ConfigureCell(*mState.mCell, aEvent);
-    }
+    detail::TakeConfig(mState, aEvent, mNow, mOut);
   }
   void operator()(const MaintenanceWave& aEvent) const
   {
--- a/modules/by_entry/detail/Authentication.h
+++ b/modules/by_entry/detail/Authentication.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
+#include "by_cell/Effects.h"
 #include "by_core/Identifier.h"
 #include "by_core/Time.h"
 #include "by_entry/EntryState.h"
@@ -29,4 +31,13 @@
 CallerIdentity
 Authenticate(const EntryState& aState, const QueuePolicy& aQueue, std::string_view aKey, Time aNow);
 
+/// Counts a call that is refused because of its key for the next report.
+/// @param aPath the path of the call.
+void
+CountRefusal(EntryState& aState, KeyCheck aCheck, const std::string& aPath);
+
+/// Reports refused calls in one log line, at most once per second: anyone can cause them.
+void
+ReportKeyRefusals(EntryState& aState, Time aNow, Effects& aOut);
+
 } // namespace by::detail
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -163,15 +163,7 @@
   }
   const auto caller = Authenticate(aState, *queue, aCall.Key(), aNow);
   if (caller.mCheck != KeyCheck::Passed) {
-    Log(aOut,
-        "call.refused",
-        aCall.Path(),
-        absl::StrCat("reason=",
-                     std::string(ToString(caller.mCheck)),
-                     " config=",
-                     aState.mConfig->Version(),
-                     " confirmed_ms_ago=",
-                     (aNow - ConfigConfirmedAt(aState)).Milliseconds()));
+    CountRefusal(aState, caller.mCheck, aCall.Path());
     if (caller.mCheck == KeyCheck::Unknown) {
       Answer(aCall.Call(), { .mOutcome = JobCallOutcome::Unauthorized }, aOut);
     } else {
--- a/modules/by_entry/detail/KeyCheck.h
+++ b/modules/by_entry/detail/KeyCheck.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string_view>
 
 namespace by::detail {
 
@@ -16,19 +15,4 @@
   Unconfirmed,
 };
 
-/// @returns the decision as a text for log lines.
-constexpr std::string_view
-ToString(KeyCheck aCheck)
-{
-  switch (aCheck) {
-    case KeyCheck::Passed:
-      return "key accepted";
-    case KeyCheck::Unknown:
-      return "unknown key";
-    case KeyCheck::Unconfirmed:
-      return "configuration not confirmed";
-  }
-  return "unknown";
-}
-
 } // namespace by::detail
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -8,7 +8,9 @@
 #include "by_cell/HandleAdvice.h"
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_entry/detail/Authentication.h"
 #include "by_entry/detail/Calls.h"
+#include "by_entry/detail/ConfigExchange.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Ownership.h"
@@ -84,7 +86,9 @@
 void
 HandleHeartbeat(EntryState& aState, const LinkHeartbeat& aHeartbeat, Time aNow, Effects& aOut)
 {
-  if (aHeartbeat.Epoch() < aState.mOwner->Epoch()) {
+  const bool isOutdated = aHeartbeat.Epoch() < aState.mOwner->Epoch();
+  TakeOwnerVersion(aState, aHeartbeat, !isOutdated, aNow);
+  if (isOutdated) {
     // It is of an earlier owner, or of a process that has not claimed the cell.
     return;
   }
@@ -215,6 +219,7 @@
     RequeueForwardedCalls(aState);
   }
   aState.mOwnerLink = aEvent.Link();
+  ResetOwnerVersion(aState, aNow);
   aState.mOwnerHeardAt = aNow;
   aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
   auto hello = LinkHello::Create({ .mNode = aState.mSettings.Node(),
@@ -258,6 +263,10 @@
     TakePeerClaim(aState, *claim, aNow, aOut);
   } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
     HandleHeartbeat(aState, *heartbeat, aNow, aOut);
+  } else if (const auto* request = std::get_if<ConfigRequest>(&body)) {
+    HandleOwnerConfigRequest(aState, *request, aOut);
+  } else if (const auto* config = std::get_if<ClusterConfig>(&body)) {
+    TakePeerConfig(aState, *config, aState.mOwner->Node(), aNow, aOut);
   }
 }
 
@@ -287,8 +296,13 @@
     }
   } else if (const auto* answers = std::get_if<RelayAnswers>(&body)) {
     HandleRelayAnswers(aState, aEvent.Node(), *answers, aNow, aOut);
-  } else if (std::holds_alternative<LinkHeartbeat>(body)) {
+  } else if (const auto* heartbeat = std::get_if<LinkHeartbeat>(&body)) {
+    TakeMemberVersion(aState, aEvent.Node(), *heartbeat, aNow);
     SendMemberHeartbeat(aState, aEvent.Node(), aNow, aOut);
+  } else if (const auto* wanted = std::get_if<ConfigRequest>(&body)) {
+    HandleMemberConfigRequest(aState, aEvent.Node(), *wanted, aNow, aOut);
+  } else if (const auto* config = std::get_if<ClusterConfig>(&body)) {
+    TakePeerConfig(aState, *config, aEvent.Node(), aNow, aOut);
   } else if (const auto* claim = std::get_if<CellClaim>(&body)) {
     TakePeerClaim(aState, *claim, aNow, aOut);
   } else if (const auto* hello = std::get_if<LinkHello>(&body)) {
@@ -351,12 +365,16 @@
 SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut)
 {
   const bool isOwner = aState.mPhase == OwnerPhase::Owner;
-  auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
-                                           .mOwner = isOwner,
-                                           .mStoreLost = HasLostStore(aState, aNow),
-                                           .mOverloaded = IsOverloadedOwner(aState),
-                                           .mLargestShare = aState.mLargestMemberShare })
-                     .value();
+  const auto version = AnnouncedVersion(aState);
+  auto heartbeat =
+    LinkHeartbeat::Create({ .mEpoch = aState.mEpoch,
+                            .mOwner = isOwner,
+                            .mStoreLost = HasLostStore(aState, aNow),
+                            .mOverloaded = IsOverloadedOwner(aState),
+                            .mLargestShare = aState.mLargestMemberShare,
+                            .mConfigVersion = version,
+                            .mConfigAge = version > 0 ? aNow - ConfigConfirmedAt(aState) : Time() })
+      .value();
   EmitToMember(aState, aNode, MessageOf(std::move(heartbeat)), aOut);
 }
 
@@ -392,8 +410,10 @@
   }
   if (aNow >= aState.mNextHeartbeat) {
     aState.mNextHeartbeat = aNow + aState.mSettings.HeartbeatInterval();
-    auto heartbeat =
-      LinkHeartbeat::Create({ .mEpoch = aState.mOwner->Epoch(), .mOwner = false }).value();
+    auto heartbeat = LinkHeartbeat::Create({ .mEpoch = aState.mOwner->Epoch(),
+                                             .mOwner = false,
+                                             .mConfigVersion = AnnouncedVersion(aState) })
+                       .value();
     EmitToOwner(aState, MessageOf(std::move(heartbeat)), aOut);
   }
 }
--- a/modules/by_schema/LinkHeartbeat.h
+++ b/modules/by_schema/LinkHeartbeat.h
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
+#include "by_core/Time.h"
 #include "by_schema/TeamLoad.h"
 
 namespace by {
@@ -31,10 +32,13 @@
     /// The largest processor share of the nodes that are linked to the owner; zero if it is
     /// unknown.
     std::uint32_t mLargestShare{ 0 };
-    /// Version of the configuration in force at the sender; zero for none.
+    /// Version of the configuration in force at the sender; zero before its first one with teams.
     std::uint64_t mConfigVersion{ 0 };
     /// From the owner: teams whose submissions nodes forward only in part.
     std::vector<TeamLoad> mTeamLoads{};
+    /// Time since that version of the configuration was last confirmed to the sender as the newest
+    /// one.
+    Time mConfigAge{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
     friend auto operator<=>(const Fields&, const Fields&) = default;
@@ -103,7 +107,7 @@
     return copy;
   }
 
-  /// Version of the configuration in force at the sender; zero for none.
+  /// Version of the configuration in force at the sender; zero before its first one with teams.
   std::uint64_t ConfigVersion() const { return mFields.mConfigVersion; }
   /// @returns a copy of this value with another ConfigVersion.
   [[nodiscard]] LinkHeartbeat WithConfigVersion(std::uint64_t aValue) const
@@ -123,6 +127,17 @@
     return copy;
   }
 
+  /// Time since that version of the configuration was last confirmed to the sender as the newest
+  /// one.
+  Time ConfigAge() const { return mFields.mConfigAge; }
+  /// @returns a copy of this value with another ConfigAge.
+  [[nodiscard]] LinkHeartbeat WithConfigAge(Time aValue) const
+  {
+    auto copy = *this;
+    copy.mFields.mConfigAge = std::move(aValue);
+    return copy;
+  }
+
   friend bool operator==(const LinkHeartbeat&, const LinkHeartbeat&) = default;
   friend auto operator<=>(const LinkHeartbeat&, const LinkHeartbeat&) = default;
 
--- a/modules/by_teams/KeyTable.cpp
+++ b/modules/by_teams/KeyTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 
 #include "absl/hash/hash.h"
@@ -25,6 +26,7 @@
 KeyTable::Create(const ClusterConfig& aConfig)
 {
   std::map<std::string, TeamId> teams;
+  std::set<TeamId> sharing;
   for (const auto& team : aConfig.Teams()) {
     for (const auto& key : team.Keys()) {
       if (key.empty() || key.size() > kMaxKeySize) {
@@ -32,6 +34,7 @@
       }
       const auto [it, isNew] = teams.try_emplace(key, team.Name());
       if (!isNew && it->second != team.Name()) {
+        sharing.insert({ it->second, team.Name() });
         it->second = TeamId();
       }
     }
@@ -44,6 +47,9 @@
     table.mKeys.push_back({ .mHash = HashOf(key), .mKey = key, .mTeam = team });
   }
   std::sort(table.mKeys.begin(), table.mKeys.end());
+  // A key of three teams has lost its first team when it comes to the third.
+  sharing.erase(TeamId());
+  table.mTeamsWithSharedKeys.assign(sharing.begin(), sharing.end());
   return table;
 }
 
--- a/modules/by_teams/KeyTable.h
+++ b/modules/by_teams/KeyTable.h
@@ -35,6 +35,8 @@
   std::optional<TeamId> TeamOf(std::string_view aKey) const;
   /// @returns the number of keys that several teams hold.
   std::size_t CountAmbiguousKeys() const;
+  /// @returns the teams that hold a key which another team holds too, in order of their names.
+  const std::vector<TeamId>& TeamsWithSharedKeys() const { return mTeamsWithSharedKeys; }
   /// @returns the number of keys that identify a team.
   std::size_t CountKeys() const { return mKeys.size() - CountAmbiguousKeys(); }
 
@@ -46,6 +48,7 @@
   std::uint64_t mVersion{ 0 };
   /// Ordered by hash; each key once.
   std::vector<TeamKey> mKeys;
+  std::vector<TeamId> mTeamsWithSharedKeys;
 };
 
 } // namespace by
--- a/tests/by_teams/KeyTableTest.cpp
+++ b/tests/by_teams/KeyTableTest.cpp
@@ -57,6 +57,7 @@
   CHECK_FALSE(table.TeamOf("shared-key").has_value());
   CHECK(table.TeamOf("red-key") == TeamId("red"));
   LONGS_EQUAL(1, table.CountAmbiguousKeys());
+  CHECK(table.TeamsWithSharedKeys() == (std::vector<TeamId>{ TeamId("blue"), TeamId("red") }));
   LONGS_EQUAL(2, table.CountKeys());
 }
 
