Refuse teams' submissions beyond their rate while capacity is short

A team that submitted several times its weight was accepted like any other: its jobs filled the queue of the owner, and others' jobs waited behind them.

A submission without a token is refused with JobCallOutcome::Throttled, before any record, while a step has found no capacity in its pool within the last second, while the owner is behind, or while half of the open jobs that it allows are in use. Otherwise it is accepted with JobRow::mIsExcess set. Jobs that the owner knows are answered before that. Callers that are refused together are told to come back evenly over the time in which the bucket refills for them, 1 to 4 s in whole seconds. The owner also chooses the share of a team's submissions that nodes should forward; each submission that arrives counts for those that nodes have refused. Without teams nothing is metered.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -18,10 +18,12 @@
 #include "by_cell/JobRow.h"
 #include "by_cell/OutcomeRow.h"
 #include "by_cell/ReadyKey.h"
+#include "by_cell/TeamRateRow.h"
 #include "by_cell/UnknownJobQuery.h"
 #include "by_cell/WaveRow.h"
 #include "by_cell/WorkerCrash.h"
 #include "by_cell/WorkerRow.h"
+#include "by_core/Identifier.h"
 #include "by_schema/CellSettings.h"
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/JobTaskKey.h"
@@ -71,6 +73,13 @@
   /// How many of the queried workers the service allowed, by the host and path prefix of the queue.
   std::map<std::pair<std::string, std::string>, AdviceShare> mAdviceShares;
 
+  /// The submissions of each team against its rate; a successor starts without.
+  std::map<TeamId, TeamRateRow> mTeamRates;
+  /// When these rows were last updated.
+  Time mLastTeamUpdate{};
+  /// When a step last waited for capacity, by pool; only kept while the configuration has teams.
+  std::map<std::string, Time> mCapacityMissedAt;
+
   /// Changes since the last append: accepted jobs, tasks with new progress, outcomes, deleted keys.
   std::vector<std::string> mNewJobs;
   absl::btree_set<JobTaskKey> mNewProgress;
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -11,6 +11,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamRates.h"
 #include "by_jobs/by_jobs.h"
 #include "by_queueing/RetryDelay.h"
 
@@ -131,8 +132,18 @@
     Refuse(aState, aCaller, aRequest, "too many open jobs", kRetryDelay, aOut);
     return;
   }
+  // Checked last, so that a submission that is refused for another reason takes no token.
+  const auto check = detail::MeterSubmission(aState, aCaller, aRequest, aNow, aOut);
+  if (check.mRetryAfter) {
+    detail::Reply(aState,
+                  aCaller,
+                  { .mOutcome = JobCallOutcome::Throttled, .mRetryAfter = *check.mRetryAfter },
+                  aOut);
+    return;
+  }
   auto& job = aState.mJobs[aRequest.Job()];
   job.mTeam = aRequest.Team();
+  job.mIsExcess = check.mIsExcess;
   job.mJob = Job::Create({ .mId = aRequest.Job(),
                            .mQueue = aRequest.Queue(),
                            .mDefinition = *aRequest.Definition(),
@@ -152,6 +163,8 @@
                            aRequest.Queue().Priority(),
                            " team=",
                            aRequest.Team().Text(),
+                           " excess=",
+                           job.mIsExcess,
                            " tasks=",
                            CountTasks(*aRequest.Definition()),
                            " objective_ms=",
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -15,6 +15,7 @@
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Placement.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamRates.h"
 #include "by_jobs/by_jobs.h"
 
 namespace by {
@@ -99,6 +100,7 @@
   OpenDueJobs(aState, aNow);
   AnswerStalledCallers(aState, aNow, aOut);
   detail::SettleCrashes(aState, aNow, aOut);
+  detail::UpdateTeamRates(aState, aNow, aOut);
   if (aNow >= aState.mLastWorkerUpdate + kWorkerUpdateInterval) {
     aState.mLastWorkerUpdate = aNow;
     UpdateWorkers(aState, aNow, aOut);
--- a/modules/by_cell/Work.h
+++ b/modules/by_cell/Work.h
@@ -10,8 +10,9 @@
 AdvanceCell(CellState& aState, Time aNow, Effects& aOut);
 
 /// Does the work that depends on time alone: opens due occurrences, answers callers that have
-/// waited too long, expires outcomes, stops hung runs, evacuates draining workers, advances
-/// maintenance waves, updates urgencies, and catches placements that events missed.
+/// waited too long, updates the rates of teams, expires outcomes, stops hung runs, evacuates
+/// draining workers, advances maintenance waves, updates urgencies, and catches placements that
+/// events missed.
 void
 CheckCell(CellState& aState, Time aNow, Effects& aOut);
 
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -17,6 +17,7 @@
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamRates.h"
 #include "by_cell/detail/Trials.h"
 #include "by_cell/detail/WorkerStatistics.h"
 #include "by_crashes/by_crashes.h"
@@ -237,6 +238,9 @@
     }
     // A step that waits for a trial says nothing of the capacity.
     misses += candidates.empty() || row.mTrialWaitsSince > Time() ? 0 : 1;
+    if (row.mTrialWaitsSince == Time()) {
+      NoteCapacityMiss(aPass, aKey, step, row, latestStart, policy.Pool());
+    }
     const bool mayReserve = step.Gang() && CanBeOnTime(*job, occurrence, aKey.mStep, aPass.mNow);
     const auto reserved =
       mayReserve
--- a/tests/by_cell/LoadReplay.cpp
+++ b/tests/by_cell/LoadReplay.cpp
@@ -34,7 +34,9 @@
 {
   static const std::vector<Kind> kinds{ { false, 3900, 5600, 1.5, 250, 26000, 364, 70 },
                                         { true, 4500, 8600, 2.2, 1000, 637000, 9100, 30 },
-                                        { false, 2800, 2800, 4.0, 3000, 182000, 2600, 45 } };
+                                        { false, 2800, 2800, 4.0, 3000, 182000, 2600, 45 },
+                                        // Needs no advice.
+                                        { false, 4200, 2800, 4.0, 3000, 0, 0, 0 } };
   return kinds.at(aPriority);
 }
 
@@ -74,18 +76,21 @@
 QueueOf(std::uint32_t aPriority)
 {
   const auto& kind = KindOf(aPriority);
-  return QueuePolicy::Create(
-           { .mHost = "h",
-             .mPathPrefix = "/" + std::to_string(aPriority) + "/",
-             .mPool = kPool,
-             .mPriority = aPriority,
-             .mMaxAttempts = 2,
-             .mSlowdownLimit = kind.mStretch,
-             .mSlack = Time::FromMilliseconds(kind.mSlackMs),
-             .mAdvice = AdvicePolicy::Create({ .mDecisionUs = kind.mDecisionUs,
-                                               .mWorkerUs = kind.mWorkerUs,
-                                               .mValidity = Time::FromSeconds(2) })
-                          .value() })
+  std::optional<AdvicePolicy> advice;
+  if (kind.mDecisionUs > 0) {
+    advice = AdvicePolicy::Create({ .mDecisionUs = kind.mDecisionUs,
+                                    .mWorkerUs = kind.mWorkerUs,
+                                    .mValidity = Time::FromSeconds(2) })
+               .value();
+  }
+  return QueuePolicy::Create({ .mHost = "h",
+                               .mPathPrefix = "/" + std::to_string(aPriority) + "/",
+                               .mPool = kPool,
+                               .mPriority = aPriority,
+                               .mMaxAttempts = 2,
+                               .mSlowdownLimit = kind.mStretch,
+                               .mSlack = Time::FromMilliseconds(kind.mSlackMs),
+                               .mAdvice = std::move(advice) })
     .value();
 }
 
@@ -99,7 +104,8 @@
   mCell.mConfirmedAt = mNow;
   mCell.mOwnerSince = mNow;
   mCell.mConfig =
-    ClusterConfig::Create({ .mVersion = 1, .mQueues = { QueueOf(0), QueueOf(1), QueueOf(2) } })
+    ClusterConfig::Create(
+      { .mVersion = 1, .mQueues = { QueueOf(0), QueueOf(1), QueueOf(2), QueueOf(3) } })
       .value();
   for (int n = 1; n <= aNodes; ++n) {
     mCell.mAdviceProxies.push_back({ .mNode = "n" + std::to_string(n), .mOpenQueries = {} });
@@ -132,6 +138,16 @@
   return arrivals;
 }
 
+void
+LoadReplay::SetTeams(const std::vector<TeamId>& aTeams, std::int64_t aWeight)
+{
+  auto fields = mCell.mConfig.ToFields();
+  for (const auto& team : aTeams) {
+    fields.mTeams.push_back(TeamPolicy::Create({ .mName = team, .mWeight = aWeight }).value());
+  }
+  ConfigureCell(mCell, ClusterConfig::Create(std::move(fields)).value());
+}
+
 void
 LoadReplay::Play(const std::vector<Arrival>& aArrivals)
 {
@@ -182,10 +198,17 @@
                                       .mKind = JobCallKind::Submit,
                                       .mQueue = QueueOf(aArrival.mPriority),
                                       .mJob = aJob,
-                                      .mDefinition = std::move(definition) })
+                                      .mDefinition = std::move(definition),
+                                      .mTeam = aArrival.mTeam })
                   .value(),
                 mNow,
                 mOut);
+  ++mTeamShares[aArrival.mTeam].mJobs;
+  if (!mCell.mJobs.contains(aJob)) {
+    ++mTeamShares[aArrival.mTeam].mThrottled;
+    mThrottledJobs.push_back(aJob);
+    return;
+  }
   auto arrival = aArrival;
   arrival.mAt = mNow;
   mOpen.emplace(aJob, arrival);
@@ -289,6 +312,7 @@
 {
   const auto& body = aEffect.Body();
   if (const auto* append = std::get_if<AppendToCell>(&body)) {
+    mRecords.insert(mRecords.end(), append->Records().begin(), append->Records().end());
     HandleAppended(mCell,
                    CellAppended::Create({ .mEpoch = append->Epoch(),
                                           .mSequence = append->Sequence(),
@@ -335,6 +359,7 @@
 LoadReplay::Start(const StartRun& aStart)
 {
   const RunId id{ aStart.Task(), aStart.Run() };
+  mStartedJobs.insert(aStart.Task().Job());
   const auto& job = mCell.mJobs.at(aStart.Task().Job());
   const auto estimate =
     job.mJob.Definition().Steps()[aStart.Task().Step()].Estimate().Milliseconds();
@@ -369,6 +394,7 @@
     const bool isOnTime = ended->second.mState == JobState::Completed &&
                           ended->second.mEnded <= arrival.mAt + arrival.mObjective;
     mShares[arrival.mPriority].mOnTime += isOnTime ? 1 : 0;
+    mTeamShares[arrival.mTeam].mOnTime += isOnTime ? 1 : 0;
     return true;
   });
 }
--- a/tests/by_cell/LoadReplay.h
+++ b/tests/by_cell/LoadReplay.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,12 +23,16 @@
     std::uint32_t mTasks;
     /// The time within which the job has to be done.
     Time mObjective;
+    /// The team that submits it; empty for none.
+    TeamId mTeam{};
   };
-  /// What becomes of the jobs of one priority.
+  /// What becomes of the jobs of one priority, or of one team.
   struct Share
   {
     std::size_t mJobs{ 0 };
     std::size_t mOnTime{ 0 };
+    /// The jobs that were refused because their team exceeds its rate.
+    std::size_t mThrottled{ 0 };
   };
 
   /// @param aWorkers the number of workers, of 16 cores and 32 GB each.
@@ -36,6 +41,8 @@
 
   /// Reads arrivals: milliseconds, priority, tasks and objective in milliseconds in each line.
   static std::vector<Arrival> ReadArrivals(const std::string& aFile);
+  /// Configures teams of one weight.
+  void SetTeams(const std::vector<TeamId>& aTeams, std::int64_t aWeight);
   /// Plays all arrivals, and the time until the last objective has passed.
   void Play(const std::vector<Arrival>& aArrivals);
   /// @returns the share of jobs of a priority that were done within their objective.
@@ -44,6 +51,12 @@
   CellState mCell;
   Time mNow{ Time::FromMilliseconds(1000000) };
   std::map<std::uint32_t, Share> mShares;
+  std::map<TeamId, Share> mTeamShares;
+  /// The jobs that were refused, and the records that were stored.
+  std::vector<std::string> mThrottledJobs;
+  std::vector<KeyedRecord> mRecords;
+  /// The jobs of which a task was started.
+  std::set<std::string> mStartedJobs;
   /// The time that nodes spent on advice queries, in total.
   Time mAdviceTime{};
 
