Enforce the quotas of teams at the owner of a cell

A team took whatever capacity its queue was long enough for: nothing read the quotas of the configuration. The owner now charges a run to its job's team when it is added to a worker's row, and releases it when the row is removed, so that a successor counts the same usage from the same records. A step is placed as far as its team's quota allows, a gang only as a whole; a held step reserves nothing, queries no advice and is no miss of its pool. A gang or task that its team's quota can never hold is refused at once with 429 and no retry time, before any write. After a reduction nothing is stopped: starts that are planned are dropped, starts without an answer are neither repeated nor stopped while the team is above its quota, and accepted steps that no longer fit at all rank last until it is raised. team.quota_reached and team.quota_free are logged once for each change.

A run of an ended job, of which no record is left, is charged with all that its worker has left. A scavenging task counts with what it declares. Of two entries of a team the first applies, a weight below one counts as one, and weights and charges are bounded so that sums do not overflow.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -25,6 +25,7 @@
 #include "by_schema/CellSettings.h"
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/JobTaskKey.h"
+#include "by_sharing/TeamTable.h"
 
 namespace by {
 
@@ -51,6 +52,11 @@
   /// scheduled jobs are not counted.
   std::map<std::pair<std::string, std::string>, std::uint64_t> mUnstarted;
 
+  /// The weights, quotas and usage of the teams, over all workers.
+  TeamTable mTeams;
+  /// The teams of which the last placement pass that examined them held steps back for their quota.
+  absl::btree_set<TeamId> mTeamsAtQuota;
+
   /// Workers by name; ordered, so that equal inputs give equal decisions in every process.
   std::map<std::string, WorkerRow> mWorkers;
   /// Recent crashes of workers, in the order in which they were noticed.
--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -13,6 +13,7 @@
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/SuspectedTasks.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_cell/detail/WorkerReports.h"
 #include "by_cell/detail/WorkerStatistics.h"
 
@@ -144,6 +145,10 @@
     const bool hasAnswered = aWorker.mWorkerClockReadAt >= row.mStartTimedOutAt;
     if (aWorker.mRegistration.Draining() || detail::IsOverCapacity(aWorker)) {
       withdrawn.push_back(run.mTask);
+    } else if (detail::IsAboveQuota(aState, row.mTeam)) {
+      // Sent again it could start above a quota that has been reduced, and stopped it could end a
+      // run that has begun unseen, so it waits.
+      continue;
     } else if (hasAnswered && detail::MayGrantLeases(aState, aNow)) {
       detail::SendStart(aState, aWorker, run, aNow, aOut);
     }
--- a/modules/by_cell/HandleRequests.cpp
+++ b/modules/by_cell/HandleRequests.cpp
@@ -11,6 +11,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_jobs/by_jobs.h"
 #include "by_queueing/RetryDelay.h"
 
@@ -36,6 +37,34 @@
   detail::ReplyRefused(aState, aCaller, aRetryAfter, aOut);
 }
 
+/// Refuses a job that its team's quota can never hold. Retrying does not help, so the caller is not
+/// told when to.
+void
+RefuseForQuota(const CellState& aState,
+               const PendingCaller& aCaller,
+               const CellRequest& aRequest,
+               std::size_t aStep,
+               Effects& aOut)
+{
+  const auto& step = aRequest.Definition()->Steps()[aStep];
+  detail::Log(aOut,
+              "job.refused",
+              aRequest.Job(),
+              absl::StrCat("reason=step exceeds the team's quota team=",
+                           aRequest.Team().Text(),
+                           " step=",
+                           aStep,
+                           " tasks=",
+                           step.Gang() ? step.Count() : 1,
+                           " cpu=",
+                           step.Demand().CpuMillis(),
+                           " memory=",
+                           step.Demand().MemoryMb(),
+                           " accelerators=",
+                           step.Demand().Accelerators()));
+  detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::Throttled }, aOut);
+}
+
 /// How long a call about an unknown job waits for a confirmation of the claim.
 constexpr Time kUnknownJobTimeout = Time::FromMilliseconds(1500);
 
@@ -117,6 +146,15 @@
     detail::Reply(aState, aCaller, { .mOutcome = JobCallOutcome::Malformed }, aOut);
     return;
   }
+  const auto& steps = aRequest.Definition()->Steps();
+  const auto tooLarge = std::find_if(steps.begin(), steps.end(), [&](const JobStep& aStep) {
+    return detail::ExceedsQuota(aState, aRequest.Team(), aStep);
+  });
+  if (tooLarge != steps.end()) {
+    const auto index = static_cast<std::size_t>(tooLarge - steps.begin());
+    RefuseForQuota(aState, aCaller, aRequest, index, aOut);
+    return;
+  }
   if (aState.mStoreRejects || aState.mStoreLostAt + aState.mSettings.StoreLossTimeout() < aNow) {
     const auto slack = SlackTime(*aRequest.Definition(), aRequest.Queue());
     Refuse(aState,
--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -15,6 +15,7 @@
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_jobs/by_jobs.h"
 #include "by_queueing/RetryDelay.h"
 
@@ -111,6 +112,9 @@
     return "worker's capacity has shrunk";
   }
   const auto* job = detail::FindJob(aState, aRun.mTask.Job());
+  if (job != nullptr && detail::IsAboveQuota(aState, job->mTeam)) {
+    return "the team's quota has been reduced";
+  }
   if (job == nullptr || !detail::PolicyOf(aState, *job).Advice()) {
     return nullptr;
   }
--- a/modules/by_cell/ReadyKey.h
+++ b/modules/by_cell/ReadyKey.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "by_cell/Urgency.h"
+#include "by_core/Identifier.h"
 #include "by_core/Time.h"
 
 namespace by {
@@ -12,8 +13,12 @@
 /// Key of a ready step; steps are placed in the order of their keys.
 struct ReadyKey
 {
-  /// Whether no worker has the capacity for the step, however idle; such steps come last.
+  /// Whether no worker has the capacity for the step, however idle, or it exceeds its team's quota
+  /// by itself; such steps come last.
   bool mInfeasible{ false };
+  /// The team whose quota the step exceeds by itself, so that it waits until the quota is raised;
+  /// empty for all other steps.
+  TeamId mExceededTeam;
   /// How urgent the job is with respect to its objective.
   Urgency mUrgency{ Urgency::OnTime };
   /// The queue's priority; 0 is the highest.
--- a/modules/by_cell/RestoreCell.cpp
+++ b/modules/by_cell/RestoreCell.cpp
@@ -11,6 +11,7 @@
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/SuspectedTasks.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_crashes/by_crashes.h"
 #include "by_jobs/by_jobs.h"
 
@@ -229,6 +230,7 @@
 RestoreCell(CellState aEmpty, const std::vector<KeyedRecord>& aRecords, Time aNow, Effects& aOut)
 {
   auto state = std::move(aEmpty);
+  detail::ApplyTeamPolicies(state);
   const auto sorted = Sort(aRecords);
   for (const auto* outcome : sorted.mOutcomes) {
     auto& row = state.mOutcomes[outcome->Job()];
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "by_cell/RunPhase.h"
+#include "by_core/Identifier.h"
 #include "by_core/Time.h"
 #include "by_schema/Resources.h"
 
@@ -15,6 +16,9 @@
   RunPhase mPhase{ RunPhase::Planned };
   /// The resources that it holds.
   Resources mDemand;
+  /// The team of its job, which may have ended, and the resources that the team is charged with.
+  TeamId mTeam;
+  Resources mCharge;
   /// Whether the resources that it holds are not known, so that the worker has none to spare.
   bool mIsDemandUnknown{ false };
   /// Whether it uses only idle processor time, and whether its step has a response time target.
--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -15,6 +15,7 @@
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Placement.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_jobs/by_jobs.h"
 
 namespace by {
@@ -132,6 +133,7 @@
 ConfigureCell(CellState& aState, const ClusterConfig& aConfig)
 {
   aState.mConfig = aConfig;
+  detail::ApplyTeamPolicies(aState);
   aState.mCapacityMayHaveGrown = true;
   for (auto& [id, job] : aState.mJobs) {
     for (const auto& [index, occurrence] : job.mOccurrences) {
--- a/modules/by_cell/by_cell.h
+++ b/modules/by_cell/by_cell.h
@@ -4,7 +4,7 @@
 ///
 /// Purpose: the decisions of a cell's owner: which jobs it accepts, where their tasks run, in which
 /// order records are stored and actions follow, and when a run has ended for certain.
-/// Dependencies: by_core, by_schema, by_placement, by_jobs.
+/// Dependencies: by_core, by_schema, by_placement, by_sharing, by_jobs, by_queueing, by_crashes.
 
 #include "by_cell/CellState.h"
 #include "by_cell/HandleAdvice.h"
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -11,6 +11,7 @@
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_queueing/AdviceRound.h"
 
 namespace by::detail {
@@ -234,7 +235,8 @@
   const auto candidates = UsableWorkers(aState, policy.Pool(), aNow);
   for (auto& [index, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
-      if (ArePredecessorsDone(aJob, occurrence, s)) {
+      if (ArePredecessorsDone(aJob, occurrence, s) &&
+          QuotaAllowsStart(aState, aJob, StepOf(aJob, s))) {
         QueryAdvice(aState, aJob, index, s, candidates, aNow, aOut);
       }
     }
--- a/modules/by_cell/detail/Feasibility.cpp
+++ b/modules/by_cell/detail/Feasibility.cpp
@@ -86,7 +86,9 @@
   std::vector<ReadyKey> fitting;
   ReadyKey first;
   first.mInfeasible = true;
-  for (auto it = aState.mReady.lower_bound(first); it != aState.mReady.end(); ++it) {
+  for (auto it = aState.mReady.lower_bound(first);
+       it != aState.mReady.end() && it->mExceededTeam.IsEmpty();
+       ++it) {
     if (IsFeasible(aState, *it)) {
       fitting.push_back(*it);
     }
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -7,6 +7,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_jobs/by_jobs.h"
 
 namespace by::detail {
@@ -208,7 +209,9 @@
   }
   const auto& policy = PolicyOf(aState, aJob);
   const auto objective = ObjectiveTime(aJob.mJob.Definition(), policy);
-  ReadyKey key{ .mInfeasible = step.mInfeasible,
+  const bool exceedsQuota = ExceedsQuota(aState, aJob.mTeam, definition);
+  ReadyKey key{ .mInfeasible = step.mInfeasible || exceedsQuota,
+                .mExceededTeam = exceedsQuota ? aJob.mTeam : TeamId(),
                 .mUrgency = step.mUrgency,
                 .mPriority = policy.Priority(),
                 .mLatestStart = occurrence.mDue + objective - step.mCriticalPath,
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -17,6 +17,7 @@
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_cell/detail/Trials.h"
 #include "by_cell/detail/WorkerStatistics.h"
 #include "by_crashes/by_crashes.h"
@@ -91,7 +92,8 @@
   const auto& step = StepOf(aJob, aKey.mStep);
   const auto& occurrence = aJob.mOccurrences.at(aKey.mOccurrence);
   const auto first = occurrence.mSteps[aKey.mStep].mFirst;
-  for (std::uint32_t i = 0; i < step.Count(); ++i) {
+  auto allowed = CountWithinQuota(aPass.mState, aJob, step);
+  for (std::uint32_t i = 0; i < step.Count() && allowed > 0; ++i) {
     const auto& row = occurrence.mTasks[first + i];
     const bool isTried =
       NeedsTrial(row.mCrashes) && !(aPlaceWeaklySuspected && IsWeaklySuspected(row.mCrashes));
@@ -104,6 +106,7 @@
       return;
     }
     AssignTask(aPass, aJob, task, *worker, row.mProgress.Run() + 1);
+    --allowed;
   }
 }
 
@@ -198,6 +201,19 @@
   return aPass.mPlaced > placed;
 }
 
+/// @returns whether the quota of its team keeps a step from starting; the pass notes the result.
+bool
+IsHeldByQuota(PlacementPass& aPass, const JobRow& aJob, const JobStep& aStep)
+{
+  if (aJob.mTeam.IsEmpty()) {
+    return false;
+  }
+  const bool isHeld = !QuotaAllowsStart(aPass.mState, aJob, aStep);
+  auto& hasHeld = aPass.mTeamsExamined[aJob.mTeam];
+  hasHeld = hasHeld || isHeld;
+  return isHeld;
+}
+
 void
 PlaceStep(PlacementPass& aPass, const ReadyKey& aKey)
 {
@@ -207,6 +223,9 @@
   }
   const auto& policy = PolicyOf(aPass.mState, *job);
   const auto& step = StepOf(*job, aKey.mStep);
+  if (IsHeldByQuota(aPass, *job, step)) {
+    return;
+  }
   auto& misses = step.Gang() ? aPass.mWaitingGangs[policy.Pool()] : aPass.mMisses[policy.Pool()];
   if (misses >= (step.Gang() ? kMaxWaitingGangsPerPass : kMaxMissesPerPass)) {
     return;
@@ -228,6 +247,9 @@
   const bool places = trial == TrialOutcome::PlaceOthers || placesSuspects;
   const bool hasPlaced =
     places && PlaceWaitingTasks(aPass, *job, aKey, latestStart, placesSuspects, candidates);
+  if (hasPlaced && row.mReady && IsHeldByQuota(aPass, *job, step)) {
+    return;
+  }
   if (placesSuspects && hasPlaced) {
     row.mTrialWaitsSince = Time();
   }
@@ -260,6 +282,48 @@
   }
 }
 
+/// Notes the teams with steps that exceed their quota by themselves.
+void
+NoteExceededTeams(PlacementPass& aPass)
+{
+  const auto& ready = aPass.mState.mReady;
+  ReadyKey next;
+  next.mInfeasible = true;
+  next.mExceededTeam = TeamId(std::string(1, '\0'));
+  for (auto it = ready.lower_bound(next); it != ready.end(); it = ready.lower_bound(next)) {
+    aPass.mTeamsExamined[it->mExceededTeam] = true;
+    next.mExceededTeam = TeamId(it->mExceededTeam.Text() + '\0');
+  }
+}
+
+/// Logs which teams have begun or ceased to have steps that wait for their quota.
+/// @param aHasSeenAll whether the pass has examined all steps that can be placed.
+void
+ReportQuotas(PlacementPass& aPass, bool aHasSeenAll)
+{
+  auto& state = aPass.mState;
+  NoteExceededTeams(aPass);
+  if (aHasSeenAll) {
+    for (const auto& team : state.mTeamsAtQuota) {
+      aPass.mTeamsExamined.try_emplace(team, false);
+    }
+  }
+  for (const auto& [team, isHeld] : aPass.mTeamsExamined) {
+    if (isHeld == state.mTeamsAtQuota.contains(team)) {
+      continue;
+    }
+    if (isHeld) {
+      state.mTeamsAtQuota.insert(team);
+    } else {
+      state.mTeamsAtQuota.erase(team);
+    }
+    Log(aPass.mOut,
+        isHeld ? "team.quota_reached" : "team.quota_free",
+        team.Text(),
+        FormatUsage(state, team));
+  }
+}
+
 } // namespace
 
 std::size_t
@@ -283,10 +347,12 @@
     }
     keys.push_back(key);
   }
+  const bool hasSeenAll = keys.size() < kMaxStepsPerPass;
   std::size_t gangs = 0;
   for (const auto& key : keys) {
     PlaceStep(pass, key);
   }
+  ReportQuotas(pass, hasSeenAll);
   for (const auto& [pool, waiting] : pass.mWaitingGangs) {
     gangs += waiting;
   }
--- a/modules/by_cell/detail/PlacementPass.h
+++ b/modules/by_cell/detail/PlacementPass.h
@@ -55,6 +55,8 @@
   std::map<std::string, std::size_t> mWaitingGangs{};
   std::map<std::string, std::size_t> mQueries{};
   std::map<std::string, TrialPool> mTrialPools{};
+  /// The teams with examined steps, and whether a step of theirs waits for their quota.
+  std::map<TeamId, bool> mTeamsExamined{};
 };
 
 /// @returns the usable workers of a pool, by name.
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -9,6 +9,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_cell/detail/WorkerStatistics.h"
 #include "by_placement/ResourceMath.h"
 
@@ -143,6 +144,7 @@
 {
   auto [it, isNew] = aWorker.mRuns.emplace(aRun, std::move(aRow));
   if (isNew) {
+    ChargeRun(aState, aWorker, aRun, it->second);
     aWorker.mUsed = Plus(aWorker.mUsed, it->second.mDemand);
     aWorker.mTrials += it->second.mProbation > Time() ? 1 : 0;
     aWorker.mUnknownRuns += it->second.mIsDemandUnknown ? 1 : 0;
@@ -175,6 +177,7 @@
   if (it == aWorker.mRuns.end()) {
     return;
   }
+  ReleaseRun(aState, it->second);
   aWorker.mUsed = Minus(aWorker.mUsed, it->second.mDemand);
   aWorker.mTrials -= it->second.mProbation > Time() ? 1 : 0;
   aWorker.mUnknownRuns -= it->second.mIsDemandUnknown ? 1 : 0;
--- a/modules/by_cell/detail/Trials.cpp
+++ b/modules/by_cell/detail/Trials.cpp
@@ -13,6 +13,7 @@
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_cell/detail/WorkerStatistics.h"
 #include "by_crashes/by_crashes.h"
 #include "by_placement/ResourceMath.h"
@@ -303,7 +304,9 @@
     return waiting;
   }
   std::vector<WorkerRow*> hosts;
-  const auto wanted = step.Gang() ? tasks : suspects.mWaiting.size();
+  const auto wanted = step.Gang() ? tasks
+                                  : std::min<std::size_t>(suspects.mWaiting.size(),
+                                                          CountWithinQuota(state, aJob, step));
   for (const auto i : chosen) {
     for (std::size_t n = 0; n < listed[i].mSlots && hosts.size() < wanted; ++n) {
       hosts.push_back(aCandidates[i]);
