--- a/modules/by_cell/Work.cpp
+++ b/modules/by_cell/Work.cpp
@@ -16,6 +16,7 @@
 #include "by_cell/detail/Placement.h"
 #include "by_cell/detail/Tables.h"
 #include "by_cell/detail/TeamRates.h"
+#include "by_cell/detail/TeamUsage.h"
 #include "by_jobs/by_jobs.h"
 
 namespace by {
@@ -134,6 +135,7 @@
 ConfigureCell(CellState& aState, const ClusterConfig& aConfig)
 {
   aState.mConfig = aConfig;
+  detail::ApplyTeamPolicies(aState);
   aState.mCapacityMayHaveGrown = true;
   for (auto& [id, job] : aState.mJobs) {
     for (const auto& [index, occurrence] : job.mOccurrences) {
