--- a/scripts/soak_entry/nodes.py
+++ b/scripts/soak_entry/nodes.py
@@ -5,6 +5,7 @@
 import math
 import os
 import pathlib
+import resource
 import signal
 import time
 
@@ -45,7 +46,7 @@
             "zones": {f"z{n}": "r" for n in range(3)},
             "listen": {"front": f"{self.address}:{site.front_port}", "ready": f"{self.address}:{site.ready_port}"},
             "port_range": [site.link_port, site.link_port + 15], "seeds": [], "bootstrap": self.starts == 0,
-            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100},
+            "limits": {"cpu_share": 0.25, "cores": 1, **site.machine_limits},
             "bounds": {"grace_s": GRACE_S, "hold_max_ms": 10000, "stop_timeout_ms": 200, "gang_timeout_ms": 3000,
                        "status_s": self.retention_s, "remote_factor": 2, "lease_ms": 3000,
                        "drain_timeout_ms": 2000, "upkeep_s": 2},
@@ -61,10 +62,14 @@
         self.log_from = os.fstat(self.log.fileno()).st_size
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, stdout=self.log, stderr=self.log, start_new_session=True,
-            env={"PATH": os.environ.get("PATH", ""), "BERGAMOTYARD_SETTINGS": str(self.settings_path)})
+            env={"PATH": os.environ.get("PATH", ""), "BERGAMOTYARD_SETTINGS": str(self.settings_path)},
+            preexec_fn=self._limit_descriptors if self.site.descriptors else None)
         self.site.network.spawn(self._watch(self.process))
         self.opening = self.site.network.spawn(self.site.proxy.open(self.index, len(self.site.nodes)))
 
+    def _limit_descriptors(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.site.descriptors, self.site.descriptors))
+
     async def _watch(self, process):
         status = await process.wait()
         self.opening.cancel()
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -30,6 +30,11 @@
 
 
 class Site:
+    # What the nodes' settings and the published configuration say of their machines and connections.
+    machine_limits = {"memory_mb": 260, "max_fds": 4100}
+    connection_limits = {"max_body_bytes": 65536}
+    descriptors = None  # at most, enforced by the kernel; None for the limit of the machine
+
     def __init__(self, options, seed, folder):
         self.options, self.seed, self.folder = options, seed, folder
         self.shape = SHAPES[options.shape]
@@ -85,7 +90,7 @@
         self.store.put("keyed.op", "config", json.dumps({
             "version": self.version, "routes": routes,
             "services": [{"name": s, "enforces_capacity": False} for s in self.shape.services],
-            "limits": {"max_body_bytes": 65536}}))
+            "limits": self.connection_limits}))
 
     async def begin(self):
         """Starts all processes and stand-ins; returns whether all nodes became ready."""
