Bound what callers of an entry node may hold, and for how long

Callers saw a node whose memory grew with whatever a few connections sent: the parser kept chunk extensions and trailers without a bound, and bodies up to 64 MB regardless of the configuration. Connections that sent slowly, read no answers or did nothing were kept for ever, and 200 of them used up the descriptors that the store needs.

CallReader now parses the bytes of a connection itself and keeps the start line with all fields, the body, and the rest (extensions, trailers) within limits; CallLimits is the one place for them and for timeouts. What all calls that are arriving hold is bounded by a quarter of the machine's memory, and the largest is refused with 503. Callers get two thirds of the machine's descriptors; when these are in use, the connection that has been idle longest gives way. The four limits of the configuration apply to open connections as soon as the control thread has posted them to the traffic thread. A refused call was never handed on. Idle connections hold no buffer any more. refused_connections_total and, once a second at most, connection.refused tell the reasons.

A test of HttpClient held one connection without a call and expected the next one to be refused; the first one now has a call, since it would give way.

--- a/modules/by_entryd/EntryHooks.h
+++ b/modules/by_entryd/EntryHooks.h
@@ -15,6 +15,9 @@
   std::function<void(EntryEvent)> mDeliver;
   /// Writes a line to the log; may be called from any thread.
   std::function<void(LogLine)> mLog;
+  /// Counts a connection or a call that a limit refused, by its reason; called from the traffic
+  /// thread.
+  std::function<void(const char* aReason)> mCountRefusal;
   /// Writes the metrics in Prometheus' text format; may be called from any thread.
   std::function<std::string()> mMetricsText;
 };
--- a/modules/by_entryd/EntryPorts.h
+++ b/modules/by_entryd/EntryPorts.h
@@ -7,6 +7,7 @@
 #include "absl/status/statusor.h"
 
 #include "by_entryd/EntryHooks.h"
+#include "by_schema/ConnectionLimits.h"
 #include "by_schema/EntryEffect.h"
 
 namespace by {
@@ -18,6 +19,8 @@
   std::function<void(const EntryEffect&)> mPerform;
   /// Begins to follow the configuration and the claims of the cell.
   std::function<void()> mStart;
+  /// Takes over the limits of callers' connections, as the configuration in force has them.
+  std::function<void(const ConnectionLimits&)> mSetLimits;
   /// Takes no further calls, answers those that have arrived, and closes the connections of
   /// callers. The function is told once, when the last of them is closed.
   std::function<void(std::function<void()> aFinished)> mFinish;
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -110,6 +110,8 @@
                       [this](const LogLine& aLine) {
                         boost::asio::post(mControl, [this, aLine] { Write(aLine); });
                       },
+                    .mCountRefusal =
+                      [this](const char* aReason) { mMetrics.CountRefusal(aReason); },
                     .mMetricsText = [this] { return mMetrics.Text(); } };
   auto ports = aOpen(mTraffic, std::move(hooks));
   if (!ports.ok()) {
@@ -191,6 +193,7 @@
   }
   const bool isSampled = mBatches++ % kBatchesPerSample == 0;
   Perform(isSampled ? StepSampled(batch.mEvents, now) : StepEntry(mState, batch.mEvents, now));
+  ApplyConnectionLimits();
   ArmTimer();
   if (batch.mLeft > 0) {
     // Timers and signals get their turn between two batches.
@@ -270,6 +273,16 @@
   }
 }
 
+void
+EntryDaemonBody::ApplyConnectionLimits()
+{
+  if (!mState.mConfig || mState.mConfig->ConnectionLimits() == mConnectionLimits) {
+    return;
+  }
+  mConnectionLimits = mState.mConfig->ConnectionLimits();
+  boost::asio::post(mTraffic, [this, limits = mConnectionLimits] { mPorts.mSetLimits(limits); });
+}
+
 void
 EntryDaemonBody::FinishCalls()
 {
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -50,6 +50,8 @@
   /// Logs an unexpected error of a handler.
   void ReportError(const char* aThread, const std::string& aError);
   void Perform(Effects aEffects);
+  /// Posts the limits of callers' connections to the traffic thread when they have changed.
+  void ApplyConnectionLimits();
   /// Ends the process once the calls that callers have sent are answered.
   void FinishCalls();
   void FinishAfterFlush(Time aBegin);
@@ -70,6 +72,8 @@
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mExitTimer;
   boost::asio::signal_set mSignals;
+  /// The limits that the traffic thread was told last.
+  ConnectionLimits mConnectionLimits;
   Time mTimerDue{ Time::Never() };
   Time mStopRequestedAt{ Time::Never() };
   std::uint64_t mTicks{ 0 };
--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -61,19 +61,29 @@
   return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
 }
 
-/// @returns the counter of a kind of event, which is made at its first use.
+/// @returns the counter of a label's value, which is made at its first use.
 prometheus::Counter&
-OfKind(CounterFamily& aFamily,
-       std::map<std::string_view, prometheus::Counter*>& aCounters,
-       const char* aKind)
+OfLabel(CounterFamily& aFamily,
+        std::map<std::string_view, prometheus::Counter*>& aCounters,
+        const char* aLabel,
+        const char* aValue)
 {
-  auto& counter = aCounters[aKind];
+  auto& counter = aCounters[aValue];
   if (counter == nullptr) {
-    counter = &aFamily.Add({ { "kind", aKind } });
+    counter = &aFamily.Add({ { aLabel, aValue } });
   }
   return *counter;
 }
 
+/// @returns the counter of a kind of event.
+prometheus::Counter&
+OfKind(CounterFamily& aFamily,
+       std::map<std::string_view, prometheus::Counter*>& aCounters,
+       const char* aKind)
+{
+  return OfLabel(aFamily, aCounters, "kind", aKind);
+}
+
 } // namespace
 
 EntryMetrics::EntryMetrics()
@@ -98,6 +108,9 @@
   , mProcessorSamples(&AddFamily(*mRegistry,
                                  "bergamotyard_control_processor_samples_total",
                                  "Events whose processor time was sampled, by kind"))
+  , mRefusals(&AddFamily(*mRegistry,
+                         "bergamotyard_refused_connections_total",
+                         "Connections of callers that a limit refused or closed, by reason"))
   , mQueueDelay(&prometheus::BuildHistogram()
                    .Name("bergamotyard_queue_delay_seconds")
                    .Help("Longest wait of an event for the control thread, at each batch")
@@ -174,6 +187,12 @@
   counters.mBytes->Increment(static_cast<double>(aBytes));
 }
 
+void
+EntryMetrics::CountRefusal(const char* aReason)
+{
+  OfLabel(*mRefusals, mRefusalsByReason, "reason", aReason).Increment();
+}
+
 std::string
 EntryMetrics::Text() const
 {
--- a/modules/by_entryd/detail/EntryMetrics.h
+++ b/modules/by_entryd/detail/EntryMetrics.h
@@ -44,6 +44,8 @@
   void ObserveProcessorTime(const char* aKind, std::chrono::nanoseconds aTime);
   /// Counts messages of links; for the traffic thread.
   void CountLink(LinkDirection aDirection, std::size_t aMessages, std::size_t aBytes);
+  /// Counts a connection or a call that a limit refused, by its reason; for the traffic thread.
+  void CountRefusal(const char* aReason);
   /// @returns all metrics in Prometheus' text format; may be called from any thread.
   std::string Text() const;
 
@@ -70,6 +72,7 @@
   prometheus::Family<prometheus::Counter>* mDropped;
   prometheus::Family<prometheus::Counter>* mProcessorTime;
   prometheus::Family<prometheus::Counter>* mProcessorSamples;
+  prometheus::Family<prometheus::Counter>* mRefusals;
   prometheus::Histogram* mQueueDelay;
   LinkCounters mReceived;
   LinkCounters mSent;
@@ -79,6 +82,7 @@
   std::map<std::string_view, prometheus::Counter*> mDroppedByKind;
   std::map<std::string_view, prometheus::Counter*> mTimeByKind;
   std::map<std::string_view, prometheus::Counter*> mSamplesByKind;
+  std::map<std::string_view, prometheus::Counter*> mRefusalsByReason;
 };
 
 } // namespace by::detail
--- a/modules/by_web/WebServer.cpp
+++ b/modules/by_web/WebServer.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include "by_web/CallLimits.h"
+
 namespace by {
 
 namespace {
@@ -17,6 +19,8 @@
 constexpr unsigned kServiceUnavailable = 503;
 /// Spaces out attempts to accept after a failure, such as a lack of descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+/// Idle connections that are looked at for one that can give way; others have a call in the kernel.
+constexpr int kMostTries = 16;
 
 absl::Status
 StatusOf(const error_code& aError)
@@ -24,27 +28,33 @@
   return aError ? absl::UnavailableError(aError.message()) : absl::OkStatus();
 }
 
-void
-RefuseCall(const WebRequest&, const std::shared_ptr<WebSession>& aSession)
-{
-  aSession->Answer(kServiceUnavailable, R"({"error":"too many connections"})");
-}
-
 } // namespace
 
 absl::StatusOr<std::shared_ptr<WebServer>>
 WebServer::Create(boost::asio::io_context& aContext,
                   const Endpoint& aListen,
-                  std::int64_t aMaxConnections,
+                  const WebCapacity& aCapacity,
                   WebSession::Handler aHandler,
                   std::vector<std::string> aKeptHeaders,
-                  WebSession::Unanswered aUnanswered)
+                  WebSession::Unanswered aUnanswered,
+                  std::function<void(Refusal)> aRefused)
 {
-  std::shared_ptr<WebServer> server(new WebServer(aContext,
-                                                  aMaxConnections,
-                                                  std::move(aHandler),
-                                                  std::move(aKeptHeaders),
-                                                  std::move(aUnanswered)));
+  std::shared_ptr<WebServer> server(new WebServer(aContext, aCapacity));
+  auto& shared = *server->mShared;
+  shared.mHandler = std::move(aHandler);
+  shared.mKeptHeaders = std::move(aKeptHeaders);
+  shared.mUnanswered = std::move(aUnanswered);
+  shared.mRefused = aRefused ? std::move(aRefused) : [](Refusal) {};
+  shared.mClosed = [self = server->weak_from_this()](WebSession* aSession) {
+    if (const auto open = self.lock()) {
+      open->OnClosed(aSession);
+    }
+  };
+  shared.mOutOfMemory = [self = server->weak_from_this()] {
+    if (const auto open = self.lock()) {
+      open->RefuseLargestCall();
+    }
+  };
   auto status = server->Listen(aListen);
   if (!status.ok()) {
     return status;
@@ -52,18 +62,23 @@
   return server;
 }
 
-WebServer::WebServer(boost::asio::io_context& aContext,
-                     std::int64_t aMaxConnections,
-                     WebSession::Handler aHandler,
-                     std::vector<std::string> aKeptHeaders,
-                     WebSession::Unanswered aUnanswered)
+WebServer::WebServer(boost::asio::io_context& aContext, const WebCapacity& aCapacity)
   : mAcceptor(aContext)
   , mAcceptPause(aContext)
-  , mMaxConnections(aMaxConnections)
-  , mHandler(std::move(aHandler))
-  , mKeptHeaders(std::move(aKeptHeaders))
-  , mUnanswered(std::move(aUnanswered))
+  , mCapacity(aCapacity)
+  , mShared(std::make_shared<detail::WebShared>())
 {
+  mShared->mLimits = WithDefaults({});
+  mShared->mCallBytesLimit = static_cast<std::size_t>(aCapacity.mCallBytes);
+}
+
+void
+WebServer::SetLimits(const ConnectionLimits& aLimits)
+{
+  mShared->mLimits = WithDefaults(aLimits);
+  for (const auto& session : OpenSessions()) {
+    session->ApplyLimits();
+  }
 }
 
 absl::Status
@@ -155,20 +170,22 @@
 void
 WebServer::OnAccepted(tcp::socket aSocket)
 {
-  const bool hasRoom = OpenConnections() < mMaxConnections;
+  if (OpenConnections() >= mCapacity.mConnections) {
+    MakeRoom();
+  }
+  const bool hasRoom = OpenConnections() < mCapacity.mConnections;
   mRefused += hasRoom ? 0 : 1;
-  auto closed = [self = weak_from_this()](WebSession* aSession) {
-    if (const auto server = self.lock()) {
-      server->OnClosed(aSession);
-    }
-  };
-  auto session = std::make_shared<WebSession>(std::move(aSocket),
-                                              mKeptHeaders,
-                                              hasRoom ? mHandler : WebSession::Handler(RefuseCall),
-                                              std::move(closed),
-                                              mUnanswered);
+  if (OpenConnections() >= mCapacity.mConnections + mCapacity.mRefusals && !hasRoom) {
+    mShared->mRefused(Refusal::TooManyConnections);
+    return;
+  }
+  auto session = std::make_shared<WebSession>(std::move(aSocket), mShared);
   mSessions.emplace(session.get(), session);
-  if (mClosesAfterAnswers || !hasRoom) {
+  if (!hasRoom) {
+    session->StartRefusal(Refusal::TooManyConnections);
+    return;
+  }
+  if (mClosesAfterAnswers) {
     session->CloseAfterAnswer();
   }
   session->Start();
@@ -177,6 +194,33 @@
   }
 }
 
+void
+WebServer::MakeRoom()
+{
+  auto& idle = mShared->mIdle;
+  int tries = 0;
+  for (auto it = idle.begin(); it != idle.end() && tries < kMostTries; ++tries) {
+    // The session that gives way takes itself out of the list.
+    if ((*it++)->GiveWay()) {
+      return;
+    }
+  }
+}
+
+void
+WebServer::RefuseLargestCall()
+{
+  std::shared_ptr<WebSession> largest;
+  for (const auto& [key, session] : mSessions) {
+    if (!largest || session->HeldBytes() > largest->HeldBytes()) {
+      largest = session;
+    }
+  }
+  if (largest && largest->HeldBytes() > 0) {
+    largest->Refuse(kServiceUnavailable, Refusal::OutOfMemory);
+  }
+}
+
 void
 WebServer::OnClosed(WebSession* aSession)
 {
--- a/modules/by_web/WebServer.h
+++ b/modules/by_web/WebServer.h
@@ -15,7 +15,9 @@
 #include "absl/status/statusor.h"
 
 #include "by_schema/Endpoint.h"
+#include "by_web/WebCapacity.h"
 #include "by_web/WebSession.h"
+#include "by_web/detail/WebShared.h"
 
 namespace by {
 
@@ -28,16 +30,18 @@
   /// Listens.
   /// @param aListen port 0 lets the system choose one.
   /// @param aKeptHeaders names of the headers that calls are given with.
-  /// @param aMaxConnections calls on connections beyond these are answered 503.
-  /// @returns the server, or Unavailable where the port can't be had.
   /// @param aUnanswered told of each call that ended without its answer.
+  /// @param aRefused told of each call that was not read, and of each connection that a limit
+  ///   closed.
+  /// @returns the server, or Unavailable where the port can't be had.
   static absl::StatusOr<std::shared_ptr<WebServer>> Create(
     boost::asio::io_context& aContext,
     const Endpoint& aListen,
-    std::int64_t aMaxConnections,
+    const WebCapacity& aCapacity,
     WebSession::Handler aHandler,
     std::vector<std::string> aKeptHeaders = {},
-    WebSession::Unanswered aUnanswered = nullptr);
+    WebSession::Unanswered aUnanswered = nullptr,
+    std::function<void(Refusal)> aRefused = nullptr);
 
   /// @returns where it listens, with the port that the system chose.
   const Endpoint& Listening() const { return mListening; }
@@ -48,6 +52,12 @@
   /// @returns connections that were refused for want of room.
   std::int64_t RefusedConnections() const { return mRefused; }
 
+  /// Takes over limits; they apply to open connections too.
+  void SetLimits(const ConnectionLimits& aLimits);
+
+  /// @returns bytes of calls that have not arrived completely.
+  std::int64_t CallBytes() const { return static_cast<std::int64_t>(mShared->mCallBytes); }
+
   /// Closes each connection after its next answer, those that are still to come too.
   void CloseAfterAnswers();
 
@@ -62,27 +72,23 @@
   absl::Status Reopen();
 
 private:
-  WebServer(boost::asio::io_context& aContext,
-            std::int64_t aMaxConnections,
-            WebSession::Handler aHandler,
-            std::vector<std::string> aKeptHeaders,
-            WebSession::Unanswered aUnanswered);
+  WebServer(boost::asio::io_context& aContext, const WebCapacity& aCapacity);
 
   absl::Status Listen(const Endpoint& aListen);
   void Accept();
   void PauseAccepting();
   void AcceptQueued();
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
+  void MakeRoom();
+  void RefuseLargestCall();
   void OnClosed(WebSession* aSession);
   void TellIfFinished();
   std::vector<std::shared_ptr<WebSession>> OpenSessions() const;
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mAcceptPause;
-  std::int64_t mMaxConnections;
-  WebSession::Handler mHandler;
-  std::vector<std::string> mKeptHeaders;
-  WebSession::Unanswered mUnanswered;
+  WebCapacity mCapacity;
+  std::shared_ptr<detail::WebShared> mShared;
   Endpoint mListening;
   std::int64_t mRefused{ 0 };
   bool mClosesAfterAnswers{ false };
--- a/modules/by_web/WebSession.cpp
+++ b/modules/by_web/WebSession.cpp
@@ -6,9 +6,9 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "by_web/CallLimits.h"
 #include "by_web/QueryText.h"
 
 namespace by {
@@ -18,43 +18,17 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-constexpr std::uint64_t kBodyLimit = std::uint64_t{ 64 } * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kPayloadTooLarge = 413;
-/// How long the caller may take to read the last answer and close its side.
-constexpr std::chrono::seconds kLingerBound{ 1 };
-/// A caller that has ended its sending half may have left, so its call is not kept for longer.
-constexpr std::chrono::seconds kHalfClosedBound{ 30 };
-/// Bytes that are thrown away at once while a connection lingers.
-constexpr std::size_t kPiece = 4096;
-
-/// @returns the status that answers bytes that are no call, or 0 where the connection broke.
-unsigned
-StatusOfFault(const boost::system::error_code& aError)
-{
-  if (aError == http::error::body_limit) {
-    return kPayloadTooLarge;
-  }
-  const bool isBroken =
-    aError == http::error::end_of_stream || aError == http::error::partial_message;
-  const auto& category = make_error_code(http::error::bad_method).category();
-  return aError.category() == category && !isBroken ? kBadRequest : 0;
-}
+constexpr unsigned kServiceUnavailable = 503;
+/// Seconds after which a caller may try again that met a full process.
+constexpr std::int64_t kRetryAfter = 1;
 
 } // namespace
 
-WebSession::WebSession(asio::ip::tcp::socket aSocket,
-                       std::vector<std::string> aKeptHeaders,
-                       Handler aHandler,
-                       Closed aClosed,
-                       Unanswered aUnanswered)
+WebSession::WebSession(asio::ip::tcp::socket aSocket, std::shared_ptr<detail::WebShared> aShared)
   : mSocket(std::move(aSocket))
-  , mDropTimer(mSocket.get_executor())
-  , mKeptHeaders(std::move(aKeptHeaders))
-  , mHandler(std::move(aHandler))
-  , mClosed(std::move(aClosed))
-  , mUnanswered(std::move(aUnanswered))
+  , mTimer(mSocket.get_executor())
+  , mShared(std::move(aShared))
 {
 }
 
@@ -64,52 +38,148 @@
   ErrorCode ignored;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   mSocket.non_blocking(true, ignored);
-  Read();
+  Enter(ConnectionPhase::Idle);
+  WaitForBytes();
+}
+
+void
+WebSession::StartRefusal(Refusal aReason)
+{
+  ErrorCode ignored;
+  mSocket.non_blocking(true, ignored);
+  Refuse(kServiceUnavailable, aReason);
 }
 
 void
-WebSession::Read()
+WebSession::Enter(ConnectionPhase aPhase)
 {
-  mParser.emplace();
-  mParser->body_limit(kBodyLimit);
-  ContinueRead();
+  if (mPhase == aPhase) {
+    return;
+  }
+  if (mPhase == ConnectionPhase::Idle) {
+    mShared->mIdle.erase(mIdlePlace);
+  }
+  mPhase = aPhase;
+  if (mPhase == ConnectionPhase::Idle) {
+    mIdlePlace = mShared->mIdle.insert(mShared->mIdle.end(), this);
+  }
+  mSince = Clock::now();
+  ArmTimer();
+}
+
+void
+WebSession::ArmTimer()
+{
+  const auto time = TimeLimit(mPhase, mShared->mLimits);
+  if (!time) {
+    mTimer.cancel();
+    return;
+  }
+  mTimer.expires_at(mSince + std::chrono::milliseconds(time->Milliseconds()));
+  mTimer.async_wait([self = weak_from_this()](ErrorCode aError) {
+    const auto session = self.lock();
+    // The wait may have ended just before another one began.
+    if (session && !aError && session->mTimer.expiry() <= Clock::now()) {
+      session->OnTimeout();
+    }
+  });
 }
 
 void
-WebSession::ContinueRead()
+WebSession::ApplyLimits()
 {
-  mReading = true;
-  http::async_read(
-    mSocket, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
-      self->mReading = false;
-      self->OnRead(aError);
-    });
+  ArmTimer();
 }
 
 void
-WebSession::OnRead(ErrorCode aError)
+WebSession::OnTimeout()
 {
-  if (!mSocket.is_open()) {
+  if (mPhase == ConnectionPhase::Idle && HasBegunCall()) {
+    // A busy thread has not read the call yet.
+    return;
+  }
+  if (const auto refusal = RefusalOfTimeout(mPhase)) {
+    mShared->mRefused(*refusal);
+    Drop(ToString(*refusal));
+    return;
+  }
+  Drop(mPhase == ConnectionPhase::HalfClosed ? "half-closed for too long"
+                                             : "lingered for too long");
+}
+
+void
+WebSession::Charge()
+{
+  const auto held = IsReading(mPhase) ? mReader.Held() : 0;
+  mShared->mCallBytes += held;
+  mShared->mCallBytes -= std::exchange(mCharged, held);
+}
+
+void
+WebSession::ReadNext()
+{
+  // Bytes of the next call may have arrived with those of the previous one.
+  Enter(ConnectionPhase::Idle);
+  mReader.Read({}, mShared->mLimits);
+  TakeProgress();
+}
+
+void
+WebSession::WaitForBytes()
+{
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](ErrorCode aError) { self->OnBytes(aError); });
+}
+
+void
+WebSession::OnBytes(ErrorCode aError)
+{
+  if (!mSocket.is_open() || !IsReading(mPhase)) {
     return;
   }
   if (aError == asio::error::operation_aborted) {
-    // Finish() has interrupted the read.
+    // Finish() has interrupted the wait.
     if (HasBegunCall()) {
-      ContinueRead();
+      WaitForBytes();
     } else {
       Drop();
     }
     return;
   }
-  if (const auto status = StatusOfFault(aError)) {
-    mCall = {};
-    mCallOpen = true;
-    mKeepAlive = false;
-    Answer(status, "{}");
-  } else if (aError) {
+  auto& arrived = mShared->mArrived;
+  const auto size = aError ? 0 : mSocket.read_some(asio::buffer(arrived), aError);
+  if (aError == asio::error::would_block) {
+    WaitForBytes();
+    return;
+  }
+  if (aError) {
     Drop();
-  } else {
-    OnCall();
+    return;
+  }
+  mReader.Read({ arrived.data(), size }, mShared->mLimits);
+  TakeProgress();
+}
+
+void
+WebSession::TakeProgress()
+{
+  switch (mReader.Progress()) {
+    case CallProgress::Complete:
+      OnCall();
+      return;
+    case CallProgress::Refused:
+      Refuse(mReader.Fault().mStatus, mReader.Fault().mReason);
+      return;
+    case CallProgress::None:
+    case CallProgress::Header:
+    case CallProgress::Body:
+      break;
+  }
+  Enter(PhaseOf(mReader.Progress()));
+  Charge();
+  WaitForBytes();
+  if (mShared->mCallBytes > mShared->mCallBytesLimit) {
+    mShared->mOutOfMemory();
   }
 }
 
@@ -117,19 +187,18 @@
 WebSession::HasBegunCall()
 {
   ErrorCode ec;
-  return mBuffer.size() > 0 || mParser->got_some() || mSocket.available(ec) > 0;
+  return mReader.Progress() != CallProgress::None || mSocket.available(ec) > 0;
 }
 
 void
 WebSession::OnCall()
 {
-  auto request = mParser->release();
-  mParser.reset();
+  auto request = mReader.Take();
   WebRequest incoming;
   incoming.mMethod = std::string(request.method_string());
   ReadTarget(std::string_view(request.target().data(), request.target().size()), incoming);
   incoming.mHost = std::string(request[http::field::host]);
-  for (const auto& name : mKeptHeaders) {
+  for (const auto& name : mShared->mKeptHeaders) {
     // Repeated fields are one list of values.
     const auto fields = request.equal_range(name);
     for (auto it = fields.first; it != fields.second; ++it) {
@@ -142,7 +211,9 @@
   incoming.mBody = std::move(request.body());
   mCallOpen = true;
   mCall = { .mMethod = incoming.mMethod, .mPath = incoming.mPath, .mReason = {} };
-  mHandler(incoming, shared_from_this());
+  Enter(ConnectionPhase::Open);
+  Charge();
+  mShared->mHandler(incoming, shared_from_this());
   if (mCallOpen) {
     WatchPeer();
   }
@@ -151,12 +222,13 @@
 void
 WebSession::WatchPeer()
 {
-  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
-                     [self = shared_from_this()](ErrorCode aError) { self->OnReadable(aError); });
+  mSocket.async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [self = shared_from_this()](ErrorCode aError) { self->OnPeerReadable(aError); });
 }
 
 void
-WebSession::OnReadable(ErrorCode aError)
+WebSession::OnPeerReadable(ErrorCode aError)
 {
   if (aError || !mCallOpen) {
     return;
@@ -167,21 +239,36 @@
   if (ec == asio::error::eof) {
     // A caller may shut down its sending side after its request and still wait for the answer.
     mKeepAlive = false;
-    DropAfter(kHalfClosedBound, "half-closed for too long");
+    Enter(ConnectionPhase::HalfClosed);
   } else if (ec && ec != asio::error::would_block) {
     Drop("reset by the caller");
   }
 }
 
+void
+WebSession::Refuse(unsigned aStatusCode, Refusal aReason)
+{
+  mShared->mRefused(aReason);
+  mReader.Clear();
+  mCall = {};
+  mCallOpen = true;
+  mKeepAlive = false;
+  if (aStatusCode == kServiceUnavailable) {
+    AnswerRetry(aStatusCode, "{}", kRetryAfter);
+  } else {
+    Answer(aStatusCode, "{}");
+  }
+}
+
 void
 WebSession::Answer(unsigned aStatusCode, std::string aBody)
 {
   if (!mCallOpen) {
     return;
   }
-  mResponse = http::response<http::string_body>(http::status(aStatusCode), kHttpVersion);
-  mResponse.body() = std::move(aBody);
-  Write();
+  Response response(http::status(aStatusCode), kHttpVersion);
+  response.body() = std::move(aBody);
+  Write(std::move(response));
 }
 
 void
@@ -190,17 +277,19 @@
   if (!mCallOpen) {
     return;
   }
-  mResponse = http::response<http::string_body>(http::status(aStatusCode), kHttpVersion);
-  mResponse.set(http::field::retry_after, std::to_string(aRetryAfter));
-  mResponse.body() = std::move(aBody);
-  Write();
+  Response response(http::status(aStatusCode), kHttpVersion);
+  response.set(http::field::retry_after, std::to_string(aRetryAfter));
+  response.body() = std::move(aBody);
+  Write(std::move(response));
 }
 
 void
-WebSession::Write()
+WebSession::Write(Response aResponse)
 {
   mCallOpen = false;
-  mWriting = true;
+  Enter(ConnectionPhase::Answering);
+  Charge();
+  mResponse = std::move(aResponse);
   mResponse.set(http::field::content_type, "application/json");
   mResponse.keep_alive(mKeepAlive);
   mResponse.prepare_payload();
@@ -209,14 +298,15 @@
       self->Drop("write failed");
       return;
     }
-    self->mWriting = false;
     // The answer says whether the connection stays, so a stop that came meanwhile takes effect
     // here.
-    if (!self->mResponse.keep_alive()) {
+    const bool stays = self->mResponse.keep_alive();
+    self->mResponse = {};
+    if (!stays) {
       self->Linger();
       return;
     }
-    self->Read();
+    self->ReadNext();
     if (self->mFinishing) {
       self->Finish();
     }
@@ -235,8 +325,8 @@
 {
   mKeepAlive = false;
   mFinishing = true;
-  if (mReading) {
-    // Bytes that were read and not reported yet are seen only once the read has ended.
+  if (IsReading(mPhase)) {
+    // Bytes that have arrived and were not reported yet are seen only once the wait has ended.
     ErrorCode ignored;
     mSocket.cancel(ignored);
   }
@@ -248,53 +338,56 @@
   // Closing a socket with unread bytes resets the connection, and the caller loses the answer.
   ErrorCode ec;
   mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-  DropAfter(kLingerBound, "lingered for too long");
+  Enter(ConnectionPhase::Lingering);
+  mReader.Clear();
   Discard();
 }
 
 void
-WebSession::DropAfter(std::chrono::seconds aTime, const char* aReason)
+WebSession::Discard()
 {
-  mDropTimer.expires_after(aTime);
-  mDropTimer.async_wait([self = shared_from_this(), aReason](ErrorCode aError) {
-    if (!aError) {
-      self->Drop(aReason);
-    }
-  });
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](ErrorCode aError) {
+                       if (!aError) {
+                         self->mSocket.read_some(asio::buffer(self->mShared->mArrived), aError);
+                       }
+                       if (aError && aError != asio::error::would_block) {
+                         self->Drop();
+                       } else {
+                         self->Discard();
+                       }
+                     });
 }
 
-void
-WebSession::Discard()
+bool
+WebSession::GiveWay()
 {
-  mBuffer.clear();
-  mSocket.async_read_some(mBuffer.prepare(kPiece),
-                          [self = shared_from_this()](ErrorCode aError, std::size_t) {
-                            if (aError) {
-                              self->Drop();
-                            } else {
-                              self->Discard();
-                            }
-                          });
+  if (mPhase != ConnectionPhase::Idle || HasBegunCall()) {
+    return false;
+  }
+  mShared->mRefused(Refusal::GaveWay);
+  Drop("gave way");
+  return true;
 }
 
 void
 WebSession::Drop(const char* aReason)
 {
-  const bool isUnanswered = (mCallOpen || mWriting) && mSocket.is_open();
+  const bool isUnanswered =
+    (mCallOpen || mPhase == ConnectionPhase::Answering) && mSocket.is_open();
+  if (mPhase == ConnectionPhase::Closed) {
+    return;
+  }
   mCallOpen = false;
-  mWriting = false;
-  mDropTimer.cancel();
+  Enter(ConnectionPhase::Closed);
+  Charge();
   ErrorCode ignored;
   mSocket.close(ignored);
-  const auto unanswered = std::exchange(mUnanswered, nullptr);
-  if (isUnanswered && unanswered) {
+  if (isUnanswered && mShared->mUnanswered) {
     mCall.mReason = aReason;
-    unanswered(mCall);
-  }
-  const auto closed = std::exchange(mClosed, nullptr);
-  if (closed) {
-    closed(this);
+    mShared->mUnanswered(mCall);
   }
+  mShared->mClosed(this);
 }
 
 } // namespace by
--- a/standins/backend_server/BackendService.cpp
+++ b/standins/backend_server/BackendService.cpp
@@ -11,6 +11,7 @@
 #include "by_runtime/MachineClock.h"
 #include "by_runtime/RandomIds.h"
 #include "common/Answers.h"
+#include "common/WideLimits.h"
 
 namespace by::standins {
 
@@ -48,11 +49,13 @@
     OnCall(aIncoming, aSession);
   };
   const auto& settings = mState.mSettings;
-  auto server = WebServer::Create(aContext, settings.Listen(), settings.Connections(), handle);
+  auto server =
+    WebServer::Create(aContext, settings.Listen(), CapacityOf(settings.Connections()), handle);
   if (!server.ok()) {
     return server.status();
   }
   mServer = *std::move(server);
+  mServer->SetLimits(WideLimits());
   return absl::OkStatus();
 }
 
--- a/standins/backend_server/BackendYard.cpp
+++ b/standins/backend_server/BackendYard.cpp
@@ -46,7 +46,8 @@
                                    const std::shared_ptr<WebSession>& aSession) {
     raw->OnCall(aIncoming, aSession);
   };
-  auto control = WebServer::Create(aContext, aSettings.Control(), kControlConnections, handle);
+  auto control =
+    WebServer::Create(aContext, aSettings.Control(), CapacityOf(kControlConnections), handle);
   if (!control.ok()) {
     return control.status();
   }
--- a/standins/platform/PlatformService.cpp
+++ b/standins/platform/PlatformService.cpp
@@ -10,6 +10,7 @@
 #include "by_runtime/MachineClock.h"
 #include "by_web/QueryText.h"
 #include "common/Answers.h"
+#include "common/WideLimits.h"
 #include "platform/LogFunctions.h"
 
 namespace by::standins {
@@ -28,11 +29,13 @@
   auto handle = [raw = service.get()](const WebRequest& aIncoming, const Session& aSession) {
     raw->OnCall(aIncoming, aSession);
   };
-  auto server = WebServer::Create(aContext, aSettings.Listen(), kMaxConnections, handle);
+  auto server =
+    WebServer::Create(aContext, aSettings.Listen(), CapacityOf(kMaxConnections), handle);
   if (!server.ok()) {
     return server.status();
   }
   service->mServer = *std::move(server);
+  service->mServer->SetLimits(WideLimits());
   return service;
 }
 
--- a/tests/by_client/HttpClientTest.cpp
+++ b/tests/by_client/HttpClientTest.cpp
@@ -78,7 +78,7 @@
     return WebServer::Create(
              mContext,
              aEndpoint,
-             kManyConnections,
+             CapacityOf(kManyConnections),
              [this](const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession) {
                mReceived.push_back(aIncoming.mPath);
                if (aIncoming.mPath == "/hang") {
@@ -224,8 +224,18 @@
 
 TEST(HttpClient, ConnectionsBeyondTheServersLimitAreRefusedWithAStatusCode)
 {
-  mServer = WebServer::Create(mContext, AnyPort(), 1, Handle).value();
+  bool isBusy = false;
+  const auto handle = [&](const WebRequest& aIncoming,
+                          const std::shared_ptr<WebSession>& aSession) {
+    isBusy = true;
+    Handle(aIncoming, aSession);
+  };
+  mServer = WebServer::Create(mContext, AnyPort(), CapacityOf(1), handle).value();
   Send(Call("/hang", "x"));
+  // A connection without a call would give way.
+  while (!isBusy) {
+    mContext.run_one();
+  }
   const auto second = Send(Call("/echo", "y"));
   RunUntilAnswered(1);
   LONGS_EQUAL(503, mResults.at(second).StatusCode());
--- a/tests/by_entryd/EntryDaemonTest.cpp
+++ b/tests/by_entryd/EntryDaemonTest.cpp
@@ -26,6 +26,7 @@
 {
   return EntryPorts{ .mPerform = [](const EntryEffect&) {},
                      .mStart = [] {},
+                     .mSetLimits = [](const ConnectionLimits&) {},
                      .mFinish = [](const std::function<void()>& aFinished) { aFinished(); },
                      .mStop = [] {} };
 }
--- a/tests/by_web/WebServerTest.cpp
+++ b/tests/by_web/WebServerTest.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <chrono>
 #include <future>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,13 @@
 /// What callers are given to reach a state; no state takes longer.
 constexpr std::chrono::seconds kPatience{ 20 };
 
+/// The room of the server.
+constexpr std::int64_t kConnections = 6;
+constexpr std::int64_t kCallBytes = 20000;
+/// A timeout that callers exceed at once, and one that none exceeds.
+constexpr Time kShort = Time::FromMilliseconds(20);
+constexpr Time kLong = Time::FromMilliseconds(600000);
+
 /// A caller that blocks; its requests wait in the kernel until the server's io_context runs.
 class Caller
 {
@@ -96,12 +104,13 @@
     auto server = WebServer::Create(
       mContext,
       Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 0 }).value(),
-      100,
+      { .mConnections = kConnections, .mRefusals = 1, .mCallBytes = kCallBytes },
       [this](const WebRequest&, const std::shared_ptr<WebSession>& aSession) {
         mCalls.push_back(aSession);
       },
       {},
-      [this](const UnansweredCall& aCall) { mUnanswered.push_back(aCall); });
+      [this](const UnansweredCall& aCall) { mUnanswered.push_back(aCall); },
+      [this](Refusal aReason) { ++mRefusals[aReason]; });
     CHECK(server.ok());
     mServer = *std::move(server);
   }
@@ -160,6 +169,7 @@
   std::shared_ptr<WebServer> mServer;
   std::vector<std::shared_ptr<WebSession>> mCalls;
   std::vector<UnansweredCall> mUnanswered;
+  std::map<Refusal, int> mRefusals;
 };
 
 /// A planned stop closed connections whose requests the busy process had not read yet.
@@ -367,3 +377,148 @@
   CHECK_EQUAL(1, mUnanswered.size());
   STRCMP_EQUAL("connections closed", mUnanswered.front().mReason.c_str());
 }
+
+/// A connection whose header did not arrive was kept for ever, and so were idle ones.
+TEST(WebServer, SlowHeadersAreClosedAndIdleConnectionsAreNot)
+{
+  mServer->SetLimits(
+    ConnectionLimits::Create({ .mHeaderTimeout = kShort, .mIdleTimeout = kLong }).value());
+  auto idle = Connect();
+  auto slow = Connect();
+  slow->Send("GET /batch/");
+  RunUntil([&] { return mServer->OpenConnections() == 1; });
+  CHECK_EQUAL(1, mRefusals[Refusal::HeaderTimeout]);
+  idle->Send(kQuestion);
+  RunUntil([&] { return mCalls.size() == 1; });
+}
+
+/// A connection whose body did not arrive was kept for ever; nothing of its call was handed on.
+TEST(WebServer, SlowBodiesAreClosed)
+{
+  mServer->SetLimits(
+    ConnectionLimits::Create({ .mHeaderTimeout = kLong, .mIdleTimeout = kShort }).value());
+  auto slow = Connect();
+  slow->Send("POST /batch/a HTTP/1.1\r\nHost: node\r\nContent-Length: 10\r\n\r\nabc");
+  RunUntil([&] { return mServer->OpenConnections() == 0; });
+  CHECK_EQUAL(1, mRefusals[Refusal::BodyTimeout]);
+  CHECK(mCalls.empty());
+}
+
+/// New limits applied to later connections only.
+TEST(WebServer, ChangedTimeoutAppliesToOpenConnections)
+{
+  auto idle = Connect();
+  Settle();
+  CHECK_EQUAL(1, mServer->OpenConnections());
+  mServer->SetLimits(ConnectionLimits::Create({ .mIdleTimeout = kShort }).value());
+  RunUntil([&] { return mServer->OpenConnections() == 0; });
+  CHECK_EQUAL(1, mRefusals[Refusal::IdleTimeout]);
+}
+
+/// A call that waits for its answer was taken for an idle connection.
+TEST(WebServer, CallThatWaitsForItsAnswerIsNotClosed)
+{
+  mServer->SetLimits(
+    ConnectionLimits::Create({ .mHeaderTimeout = kShort, .mIdleTimeout = kShort }).value());
+  auto caller = Connect();
+  caller->Send(kQuestion);
+  RunUntil([&] { return !mCalls.empty(); });
+  const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+  RunUntil([&] { return std::chrono::steady_clock::now() > end; });
+  AnswerAll();
+  Settle();
+  CHECK(HasStatus(caller->ReadAnswer(), 200));
+}
+
+/// A caller that does not read its answers held its connection for ever.
+TEST(WebServer, AnswerThatIsNotReadClosesTheConnection)
+{
+  mServer->SetLimits(ConnectionLimits::Create({ .mIdleTimeout = kShort }).value());
+  auto caller = Connect();
+  caller->Send(kQuestion);
+  RunUntil([&] { return !mCalls.empty(); });
+  // More than the buffers of both sides take.
+  mCalls.front()->Answer(200, std::string(std::size_t{ 64 } << 20, 'x'));
+  mCalls.clear();
+  RunUntil([&] { return mServer->OpenConnections() == 0; });
+  CHECK_EQUAL(1, mRefusals[Refusal::AnswerTimeout]);
+  CHECK_EQUAL(1, mUnanswered.size());
+}
+
+/// A crowd of idle connections kept a caller out; a connection with a call does not give way.
+TEST(WebServer, ConnectionIdleLongestGivesWay)
+{
+  auto busy = Connect();
+  busy->Send(kQuestion);
+  RunUntil([&] { return mCalls.size() == 1; });
+  std::vector<std::unique_ptr<Caller>> idle;
+  for (int i = 1; i < kConnections; ++i) {
+    idle.push_back(Connect());
+  }
+  auto late = std::make_unique<Caller>(mServer->Listening());
+  late->Send(kQuestion);
+  RunUntil([&] { return mCalls.size() == 2; });
+  CHECK_EQUAL(kConnections, mServer->OpenConnections());
+  CHECK_EQUAL(1, mRefusals[Refusal::GaveWay]);
+  STRCMP_EQUAL("", idle.front()->ReadToEnd().c_str());
+  AnswerAll();
+  Settle();
+  CHECK(HasStatus(busy->ReadAnswer(), 200));
+  CHECK(HasStatus(late->ReadAnswer(), 200));
+}
+
+/// Connections beyond the room were served without a bound on their number.
+TEST(WebServer, ConnectionsWithoutRoomAreRefusedUpToABound)
+{
+  std::vector<std::unique_ptr<Caller>> busy;
+  for (int i = 0; i < kConnections; ++i) {
+    busy.push_back(Connect());
+    busy.back()->Send(kQuestion);
+  }
+  RunUntil([&] { return mCalls.size() == kConnections; });
+  auto refused = std::make_unique<Caller>(mServer->Listening());
+  auto closed = std::make_unique<Caller>(mServer->Listening());
+  RunUntil([&] { return mRefusals[Refusal::TooManyConnections] == 2; });
+  CHECK_EQUAL(kConnections + 1, mServer->OpenConnections());
+  RunUntil([&] { return mServer->OpenConnections() == kConnections; });
+  CHECK(HasStatus(refused->ReadToEnd(), 503));
+  STRCMP_EQUAL("", closed->ReadToEnd().c_str());
+  CHECK_EQUAL(kConnections, mCalls.size());
+}
+
+/// Calls that arrive at many connections added up to more memory than the process has.
+TEST(WebServer, LargestCallIsRefusedWhenCallsHoldTooMuch)
+{
+  const auto begin = [](int aLength) {
+    return "POST /batch/a HTTP/1.1\r\nHost: node\r\nContent-Length: " + std::to_string(aLength) +
+           "\r\n\r\n";
+  };
+  auto small = Connect();
+  small->Send(begin(5000) + std::string(4000, 'x'));
+  auto large = Connect();
+  large->Send(begin(30000) + std::string(18000, 'x'));
+  RunUntil([&] { return mRefusals[Refusal::OutOfMemory] == 1; });
+  CHECK(mServer->CallBytes() <= kCallBytes);
+  Settle();
+  const auto text = large->ReadAnswer();
+  CHECK(HasStatus(text, 503));
+  STRCMP_CONTAINS("Retry-After: 1", text.c_str());
+  small->Send(std::string(1000, 'x'));
+  RunUntil([&] { return mCalls.size() == 1; });
+  CHECK_EQUAL(0, mServer->CallBytes());
+}
+
+/// Calls of one connection that follow each other without a pause were lost.
+TEST(WebServer, PipelinedCallsAreAnsweredInTurn)
+{
+  auto caller = Connect();
+  caller->Send(kQuestion + kQuestion + kQuestion);
+  for (int i = 0; i < 3; ++i) {
+    RunUntil([&] { return !mCalls.empty(); });
+    CHECK_EQUAL(1, mCalls.size());
+    AnswerAll();
+    Settle();
+    CHECK(HasStatus(caller->ReadAnswer(), 200));
+  }
+  CHECK_EQUAL(0, mServer->CallBytes());
+}
--- a/tests/platform/NewestPagesTest.cpp
+++ b/tests/platform/NewestPagesTest.cpp
@@ -29,7 +29,7 @@
   std::shared_ptr<WebServer> mServer =
     WebServer::Create(mContext,
                       Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 0 }).value(),
-                      100,
+                      CapacityOf(100),
                       [this](const WebRequest&, const std::shared_ptr<WebSession>& aSession) {
                         aSession->Answer(kOk, mBodies.at(mCalls++));
                       })
--- a/tests/platform/StoreProbeTest.cpp
+++ b/tests/platform/StoreProbeTest.cpp
@@ -20,7 +20,7 @@
   std::shared_ptr<WebServer> mServer =
     WebServer::Create(mContext,
                       Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 0 }).value(),
-                      100,
+                      CapacityOf(100),
                       [this](const WebRequest&, const std::shared_ptr<WebSession>& aSession) {
                         const auto status = mStatuses.at(mCalls++);
                         if (status != 0) {
--- a/tests/platform/WorkerClientTest.cpp
+++ b/tests/platform/WorkerClientTest.cpp
@@ -36,6 +36,7 @@
                          CellSettings(),
                          { .mDeliver = [this](EntryEvent aEvent) { mEvents.push_back(aEvent); },
                            .mLog = [](LogLine) {},
+                           .mCountRefusal = {},
                            .mMetricsText = {} } };
 
   std::shared_ptr<WebServer> Listen(std::uint32_t aPort)
@@ -43,7 +44,7 @@
     return WebServer::Create(
              mContext,
              Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = aPort }).value(),
-             100,
+             CapacityOf(100),
              [this](const WebRequest& aIncoming, const std::shared_ptr<WebSession>& aSession) {
                mBodies.push_back(aIncoming.mBody);
                aSession->Answer(200,
