Refuse submissions whose numbers are out of range or whose keys are repeated

Callers of an entry node got a job of another size than they had sent: counts wrapped around at 32 bits, negative numbers became large ones, and a double beyond the range of whole numbers had an undefined value. A submission of a few bytes with 4,294,967,295 repeats that are due at once made its owner open them all. Of a repeated key the last value was taken, which a proxy in between may do otherwise.

Deep nesting, text that is not UTF-8 and damaged text were refused before, and names of jobs are 16 hexadecimal digits. Decoders of links have such tests already (tests/by_links/RecordCodecTest.cpp).

--- a/modules/by_http/RouteCall.cpp
+++ b/modules/by_http/RouteCall.cpp
@@ -15,7 +15,7 @@
 
 #include "by_http/Authorize.h"
 #include "by_http/Replies.h"
-#include "by_json/JsonText.h"
+#include "by_json/StrictJson.h"
 #include "by_json/generated/config_json.h"
 #include "by_json/generated/intents_json.h"
 #include "by_json/generated/node_json.h"
@@ -119,7 +119,7 @@
 RoutedCall
 BuildSubmit(const CallParts& aParts)
 {
-  const auto body = ReadJsonText<SubmitBody>(aParts.mCall.Body());
+  const auto body = ReadStrictJsonText<SubmitBody>(aParts.mCall.Body());
   if (!body.ok()) {
     return RefusedBody(body.status());
   }
@@ -142,7 +142,7 @@
 RoutedCall
 BuildPlan(const CallParts& aParts)
 {
-  const auto spec = ReadJsonText<IntentSpec>(aParts.mCall.Body());
+  const auto spec = ReadStrictJsonText<IntentSpec>(aParts.mCall.Body());
   if (!spec.ok()) {
     return RefusedBody(spec.status());
   }
@@ -184,7 +184,7 @@
 RoutedCall
 BuildPublish(const CallParts& aParts)
 {
-  const auto change = ReadJsonText<ConfigPublish>(aParts.mCall.Body());
+  const auto change = ReadStrictJsonText<ConfigPublish>(aParts.mCall.Body());
   if (!change.ok()) {
     return RefusedBody(change.status());
   }
--- a/modules/by_http/by_http.h
+++ b/modules/by_http/by_http.h
@@ -4,7 +4,7 @@
 ///
 /// Purpose: serves callers and operators over HTTP. Routing a call and writing a reply are free
 /// functions; the server only moves bytes.
-/// Dependencies: by_json, by_telemetry, Boost.Beast.
+/// Dependencies: by_web, by_json, by_telemetry, Boost.Beast.
 
 #include "by_http/Authorize.h"
 #include "by_http/HttpServer.h"
--- a/modules/by_json/JsonText.h
+++ b/modules/by_json/JsonText.h
@@ -22,25 +22,33 @@
 std::string
 WriteJson(const boost::json::value& aValue);
 
-/// Parses text and reads a value type from it.
-/// @param aText JSON, comments allowed.
+/// Reads a value type from parsed text.
 /// @returns the value, or InvalidArgument with every finding and its place.
 template<class T>
 absl::StatusOr<T>
-ReadJsonText(std::string_view aText)
+ReadParsedJson(const absl::StatusOr<boost::json::value>& aParsed)
 {
-  auto parsed = ParseJson(aText);
-  if (!parsed.ok()) {
-    return parsed.status();
+  if (!aParsed.ok()) {
+    return aParsed.status();
   }
   Findings findings;
-  auto value = ReadJson(TypeTag<T>{}, *parsed, "", findings);
+  auto value = ReadJson(TypeTag<T>{}, *aParsed, "", findings);
   if (!findings.IsEmpty()) {
     return findings.ToStatus();
   }
   return value;
 }
 
+/// Parses text and reads a value type from it.
+/// @param aText JSON, comments allowed.
+/// @returns the value, or InvalidArgument with every finding and its place.
+template<class T>
+absl::StatusOr<T>
+ReadJsonText(std::string_view aText)
+{
+  return ReadParsedJson<T>(ParseJson(aText));
+}
+
 /// Writes a value type on one line.
 /// @param aSecrets whether secret fields are written.
 template<class T>
--- a/modules/by_json/by_json.h
+++ b/modules/by_json/by_json.h
@@ -6,4 +6,5 @@
 /// Dependencies: by_core, by_schema, Boost.JSON.
 
 #include "by_json/JsonText.h"
+#include "by_json/StrictJson.h"
 #include "by_json/TypeTag.h"
