Give the soak teams, keys and quotas, and callers without a valid key

No soak ran with teams: that a withdrawn key stops working while the store turns nodes away, or that a call with an unknown key never runs, was checked by unit tests only. `--teams N` adds teams whose keys, quotas and weights configurations change about once a second, a queue that needs no key, and callers with unknown and withdrawn keys and with keys of other teams. Runs without the option draw the same faults and jobs as before. 401 now counts as a refusal, so a job whose attempts got only refusals must not start with it either.

Found: a header of 10 KB, within max_header_bytes, gets 400 from the parser's own limit of 8 KB.

--- a/scripts/soak_entry/clients.py
+++ b/scripts/soak_entry/clients.py
@@ -7,6 +7,7 @@
 from . import net
 from .judge import Job
 from .shapes import draw_mixed_job
+from .teams import OPEN_QUEUE
 
 HOST = "yard.example"
 DEADLINE_MS = 4000
@@ -15,6 +16,7 @@
 # A connection that ends sooner after the last byte of a request may have ended before that was read.
 LOSS_SLACK_S = 0.2
 ATTEMPTS = 6
+CRLF = "\r\n"
 
 
 class Unanswered(Exception):
@@ -28,8 +30,9 @@
 class Caller:
     """One client with one open connection, which stays with its node until that closes it."""
 
-    def __init__(self, site, random):
+    def __init__(self, site, random, only=None):
         self.site, self.random = site, random
+        self.only = only  # the one node that it calls, if any
         self.node = self.reader = self.writer = None
 
     def close(self):
@@ -39,7 +42,7 @@
 
     async def _connect(self, avoid=None):
         nodes = [n for n in self.site.nodes if n.ready and n is not avoid] or self.site.nodes
-        self.node = self.random.choice(nodes)
+        self.node = self.only or self.random.choice(nodes)
         try:
             self.reader, self.writer = await asyncio.wait_for(
                 asyncio.open_connection(self.node.address, self.site.front_port), 2)
@@ -48,7 +51,8 @@
             await asyncio.sleep(0.05)
             raise Unanswered(False) from None
 
-    async def call(self, method, path, body=None, avoid=None):
+    async def call(self, method, path, body=None, avoid=None, headers=(), judged=True):
+        """Sends a call with header lines; `judged` is whether its queue needs a key."""
         if avoid is not None and self.node is avoid:
             self.close()
         await asyncio.sleep(0)
@@ -56,13 +60,14 @@
             self.close()
         if self.writer is None:
             await self._connect(avoid)
-        node, what = self.node, f"{method} {path} at {self.node.name}"
+        node, what, starts = self.node, f"{method} {path} at {self.node.name}", self.node.starts
         payload = json.dumps(body).encode() if body is not None else b""
         self.writer.write(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n"
+                          f"{''.join(line + CRLF for line in headers)}"
                           f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {len(payload)}\r\n\r\n".encode() + payload)
         sent = time.monotonic()
         try:
-            line, headers, text = await asyncio.wait_for(net.read_message(self.reader), ANSWER_S)
+            line, answer, text = await asyncio.wait_for(net.read_message(self.reader), ANSWER_S)
         except asyncio.TimeoutError:
             self.close()
             self.site.judge.violate("LOST", f"{what}: no answer after {ANSWER_S} s")
@@ -75,10 +80,12 @@
                 self.site.judge.violate("LOST", f"{what}: the connection ended {waited:.3f} s after the request "
                                                 f"({type(error).__name__}), and the process was not killed")
             raise Unanswered(True) from None
-        if headers.get("connection", "").lower() == "close":
+        if answer.get("connection", "").lower() == "close":
             self.close()
         status = int(line.split(" ")[1])
         self.site.judge.counts[f"{method} {status}"] += 1
+        if self.site.teams and judged:
+            self.site.teams.answered(what, headers, sent, node, starts, status)
         waited = time.monotonic() - sent
         if waited > DEADLINE_MS / 1000:
             self.site.judge.counts["answers_over_deadline"] += 1
@@ -102,17 +109,27 @@
             if job.accepted_at and self.random.random() < 0.08:
                 await self.cancel(job)
             if self.random.random() < 0.3:
-                await self._count(job.queue)
+                await self._count(job)
         self.caller.close()
 
-    async def _attempt(self, job, avoid=None):
+    def _headers(self, job, any_key=False):
+        """The header lines that tell the caller of a job; a queue that needs no key is called with any."""
+        if not self.site.teams:
+            return ()
+        if not job.team:
+            return self.site.teams.unknown_headers(self.random)
+        return self.site.teams.headers_of(job.team, self.random if any_key else None)
+
+    async def _attempt(self, job, avoid=None, headers=None):
         """Returns the status of an attempt to submit a job, or None where it got no answer."""
         judge = self.site.judge
         job.open_attempts += 1
         sent = False
         answer = "none"
         try:
-            answer, _ = await self.caller.call("POST", job.queue + job.name, job.body, avoid)
+            answer, _ = await self.caller.call("POST", job.queue + job.name, job.body, avoid,
+                                               self._headers(job, any_key=True) if headers is None else headers,
+                                               bool(job.team))
             if 200 <= answer < 300:
                 job.accepted_at = job.accepted_at or time.monotonic()
             elif answer in (400, 404, 405, 413):
@@ -130,15 +147,17 @@
         name = f"{self.random.getrandbits(64):016x}"
         return await self.submit(name, queue, draw_mixed_job(self.random))
 
-    async def submit(self, name, queue, body, may_crash=True):
+    async def submit(self, name, queue, body, may_crash=True, team="", headers=None):
         """Hands a job in until it is accepted or refused."""
         job = Job(name, queue, body, self.site.shape.max_attempts(queue))
+        if self.site.teams and queue != OPEN_QUEUE:
+            job.team = team or self.site.teams.draw_team(self.random)
         job.crashes = self.site.draw_crashes(job.body) if may_crash else {}
         job.sent_at = time.monotonic()
         self.site.judge.jobs[job.name] = job
         avoid = None
         for _ in range(ATTEMPTS):
-            answer = await self._attempt(job, avoid)
+            answer = await self._attempt(job, avoid, headers)
             if answer not in ("none", 502, 504):
                 break
             avoid = self.caller.node
@@ -158,7 +177,8 @@
         """Returns whether the job's state was told."""
         asked = time.monotonic()
         try:
-            status, body = await self.caller.call("GET", job.queue + job.name)
+            status, body = await self.caller.call("GET", job.queue + job.name, headers=self._headers(job),
+                                                   judged=bool(job.team))
         except Unanswered:
             return False
         if status == 404:
@@ -172,7 +192,8 @@
         job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
         for _ in range(ATTEMPTS):
             try:
-                status, _ = await self.caller.call("DELETE", job.queue + job.name)
+                status, _ = await self.caller.call("DELETE", job.queue + job.name, headers=self._headers(job),
+                                                   judged=bool(job.team))
             except Unanswered:
                 continue
             if status == 410 and job.state != "completed":
@@ -182,10 +203,10 @@
                 return
             await asyncio.sleep(0.2)
 
-    async def _count(self, queue):
+    async def _count(self, job):
         try:
-            status, _ = await self.caller.call("GET", queue)
+            status, _ = await self.caller.call("GET", job.queue, headers=self._headers(job), judged=bool(job.team))
         except Unanswered:
             return
         if status == 404:
-            self.site.judge.violate("CONFIG", f"GET {queue} at {self.caller.node.name}: 404")
+            self.site.judge.violate("CONFIG", f"GET {job.queue} at {self.caller.node.name}: 404")
--- a/scripts/soak_entry/faults.py
+++ b/scripts/soak_entry/faults.py
@@ -48,6 +48,8 @@
             self._draw_resizes(random.Random(f"{seed}/resizes"))
             self._draw_rebirths(random.Random(f"{seed}/rebirths"))
             self.restart_share = self.restart_share or random.Random(f"{seed}/restart-share").choice(RESTART_SHARES)
+        if options.teams:
+            self._draw_team_changes(random.Random(f"{seed}/team-changes"))
         if self.restart_share:
             self._draw_restarts(random.Random(f"{seed}/restarts"))
         self.events.sort(key=lambda fault: fault.at)
@@ -111,6 +113,17 @@
                                          pause=1.0))
             at += draw.uniform(2.0, 5.0)
 
+    def _draw_team_changes(self, draw):
+        """Configurations with other keys, quotas and weights, some while the store turns a third of the nodes away."""
+        at = draw.uniform(0.2, 0.8)
+        while at < self.options.seconds:
+            self.events.append(Fault(at=round(at, 3), kind="teams"))
+            if not self.options.no_faults and draw.random() < 0.25:
+                nodes = tuple(sorted(draw.sample(range(self.options.nodes), max(1, self.options.nodes // 3))))
+                self.events.append(Fault(at=round(max(0.0, at - draw.uniform(0.05, 1.0)), 3), kind="store",
+                                         effect="refuse", nodes=nodes, seconds=round(draw.uniform(2.0, 9.0), 3)))
+            at += draw.uniform(0.5, 1.5)
+
     def _some_nodes(self):
         draw = self.random.random()
         if draw < 0.4:
@@ -168,6 +181,9 @@
 
 
 async def inject(site, fault):
+    if fault.kind == "teams":  # a change of teams is no fault
+        await _inject(site, fault)
+        return
     site.active_faults += 1
     try:
         await _inject(site, fault)
@@ -205,6 +221,9 @@
     elif fault.kind == "config":
         site.extra = [n for n in range(6) if site.random.random() < 0.5]
         site.publish()
+    elif fault.kind == "teams":
+        site.teams.change()
+        site.publish()
     elif fault.kind == "redeal":
         site.store.redeal()
     elif fault.kind == "silence":
--- a/scripts/soak_entry/judge.py
+++ b/scripts/soak_entry/judge.py
@@ -37,6 +37,8 @@
     queue: str
     body: dict
     max_attempts: int
+    team: str = ""  # of the caller; empty where the queue needs no key
+    may_run: bool = True  # whether any of its callers has a key
     sent_at: float = 0.0
     answers: list = field(default_factory=list)  # one for each attempt that has ended: a status, or "none"
     open_attempts: int = 0
@@ -50,7 +52,7 @@
 
     def refused(self):
         return (not self.open_attempts and bool(self.answers) and
-                all(a in (429, 503, 404) for a in self.answers))
+                all(a in (401, 404, 429, 503) for a in self.answers))
 
     def wanted(self):
         occurrences = range(max(1, self.body.get("repeats", 0)))
@@ -92,6 +94,7 @@
     def __init__(self, pools, retention_s):
         self.pools = pools  # queue -> service of its workers
         self.retention_s = retention_s
+        self.teams = None  # for runs with teams
         self.jobs = {}
         self.violations = []
         self.counts = Counter()
@@ -104,8 +107,8 @@
         job, k, step, index = name.split(".")
         return self.jobs.get(job), (int(k), int(step), int(index))
 
-    def started(self, run, order, worker):
-        """A worker has begun a task."""
+    def started(self, run, order, worker, received):
+        """A worker has begun a task whose order arrived at a time."""
         self.counts["starts"] += 1
         job, key = self.split(run.task)
         what = f"{run.task} run {run.number} on {worker.name()}"
@@ -131,6 +134,8 @@
         beside = sum(1 for r in worker.running.values() if r.task.rsplit(".", 1)[0] == run.task.rsplit(".", 1)[0])
         if limit and beside > limit:
             self.violate("ROUTE", f"{what}: {beside} tasks of the step on one worker, limit {limit}")
+        if not job.may_run:
+            self.violate("KEY", f"{what}: no call that submits it has a key")
         if job.refused():
             self.violate("REFUSED", f"{what}: all attempts to submit it were refused: {job.answers}")
         for earlier in step.get("after", []):
@@ -163,6 +168,8 @@
         capacity = worker.largest_capacity()
         if any(used[r] > capacity[r] for r in used):
             self.violate("LIMIT", f"{what}: {used} is over {capacity}: {sorted(worker.running)}")
+        if self.teams:
+            self.teams.started(job, step, what, received)
         task.running.add(run)
 
     def crashed_by(self, run):
@@ -187,6 +194,8 @@
         if job is None:
             return
         task = job.tasks[key]
+        if self.teams and run in task.running:
+            self.teams.ended(job, job.body["steps"][key[1]])
         task.running.discard(run)
         job.last_end_at = task.last_end_at = time.monotonic()
         self.counts[how] += 1
--- a/scripts/soak_entry/net.py
+++ b/scripts/soak_entry/net.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import socket
+import time
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
@@ -128,6 +129,7 @@
     node: int
     target: int
     process: int  # that took the connection
+    received: float  # when it arrived, which is before a delay
 
     def json(self):
         return json.loads(self.body or b"{}")
@@ -189,7 +191,8 @@
                 line, headers, body = await read_message(reader)
                 method, target_text, _ = line.split(" ", 2)
                 path, _, query = target_text.partition("?")
-                request = Request(method, path, dict(parse_qsl(query)), headers, body, node, target, process)
+                request = Request(method, path, dict(parse_qsl(query)), headers, body, node, target, process,
+                                  time.monotonic())
                 if process != self.process:
                     connection.abort()
                     return
--- a/scripts/soak_entry/nodes.py
+++ b/scripts/soak_entry/nodes.py
@@ -39,6 +39,7 @@
     def write_settings(self):
         site = self.site
         path = self.settings_path.with_suffix(".new")
+        bounds = site.teams.bounds() if site.teams else {}
         path.write_text(json.dumps({
             "node_name": self.name, "role": "entry", "machine_class": "edge", "serves": ["edge"],
             "ip": self.address, "zone": f"z{self.index % 3}", "region": "r",
@@ -48,7 +49,7 @@
             "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100},
             "bounds": {"grace_s": GRACE_S, "hold_max_ms": 10000, "stop_timeout_ms": 200, "gang_timeout_ms": 3000,
                        "status_s": self.retention_s, "remote_factor": 2, "lease_ms": 3000,
-                       "drain_timeout_ms": 2000, "upkeep_s": 2},
+                       "drain_timeout_ms": 2000, "upkeep_s": 2, **bounds},
             "orders": "rpc",
             "platform": {"address": f"{net.store_address(self.index)}:{site.store.port}", "form": "log", "parts": PARTS},
         }))
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -13,6 +13,8 @@
 from .nodes import Node
 from .shapes import SHAPES, long_running_job
 from .store import Store
+from .strangers import check_refusals, run_strangers
+from .teams import OPEN_QUEUE, Teams, with_open_queue
 from .waits import FINISH_S, WAIT_S, Waits
 from .workers import LISTED_ENDS, Cluster
 
@@ -33,6 +35,9 @@
     def __init__(self, options, seed, folder):
         self.options, self.seed, self.folder = options, seed, folder
         self.shape = SHAPES[options.shape]
+        if options.teams:
+            self.shape = with_open_queue(self.shape)
+        self.teams = Teams(self, options.teams) if options.teams else None
         self.random = random.Random(f"{seed}/run")
         self.crash_random = random.Random(f"{seed}/crashes")
         self.crash_share = self.crash_random.choice(CRASH_SHARES) if options.crashes is None else options.crashes
@@ -41,6 +46,7 @@
             net.reserve_port(self.reserved) for _ in range(5))
         pools = {path: queue.service for path, queue in self.shape.queues.items()}
         self.judge = Judge(pools, options.retention)
+        self.judge.teams = self.teams
         self.network = net.Network(random.Random(f"{seed}/net"))
         self.store = Store(self.network, store_port, f"{seed}/store")
         self.cluster = Cluster(self.network, self.store, self.judge, worker_port, options.nodes, options.workers,
@@ -82,10 +88,16 @@
                   for prefix, queue in self.shape.queues.items()]
         routes += [{"host": HOST, "path_prefix": f"/extra{n}/", "service": self.shape.services[0], "priority": 1,
                     "max_attempts": 2, "stretch": 3, "slo_ms": 2000} for n in self.extra]
-        self.store.put("keyed.op", "config", json.dumps({
-            "version": self.version, "routes": routes,
-            "services": [{"name": s, "enforces_capacity": False} for s in self.shape.services],
-            "limits": {"max_body_bytes": 65536}}))
+        config = {"version": self.version, "routes": routes,
+                  "services": [{"name": s, "enforces_capacity": False} for s in self.shape.services],
+                  "limits": {"max_body_bytes": 65536}}
+        if self.teams:
+            for route in routes:
+                route["public"] = route["path_prefix"] == OPEN_QUEUE
+            config["tenants"] = self.teams.documents()
+        self.store.put("keyed.op", "config", json.dumps(config))
+        if self.teams:
+            self.teams.published()
 
     async def begin(self):
         """Starts all processes and stand-ins; returns whether all nodes became ready."""
@@ -124,9 +136,16 @@
             callers = [Client(self, random.Random(f"{self.seed}/client{n}")).run(until) for n in range(CLIENTS)]
         if schedule.restart_share:
             callers += [self._submit_kind(kind, until) for kind in self.shape.beside_restarts]
+        if self.teams:
+            callers.append(run_strangers(self, until))
         await asyncio.gather(schedule.play(self), *callers)
+        if self.teams:
+            self.teams.raise_quotas()
+            self.publish()
         await self._settle()
         await self._cancel_all(long_running)
+        if self.teams:
+            await check_refusals(self)
         self.judge.finish()
         await asyncio.gather(*(node.stop() for node in self.nodes))
 
@@ -136,6 +155,8 @@
         jobs = []
         for _ in range(self.options.long_running):
             queue, body = long_running_job(draw, draw.choice(list(self.shape.queues)), LONG_RUNNING_TASKS)
+            if self.teams:
+                queue = OPEN_QUEUE  # a cut of a quota would keep them from their work
             jobs.append(await client.submit(f"{draw.getrandbits(64):016x}", queue, body, may_crash=False))
         client.caller.close()
         return jobs
--- a/scripts/soak_entry/waits.py
+++ b/scripts/soak_entry/waits.py
@@ -59,6 +59,10 @@
         if shares.get(service, 1.0) >= 0.5:
             return False
         needed = 2 * (step["count"] if step.get("gang") else 1)
+        if self.site.teams:
+            room = self.site.teams.room(job)
+            if any(needed * step.get(r, 0) > room[r] for r in room):
+                return False
         slots = 0
         for worker, _, free in rows[service]:
             if step.get("required_label") and step["required_label"] not in worker.labels:
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -206,9 +206,9 @@
         if token < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fence = token
-        return await handler(body)
+        return await handler(body, request.received)
 
-    async def _start(self, order):
+    async def _start(self, order, received):
         task, number = order["task"], order["run"]
         reason = None
         present = self.running.get(task)
@@ -221,14 +221,14 @@
             reason = "late"
         else:
             self._extend(order["until_ms"])
-            self._begin(order)
+            self._begin(order, received)
             if not self.up:
                 raise ConnectionResetError  # it has crashed before it could answer
         if reason:
             return 409, {"clock_ms": self.clock_ms(), "reason": reason}
         return 200, {"clock_ms": self.clock_ms()}
 
-    def _begin(self, order):
+    def _begin(self, order, received):
         job, (_, step, index) = self.cluster.judge.split(order["task"])
         work = self.cluster.work_of(job, step)
         restored = 0.0
@@ -240,7 +240,7 @@
         self.running[name] = run
         run.name = name
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number - 1)
-        self.cluster.judge.started(run, order, self)
+        self.cluster.judge.started(run, order, self, received)
         if job is None:
             return
         delay = job.crashes.get((step, index))
@@ -303,7 +303,7 @@
                 if member is not run:
                     member.worker._end(member, "broken")
 
-    async def _stop(self, order):
+    async def _stop(self, order, _):
         run = self.running.get(order["task"])
         if run is not None and run.number == order["run"]:
             if not run.stopping:
@@ -315,7 +315,7 @@
             self.highest[order["task"]] = max(self.highest.get(order["task"], 0), order["run"])
         return 200, {"clock_ms": self.clock_ms()}
 
-    async def _hold(self, order):
+    async def _hold(self, order, _):
         if "until_ms" in order:
             self._extend(order["until_ms"])
         acked = order.get("acked_through", 0)
