Show the configuration in force and its teams in the metrics of a node

An operator could not see from outside which configuration a node serves, why calls of a team are refused, or how far a team is from its quota. A node now has metrics for the version of the configuration, the time since its confirmation, its teams and keys, and refused calls by reason (unauthorized, unconfirmed, quota, rate), the latter from the log lines that report them, with the calls that lines of limited volume count. For each team there are weight, entitled share, quota and usage by resource, waiting steps, open jobs and refusals; usage is known at the owner of the cell. Teams are looked at once a second and with each new configuration, and series of teams that the configuration does not list are removed, so their number is bounded by it.

--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -33,6 +33,8 @@
 constexpr Time kFlushTime = Time::FromMilliseconds(200);
 /// The process ends so long before its grace time does.
 constexpr Time kExitMargin = Time::FromMilliseconds(300);
+/// Time between two looks at the teams of the configuration for metrics.
+constexpr Time kSampleInterval = Time::FromMilliseconds(1000);
 
 } // namespace
 
@@ -191,6 +193,7 @@
   }
   const bool isSampled = mBatches++ % kBatchesPerSample == 0;
   Perform(isSampled ? StepSampled(batch.mEvents, now) : StepEntry(mState, batch.mEvents, now));
+  ObserveConfig(now);
   ArmTimer();
   if (batch.mLeft > 0) {
     // Timers and signals get their turn between two batches.
@@ -198,6 +201,18 @@
   }
 }
 
+void
+EntryDaemonBody::ObserveConfig(Time aNow)
+{
+  const auto version = mState.mConfig ? mState.mConfig->Version() : 0;
+  if (aNow < mNextSample && version == mSampledVersion) {
+    return;
+  }
+  mNextSample = aNow + kSampleInterval;
+  mSampledVersion = version;
+  mMetrics.Observe(SampleConfig(mState, aNow));
+}
+
 Effects
 EntryDaemonBody::StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow)
 {
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -41,6 +41,8 @@
 private:
   void Deliver(std::span<EntryEvent> aEvents);
   void HandleEvents();
+  /// Brings the metrics of the configuration and its teams up to date, if they are due.
+  void ObserveConfig(Time aNow);
   Effects StepSampled(const std::vector<EntryEvent>& aEvents, Time aNow);
   void ReportDropped(const std::vector<EntryEvent>& aEvents);
   /// Logs a reply whose link was lost before it could leave; its caller is told that the outcome is
@@ -79,6 +81,8 @@
   Time mQueueDelay{};
   DelayReport mDelayReport;
   std::uint64_t mBatches{ 0 };
+  Time mNextSample{};
+  std::uint64_t mSampledVersion{ 0 };
   bool mClean{ false };
   LineSink mLog;
   /// The text of the last log line; kept for its storage.
--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -3,16 +3,16 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
-#include <optional>
 #include <utility>
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_split.h"
+#include "by_entryd/detail/DetailText.h"
+#include "by_entryd/detail/RefusalsOf.h"
 
 namespace by::detail {
 
@@ -38,22 +38,8 @@
   { "job.ended", "age_ms", "received_to_ended" },
 };
 
-/// @returns the number of a key in "key=value" pairs, or nothing where there is none.
-std::optional<std::int64_t>
-FindNumber(absl::string_view aDetail, absl::string_view aKey)
-{
-  for (const absl::string_view part : absl::StrSplit(aDetail, ' ')) {
-    const std::pair<absl::string_view, absl::string_view> pair =
-      absl::StrSplit(part, absl::MaxSplits('=', 1));
-    std::int64_t number = 0;
-    if (pair.first == aKey && absl::SimpleAtoi(pair.second, &number)) {
-      return number;
-    }
-  }
-  return std::nullopt;
-}
-
 using CounterFamily = prometheus::Family<prometheus::Counter>;
+using GaugeFamily = prometheus::Family<prometheus::Gauge>;
 
 CounterFamily&
 AddFamily(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
@@ -61,6 +47,18 @@
   return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
 }
 
+GaugeFamily&
+AddGauges(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+void
+Set(prometheus::Gauge& aGauge, std::uint64_t aValue)
+{
+  aGauge.Set(static_cast<double>(aValue));
+}
+
 /// @returns the counter of a kind of event, which is made at its first use.
 prometheus::Counter&
 OfKind(CounterFamily& aFamily,
@@ -103,7 +101,26 @@
                    .Help("Longest wait of an event for the control thread, at each batch")
                    .Register(*mRegistry)
                    .Add({}, kBounds))
+  , mRefused(&AddFamily(*mRegistry,
+                        "bergamotyard_refused_calls_total",
+                        "Calls refused because of a key, a quota or a rate, by reason"))
+  , mConfigVersion(&AddGauges(*mRegistry,
+                              "bergamotyard_config_version",
+                              "Version of the configuration in force; 0 without one")
+                      .Add({}))
+  , mConfigAge(&AddGauges(*mRegistry,
+                          "bergamotyard_config_confirmed_age_seconds",
+                          "Time since the configuration was confirmed to be the newest one")
+                  .Add({}))
+  , mTeamCount(
+      &AddGauges(*mRegistry, "bergamotyard_teams", "Teams of the configuration in force").Add({}))
+  , mKeyCount(
+      &AddGauges(*mRegistry, "bergamotyard_keys", "Keys of the configuration in force").Add({}))
+  , mTeams(*mRegistry)
 {
+  for (const auto reason : kRefusalReasons) {
+    mRefusedByReason[reason] = &mRefused->Add({ { "reason", std::string(reason) } });
+  }
   auto& messages =
     AddFamily(*mRegistry, "bergamotyard_link_messages_total", "Messages over links, by direction");
   auto& bytes =
@@ -124,6 +141,7 @@
   auto& counters = mLines[aLine.Event()];
   if (counters.mLines == nullptr) {
     counters.mLines = &mEvents->Add({ { "event", aLine.Event() } });
+    counters.mMayReportRefusals = MayReportRefusals(aLine.Event());
     const auto* timed = std::find_if(std::begin(kTimed), std::end(kTimed), [&](const auto& aTimed) {
       return aLine.Event() == aTimed.mEvent;
     });
@@ -138,6 +156,28 @@
       counters.mTime->Observe(static_cast<double>(*ms) / kMillisInSecond);
     }
   }
+  if (counters.mMayReportRefusals) {
+    CountRefusals(aLine);
+  }
+}
+
+void
+EntryMetrics::CountRefusals(const LogLine& aLine)
+{
+  for (const auto& refusal : RefusalsOf(aLine)) {
+    mRefusedByReason[refusal.mReason]->Increment(static_cast<double>(refusal.mCount));
+    mTeams.Count(refusal);
+  }
+}
+
+void
+EntryMetrics::Observe(const ConfigSample& aSample)
+{
+  Set(*mConfigVersion, aSample.mVersion);
+  mConfigAge->Set(static_cast<double>(aSample.mConfirmedAge.Milliseconds()) / kMillisInSecond);
+  Set(*mTeamCount, aSample.mTeams.size());
+  Set(*mKeyCount, aSample.mKeys);
+  mTeams.Observe(aSample.mTeams);
 }
 
 void
--- a/modules/by_entryd/detail/EntryMetrics.h
+++ b/modules/by_entryd/detail/EntryMetrics.h
@@ -9,11 +9,14 @@
 #include <unordered_map>
 
 #include "by_core/Time.h"
+#include "by_entry/ConfigSample.h"
+#include "by_entryd/detail/TeamMetrics.h"
 #include "by_links/LinkDirection.h"
 #include "by_schema/LogLine.h"
 
 namespace prometheus {
 class Counter;
+class Gauge;
 class Histogram;
 class Registry;
 template<class T>
@@ -23,7 +26,7 @@
 namespace by::detail {
 
 /// The metrics of an entry node: how often each decision was taken, how long jobs and runs took,
-/// and what the control thread and the links had to do.
+/// what the control thread and the links had to do, and the configuration in force with its teams.
 class EntryMetrics
 {
 public:
@@ -34,6 +37,8 @@
 
   /// Counts a decision, and the time that its line tells; for the control thread.
   void Count(const LogLine& aLine);
+  /// Shows the configuration in force and its teams; for the control thread.
+  void Observe(const ConfigSample& aSample);
   /// Counts an event that was handled, by its kind; for the control thread.
   void CountHandled(const char* aKind);
   /// Counts an event that was dropped, by its kind; for the control thread.
@@ -55,6 +60,8 @@
     /// The key in the detail that holds a stage's time, and its histogram; empty for most events.
     const char* mTimeKey{ nullptr };
     prometheus::Histogram* mTime{ nullptr };
+    /// Whether its lines may report calls that were refused.
+    bool mMayReportRefusals{ false };
   };
 
   struct LinkCounters
@@ -63,6 +70,8 @@
     prometheus::Counter* mBytes;
   };
 
+  void CountRefusals(const LogLine& aLine);
+
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>* mEvents;
   prometheus::Family<prometheus::Histogram>* mTimes;
@@ -71,6 +80,12 @@
   prometheus::Family<prometheus::Counter>* mProcessorTime;
   prometheus::Family<prometheus::Counter>* mProcessorSamples;
   prometheus::Histogram* mQueueDelay;
+  prometheus::Family<prometheus::Counter>* mRefused;
+  prometheus::Gauge* mConfigVersion;
+  prometheus::Gauge* mConfigAge;
+  prometheus::Gauge* mTeamCount;
+  prometheus::Gauge* mKeyCount;
+  TeamMetrics mTeams;
   LinkCounters mReceived;
   LinkCounters mSent;
   std::unordered_map<std::string, LineCounters> mLines;
@@ -79,6 +94,7 @@
   std::map<std::string_view, prometheus::Counter*> mDroppedByKind;
   std::map<std::string_view, prometheus::Counter*> mTimeByKind;
   std::map<std::string_view, prometheus::Counter*> mSamplesByKind;
+  std::map<std::string_view, prometheus::Counter*> mRefusedByReason;
 };
 
 } // namespace by::detail
--- a/tests/by_entryd/EntryMetricsTest.cpp
+++ b/tests/by_entryd/EntryMetricsTest.cpp
@@ -69,3 +69,50 @@
   CheckHas("bergamotyard_stage_seconds_count{stage=\"received_to_stored\"} 1\n");
   CheckHas("bergamotyard_stage_seconds_sum{stage=\"received_to_placed\"} 0.03\n");
 }
+
+// An operator who asks why a team's calls fail needs the reason; without it, a withdrawn key, a
+// node with an old configuration and a team over its rate look the same.
+TEST(EntryMetrics, CountsRefusedCallsByReasonAndTeam)
+{
+  mMetrics.Observe({ .mVersion = 7, .mTeams = { { .mTeam = TeamId("a") } } });
+  mMetrics.Count(Line("call.refused", "reason=unknown key config=4 confirmed_ms_ago=12"));
+  mMetrics.Count(Line("key.refused", "unknown=5 unconfirmed=2 config=4 newest=4"));
+  mMetrics.Count(Line("call.refused", "reason=configuration not confirmed config=4"));
+  mMetrics.Count(Line("job.refused", "reason=step exceeds the team's quota team=a step=0"));
+  mMetrics.Count(Line("job.refused", "reason=team over rate, many open jobs team=a unlogged=9"));
+  mMetrics.Count(Line("job.refused", "reason=owner overloaded"));
+  CheckHas("bergamotyard_refused_calls_total{reason=\"unauthorized\"} 6\n");
+  CheckHas("bergamotyard_refused_calls_total{reason=\"unconfirmed\"} 3\n");
+  CheckHas("bergamotyard_refused_calls_total{reason=\"quota\"} 1\n");
+  CheckHas("bergamotyard_refused_calls_total{reason=\"rate\"} 10\n");
+  CheckHas("bergamotyard_team_refused_calls_total{reason=\"rate\",team=\"a\"} 10\n");
+  CheckHas("bergamotyard_team_refused_calls_total{reason=\"quota\",team=\"a\"} 1\n");
+}
+
+// Series of teams that no configuration lists would grow without bound where teams come and go.
+TEST(EntryMetrics, ShowsTheTeamsOfTheConfigurationOnly)
+{
+  TeamSample team{ .mTeam = TeamId("a"), .mWeight = 3, .mEntitledPermille = 250 };
+  team.mQuota = Resources().WithCpuMillis(8000);
+  team.mUsage = Resources().WithCpuMillis(6500).WithMemoryMb(300);
+  team.mWaitingSteps = 4;
+  team.mOpenJobs = 2;
+  mMetrics.Observe({ .mVersion = 7,
+                     .mConfirmedAge = Time::FromMilliseconds(1500),
+                     .mKeys = 9,
+                     .mTeams = { team, { .mTeam = TeamId("b") } } });
+  CheckHas("bergamotyard_config_version 7\n");
+  CheckHas("bergamotyard_config_confirmed_age_seconds 1.5\n");
+  CheckHas("bergamotyard_teams 2\n");
+  CheckHas("bergamotyard_keys 9\n");
+  CheckHas("bergamotyard_team_weight{team=\"a\"} 3\n");
+  CheckHas("bergamotyard_team_entitled_share{team=\"a\"} 0.25\n");
+  CheckHas("bergamotyard_team_quota{resource=\"cpu_millis\",team=\"a\"} 8000\n");
+  CheckHas("bergamotyard_team_usage{resource=\"memory_mb\",team=\"a\"} 300\n");
+  CheckHas("bergamotyard_team_waiting_steps{team=\"a\"} 4\n");
+  CheckHas("bergamotyard_team_open_jobs{team=\"a\"} 2\n");
+  mMetrics.Observe({ .mVersion = 8, .mTeams = { { .mTeam = TeamId("b") } } });
+  mMetrics.Count(Line("job.refused", "reason=team over rate, many open jobs team=a"));
+  CHECK(mMetrics.Text().find("team=\"a\"") == std::string::npos);
+  CheckHas("bergamotyard_team_weight{team=\"b\"} 0\n");
+}
