--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -3,16 +3,16 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
-#include <optional>
 #include <utility>
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_split.h"
+#include "by_entryd/detail/DetailText.h"
+#include "by_entryd/detail/RefusalsOf.h"
 
 namespace by::detail {
 
@@ -38,22 +38,8 @@
   { "job.ended", "age_ms", "received_to_ended" },
 };
 
-/// @returns the number of a key in "key=value" pairs, or nothing where there is none.
-std::optional<std::int64_t>
-FindNumber(absl::string_view aDetail, absl::string_view aKey)
-{
-  for (const absl::string_view part : absl::StrSplit(aDetail, ' ')) {
-    const std::pair<absl::string_view, absl::string_view> pair =
-      absl::StrSplit(part, absl::MaxSplits('=', 1));
-    std::int64_t number = 0;
-    if (pair.first == aKey && absl::SimpleAtoi(pair.second, &number)) {
-      return number;
-    }
-  }
-  return std::nullopt;
-}
-
 using CounterFamily = prometheus::Family<prometheus::Counter>;
+using GaugeFamily = prometheus::Family<prometheus::Gauge>;
 
 CounterFamily&
 AddFamily(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
@@ -75,7 +61,19 @@
   return *counter;
 }
 
-/// @returns the counter of a kind of event.
+GaugeFamily&
+AddGauges(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+{
+  return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(aRegistry);
+}
+
+void
+Set(prometheus::Gauge& aGauge, std::uint64_t aValue)
+{
+  aGauge.Set(static_cast<double>(aValue));
+}
+
+/// @returns the counter of a kind of event, which is made at its first use.
 prometheus::Counter&
 OfKind(CounterFamily& aFamily,
        std::map<std::string_view, prometheus::Counter*>& aCounters,
@@ -108,15 +106,35 @@
   , mProcessorSamples(&AddFamily(*mRegistry,
                                  "bergamotyard_control_processor_samples_total",
                                  "Events whose processor time was sampled, by kind"))
-  , mRefusals(&AddFamily(*mRegistry,
-                         "bergamotyard_refused_connections_total",
-                         "Connections of callers that a limit refused or closed, by reason"))
+  , mRefusedConnections(
+      &AddFamily(*mRegistry,
+                 "bergamotyard_refused_connections_total",
+                 "Connections of callers that a limit refused or closed, by reason"))
   , mQueueDelay(&prometheus::BuildHistogram()
                    .Name("bergamotyard_queue_delay_seconds")
                    .Help("Longest wait of an event for the control thread, at each batch")
                    .Register(*mRegistry)
                    .Add({}, kBounds))
+  , mRefusedCalls(&AddFamily(*mRegistry,
+                             "bergamotyard_refused_calls_total",
+                             "Calls refused because of a key, a quota or a rate, by reason"))
+  , mConfigVersion(&AddGauges(*mRegistry,
+                              "bergamotyard_config_version",
+                              "Version of the configuration in force; 0 without one")
+                      .Add({}))
+  , mConfigAge(&AddGauges(*mRegistry,
+                          "bergamotyard_config_confirmed_age_seconds",
+                          "Time since the configuration was confirmed to be the newest one")
+                  .Add({}))
+  , mTeamCount(
+      &AddGauges(*mRegistry, "bergamotyard_teams", "Teams of the configuration in force").Add({}))
+  , mKeyCount(
+      &AddGauges(*mRegistry, "bergamotyard_keys", "Keys of the configuration in force").Add({}))
+  , mTeams(*mRegistry)
 {
+  for (const auto reason : kRefusalReasons) {
+    mRefusedCallsByReason[reason] = &mRefusedCalls->Add({ { "reason", std::string(reason) } });
+  }
   auto& messages =
     AddFamily(*mRegistry, "bergamotyard_link_messages_total", "Messages over links, by direction");
   auto& bytes =
@@ -137,6 +155,7 @@
   auto& counters = mLines[aLine.Event()];
   if (counters.mLines == nullptr) {
     counters.mLines = &mEvents->Add({ { "event", aLine.Event() } });
+    counters.mMayReportRefusals = MayReportRefusals(aLine.Event());
     const auto* timed = std::find_if(std::begin(kTimed), std::end(kTimed), [&](const auto& aTimed) {
       return aLine.Event() == aTimed.mEvent;
     });
@@ -151,6 +170,28 @@
       counters.mTime->Observe(static_cast<double>(*ms) / kMillisInSecond);
     }
   }
+  if (counters.mMayReportRefusals) {
+    CountRefusals(aLine);
+  }
+}
+
+void
+EntryMetrics::CountRefusals(const LogLine& aLine)
+{
+  for (const auto& refusal : RefusalsOf(aLine)) {
+    mRefusedCallsByReason[refusal.mReason]->Increment(static_cast<double>(refusal.mCount));
+    mTeams.Count(refusal);
+  }
+}
+
+void
+EntryMetrics::Observe(const ConfigSample& aSample)
+{
+  Set(*mConfigVersion, aSample.mVersion);
+  mConfigAge->Set(static_cast<double>(aSample.mConfirmedAge.Milliseconds()) / kMillisInSecond);
+  Set(*mTeamCount, aSample.mTeams.size());
+  Set(*mKeyCount, aSample.mKeys);
+  mTeams.Observe(aSample.mTeams);
 }
 
 void
@@ -190,7 +231,7 @@
 void
 EntryMetrics::CountRefusal(const char* aReason)
 {
-  OfLabel(*mRefusals, mRefusalsByReason, "reason", aReason).Increment();
+  OfLabel(*mRefusedConnections, mRefusedConnectionsByReason, "reason", aReason).Increment();
 }
 
 std::string
