--- a/tests/by_entry/ConfigExchangeTest.cpp
+++ b/tests/by_entry/ConfigExchangeTest.cpp
@@ -149,6 +149,35 @@
   }
 };
 
+/// An owner and a member that really exchange their messages.
+struct LinkedPair
+{
+  /// Lets time pass.
+  /// @param aOwnerHasStore whether the store renews the owner's membership.
+  /// @param aMemberHasStore whether it renews the member's.
+  void Pass(Time aTime, bool aOwnerHasStore, bool aMemberHasStore)
+  {
+    for (const auto until = mOwner.mNow + aTime; mOwner.mNow < until;) {
+      mOwner.Advance(Time::FromMilliseconds(100));
+      mMember.Advance(Time::FromMilliseconds(100));
+      aOwnerHasStore ? mOwner.Join(true) : mOwner.LoseStore();
+      aMemberHasStore ? mMember.Join(false) : mMember.LoseStore();
+      for (const auto& sent : mMember.Take<SendToOwner>()) {
+        mOwner.Deliver(FromMember::Create({ .mNode = "n2", .mMessage = sent.Message() }).value());
+      }
+      for (const auto& sent : mOwner.Take<SendToMember>()) {
+        mConfigs += std::holds_alternative<ClusterConfig>(sent.Message().Body()) ? 1 : 0;
+        mMember.Deliver(FromOwner::Create({ .mMessage = sent.Message() }).value());
+      }
+    }
+  }
+
+  KeyedOwner mOwner{ { "n2" } };
+  KeyedMember mMember;
+  /// Configurations that the owner sent.
+  int mConfigs{ 0 };
+};
+
 } // namespace
 
 TEST_GROUP(ConfigExchange){};
@@ -444,3 +473,29 @@
     return std::holds_alternative<ConfigRequest>(aSent.Message().Body());
   }));
 }
+
+/// Fails if the messages of the two sides do not fit together: a withdrawn key is then served by
+/// the side that the store turns away, or its callers are refused although the other side has the
+/// store.
+TEST(ConfigExchange, BothSidesOfALinkEndWithTheNewestConfiguration)
+{
+  LinkedPair pair;
+  pair.Pass(Time::FromMilliseconds(1000), true, false);
+  pair.mOwner.Deliver(KeyedConfig(2, { "red-key-2" }, 1400));
+  pair.Pass(Time::FromMilliseconds(1500), true, false);
+  CHECK(pair.mMember.Call("red-key-1") == JobCallOutcome::Unauthorized);
+  pair.Pass(kTrust * 2, true, false);
+  CHECK(pair.mMember.Call("red-key-2") == std::nullopt);
+  LONGS_EQUAL(1, pair.mConfigs);
+
+  pair.mMember.Deliver(KeyedConfig(3, { "red-key-3" }, 1400));
+  pair.Pass(Time::FromMilliseconds(1500), false, true);
+  CHECK(pair.mOwner.Call("red-key-2") == JobCallOutcome::Unauthorized);
+  CHECK(pair.mOwner.Call("red-key-3") != JobCallOutcome::Unauthorized);
+  LONGS_EQUAL(1, pair.mConfigs);
+
+  // Neither has the store, so that each may have missed a version.
+  pair.Pass(kTrust + kStep, false, false);
+  CHECK(pair.mOwner.Call("red-key-3") == JobCallOutcome::Refused);
+  CHECK(pair.mMember.Call("red-key-3") == JobCallOutcome::Refused);
+}
