Refuse teams' submissions beyond their rate at the nodes

The owner refused the flood of a team itself, after each submission had passed a link and waited for the owner's control thread beside the calls of other teams. An owner that fell behind refused everybody's submissions on account of one team.

The owner's heartbeat now names the teams of which nodes forward only a share, at once when that changes. Nodes refuse the rest with JobCallOutcome::Throttled and a Retry-After that spreads the callers over 1 to 4 s. The rounding error of each decision is carried over to the next, and starts differently at each node. What a node knows applies for 2 s, and nothing is forwarded over a new link or to a new owner before its first heartbeat, which replaces it. A call that was forwarded before is not refused. An overloaded owner first refuses what exceeds the rates of teams; it refuses all new jobs if no team exceeds its rate, or if that is not enough within a second. Without teams nodes and owner decide as before, and the list in heartbeats is empty.

Each new test was seen to fail without its change, by leaving the change out of the built library: the share, its age limit, the exemption of forwarded calls and of other calls, the first error of each node, the replacement by each heartbeat, the team of the request, the spread of returns, the list in heartbeats and its immediate sending, both bounds of shedding, the share for the owner's own callers, and the count of what nodes refused.

docs/design/admission.md says who decides and what happens in failures.

--- a/modules/by_entry/EntryState.h
+++ b/modules/by_entry/EntryState.h
@@ -13,6 +13,7 @@
 #include "by_entry/OpenCall.h"
 #include "by_entry/OwnerPhase.h"
 #include "by_entry/RelayState.h"
+#include "by_entry/TeamLimits.h"
 #include "by_schema/CellClaim.h"
 #include "by_schema/ClusterConfig.h"
 #include "by_schema/EntrySettings.h"
@@ -99,6 +100,8 @@
   bool mOwnerLostStore{ false };
   /// Since when the owner takes no new jobs because it is overloaded; Never() while it takes them.
   Time mOwnerOverloadedAt{ Time::Never() };
+  /// The teams that exceed their rate, by the owner's heartbeats.
+  TeamLimits mTeamLimits;
   /// When the owner became known to be gone, leaving or without the store, so that any node may
   /// claim the cell; Never() otherwise.
   Time mOwnerReleasedAt{ Time::Never() };
--- a/modules/by_entry/LoadState.h
+++ b/modules/by_entry/LoadState.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "by_core/Time.h"
+#include "by_schema/TeamLoad.h"
 
 namespace by {
 
@@ -18,8 +20,13 @@
   Time mOverloadedAt{ Time::Never() };
   /// Since when events have waited only shortly; Never() while they do not.
   Time mCalmSince{ Time::Never() };
-  /// Whether members were told that this node is overloaded.
+  /// Whether this node, if it is the owner, takes no new jobs. While some teams exceed their rate,
+  /// an overloaded owner first refuses what exceeds it.
+  bool mRefusesNewJobs{ false };
+  /// Whether members were told that this node takes no new jobs, and of which teams they should
+  /// forward only a share.
   bool mOverloadPublished{ false };
+  std::vector<TeamLoad> mTeamLoadsPublished;
   /// Requests of members that were dropped since the last report, because their callers no longer
   /// waited, and when the next report is due.
   std::uint64_t mDroppedRequests{ 0 };
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -12,6 +12,7 @@
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
 #include "by_entry/detail/Routing.h"
+#include "by_entry/detail/TeamAdmission.h"
 #include "by_jobs/CriticalPaths.h"
 #include "by_queueing/OwnerWait.h"
 #include "by_queueing/RetryDelay.h"
@@ -125,6 +126,10 @@
     Refuse(aState, aNumber, aNow, aOut);
     return;
   }
+  if (const auto delay = ThrottleSubmission(aState, aCall, aNow, aOut)) {
+    Answer(aNumber, { .mOutcome = JobCallOutcome::Throttled, .mRetryAfter = *delay }, aOut);
+    return;
+  }
   ++aCall.mPossibleRuns;
   if (aState.mPhase == OwnerPhase::Owner) {
     aCall.mForwardedTo = aState.mEpoch;
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -8,6 +8,7 @@
 #include "by_cell/HandleAdvice.h"
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/TeamRates.h"
 #include "by_entry/detail/Calls.h"
 #include "by_entry/detail/Handover.h"
 #include "by_entry/detail/Load.h"
@@ -15,6 +16,7 @@
 #include "by_entry/detail/RelayChoice.h"
 #include "by_entry/detail/RelayMember.h"
 #include "by_entry/detail/Relays.h"
+#include "by_entry/detail/TeamAdmission.h"
 
 namespace by::detail {
 
@@ -53,6 +55,13 @@
          aNow;
 }
 
+/// @returns the teams whose submissions members forward only in part; none at other nodes.
+std::vector<TeamLoad>
+TeamLoadsOfOwner(const EntryState& aState)
+{
+  return aState.mPhase == OwnerPhase::Owner ? LimitedTeams(*aState.mCell) : std::vector<TeamLoad>();
+}
+
 /// Sends a claim to the nodes that have a link with this one, for those that can't reach the store:
 /// the members of the last owner send it to that owner, which sends it to its other members.
 void
@@ -98,6 +107,7 @@
   aState.mLargestShare = aHeartbeat.LargestShare();
   aState.mOwnerOverloadedAt =
     aHeartbeat.Overloaded() ? std::min(aState.mOwnerOverloadedAt, aNow) : Time::Never();
+  TakeTeamLoads(aState, aHeartbeat, aNow);
   if (aHeartbeat.StoreLost()) {
     aState.mOwnerReleasedAt = std::min(aState.mOwnerReleasedAt, aNow);
   } else if (!aState.mOwnerLeaving) {
@@ -339,11 +349,14 @@
 {
   const bool isLost = HasLostStore(aState, aNow);
   const bool isOverloaded = IsOverloadedOwner(aState);
+  auto teamLoads = TeamLoadsOfOwner(aState);
   if (std::exchange(aState.mStoreLossPublished, isLost) == isLost &&
-      aState.mLoad.mOverloadPublished == isOverloaded) {
+      aState.mLoad.mOverloadPublished == isOverloaded &&
+      aState.mLoad.mTeamLoadsPublished == teamLoads) {
     return;
   }
   aState.mLoad.mOverloadPublished = isOverloaded;
+  aState.mLoad.mTeamLoadsPublished = std::move(teamLoads);
   SendMemberHeartbeats(aState, aNow, aOut);
 }
 
@@ -355,7 +368,8 @@
                                            .mOwner = isOwner,
                                            .mStoreLost = HasLostStore(aState, aNow),
                                            .mOverloaded = IsOverloadedOwner(aState),
-                                           .mLargestShare = aState.mLargestMemberShare })
+                                           .mLargestShare = aState.mLargestMemberShare,
+                                           .mTeamLoads = TeamLoadsOfOwner(aState) })
                      .value();
   EmitToMember(aState, aNode, MessageOf(std::move(heartbeat)), aOut);
 }
--- a/modules/by_entry/detail/Links.h
+++ b/modules/by_entry/detail/Links.h
@@ -47,13 +47,13 @@
 void
 HandleMemberChanged(EntryState& aState, const MemberChanged& aEvent, Time aNow, Effects& aOut);
 
-/// Notifies members as soon as this node, as the owner, loses or regains the store, or becomes
-/// overloaded or has caught up.
+/// Notifies members as soon as this node, as the owner, loses or regains the store, becomes
+/// overloaded or has caught up, or changes what members forward of a team's submissions.
 void
 BroadcastOwnerState(EntryState& aState, Time aNow, Effects& aOut);
 
 /// Sends a member the heartbeat that says whether this node is the owner, has the store and takes
-/// new jobs.
+/// new jobs, and of which teams it takes only a share.
 void
 SendMemberHeartbeat(const EntryState& aState, const std::string& aNode, Time aNow, Effects& aOut);
 
--- a/modules/by_entry/detail/Load.cpp
+++ b/modules/by_entry/detail/Load.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/TeamRates.h"
 
 namespace by::detail {
 
@@ -13,6 +14,9 @@
 /// An owner counts as overloaded until events have waited less than half of the overload delay for
 /// this long.
 constexpr Time kCalmTime = Time::FromMilliseconds(1000);
+/// An overloaded owner refuses only what exceeds the rates of teams for this long. Nodes learn of
+/// such teams within half of it.
+constexpr Time kTeamSheddingTime = Time::FromMilliseconds(1000);
 /// Unanswered forwarded calls from which on further submissions are refused if the oldest call has
 /// waited for half of the answer wait.
 constexpr std::ptrdiff_t kUnansweredCallLimit = 32;
@@ -39,6 +43,16 @@
          std::count_if(oldest, calls.end(), isForwarded) > kUnansweredCallLimit;
 }
 
+/// @returns whether refusing what exceeds the rates of teams may be enough for an overloaded owner.
+bool
+ShedsTeamsFirst(const EntryState& aState, Time aNow)
+{
+  const auto& load = aState.mLoad;
+  const bool isCatchingUp = load.mQueueDelay <= aState.mSettings.OverloadDelay();
+  return aState.mCell && HasTeamOverRate(*aState.mCell) &&
+         (isCatchingUp || aNow < load.mOverloadedAt + kTeamSheddingTime);
+}
+
 } // namespace
 
 void
@@ -69,7 +83,9 @@
                      " owner=",
                      aState.mPhase == OwnerPhase::Owner,
                      " calls=",
-                     aState.mCalls.size()));
+                     aState.mCalls.size(),
+                     " sheds_teams_first=",
+                     ShedsTeamsFirst(aState, aNow)));
   } else if (load.mOverloadedAt != Time::Never() && aNow >= load.mCalmSince + kCalmTime) {
     Log(aOut,
         "node.caught_up",
@@ -77,6 +93,8 @@
         absl::StrCat("overloaded_for_ms=", (aNow - load.mOverloadedAt).Milliseconds()));
     load.mOverloadedAt = Time::Never();
   }
+  load.mRefusesNewJobs =
+    load.mOverloadedAt != Time::Never() && (load.mRefusesNewJobs || !ShedsTeamsFirst(aState, aNow));
   if (aState.mCell) {
     aState.mCell->mIsBehind = load.mOverloadedAt != Time::Never();
   }
@@ -85,7 +103,7 @@
 bool
 IsOverloadedOwner(const EntryState& aState)
 {
-  return aState.mPhase == OwnerPhase::Owner && aState.mLoad.mOverloadedAt != Time::Never();
+  return aState.mPhase == OwnerPhase::Owner && aState.mLoad.mRefusesNewJobs;
 }
 
 bool
