Delay no refusal of an overloaded owner for a chance excess

With many teams some team is always a little over its rate, because its callers submit at random. An overloaded owner then waited a second for the effect of refusing one or two submissions before it refused new jobs. It now waits only if a team is far over its rate: by a second's worth of submissions, and at least five.

A pool that was found to have free capacity was entered with time zero into the times of missing capacity, which would count as a shortage while the clock is below a second. It is no longer entered.

by_queueing_tests (39), by_cell_tests (170) and by_entry_tests (139) pass.

--- a/modules/by_cell/detail/TeamRates.cpp
+++ b/modules/by_cell/detail/TeamRates.cpp
@@ -22,6 +22,9 @@
 /// Submissions in excess leave this share of the open jobs to the others, also where they wait for
 /// something else than capacity.
 constexpr std::uint64_t kExcessJobDivisor = 2;
+/// A team is far over its rate after a second's worth of submissions in excess, and at least so
+/// many, so that callers that happen to submit at the same time do not count.
+constexpr std::uint64_t kMinFarExcess = 5;
 /// Lines about refused submissions of a team in a second.
 constexpr std::uint32_t kLinesPerSecond = 5;
 constexpr Time kLogPeriod = Time::FromMilliseconds(1000);
@@ -134,14 +137,14 @@
   if (aPass.mState.mConfig.Teams().empty()) {
     return;
   }
-  auto& missed = aPass.mState.mCapacityMissedAt[aPool];
-  if (missed == aPass.mNow) {
+  auto& missedAt = aPass.mState.mCapacityMissedAt;
+  if (const auto it = missedAt.find(aPool); it != missedAt.end() && it->second == aPass.mNow) {
     return;
   }
   const std::size_t needed = aStep.Gang() ? aStep.Count() : 1;
   const auto& workers = PoolOf(aPass, aPool);
   if (CountSlots(aPass, workers, aStep, TaskOf(aKey, 0), aRow, aLatestStart, needed) < needed) {
-    missed = aPass.mNow;
+    missedAt.insert_or_assign(aPool, aPass.mNow);
   }
 }
 
@@ -228,10 +231,13 @@
 }
 
 bool
-HasTeamOverRate(const CellState& aState)
+HasTeamFarOverRate(const CellState& aState)
 {
-  return std::any_of(aState.mTeamRates.begin(), aState.mTeamRates.end(), [](const auto& aEntry) {
-    return aEntry.second.mOverSince != Time::Never();
+  return std::any_of(aState.mTeamRates.begin(), aState.mTeamRates.end(), [&](const auto& aEntry) {
+    const auto& [team, row] = aEntry;
+    const auto rate = static_cast<std::uint64_t>(RateOf(aState, team));
+    return row.mOverSince != Time::Never() &&
+           row.mExcessCount + row.mRefusedCount >= std::max(rate, kMinFarExcess);
   });
 }
 
--- a/modules/by_cell/detail/TeamRates.h
+++ b/modules/by_cell/detail/TeamRates.h
@@ -42,9 +42,9 @@
 std::vector<TeamLoad>
 LimitedTeams(const CellState& aState);
 
-/// @returns whether any team exceeds its rate.
+/// @returns whether any team exceeds its rate by so much that refusing it relieves the owner.
 bool
-HasTeamOverRate(const CellState& aState);
+HasTeamFarOverRate(const CellState& aState);
 
 /// Counts a refusal for the log.
 /// @returns how many earlier refusals had no line, if this one gets a line.
--- a/modules/by_entry/detail/Load.cpp
+++ b/modules/by_entry/detail/Load.cpp
@@ -49,7 +49,7 @@
 {
   const auto& load = aState.mLoad;
   const bool isCatchingUp = load.mQueueDelay <= aState.mSettings.OverloadDelay();
-  return aState.mCell && HasTeamOverRate(*aState.mCell) &&
+  return aState.mCell && HasTeamFarOverRate(*aState.mCell) &&
          (isCatchingUp || aNow < load.mOverloadedAt + kTeamSheddingTime);
 }
 
