Bound what callers of bergamotyardd may hold, by the same code

Callers of the second server saw the same growth: the limits of Beast cover the header and the body, not extensions of chunks and trailers. Connections that sent nothing kept their descriptors, and 400 of them used up all 320 of the process, so that no ordinary call was answered.

HttpSession now reads calls with CallReader and has its limits and timeouts from CallLimits and WebCapacity, as the server of entry nodes has; its own reading is gone. The room for calls that are arriving is divided among the traffic threads; the largest call of a thread is refused with 503. The number of connections is that of the settings, or less where the process has fewer descriptors, and a connection without a call gives way to a new one.

The test of connections over the limit had two idle connections and expected a third one to be refused. Idle connections now give way, which a test of its own checks; that test's two connections now wait for answers.

--- a/modules/by_http/HttpServer.cpp
+++ b/modules/by_http/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -25,8 +26,8 @@
 using SharedPointer = std::shared_ptr<HttpShared>;
 using ErrorCode = boost::system::error_code;
 
-/// Connections above the limit that are told so; all others are closed at once.
-constexpr std::int64_t kRejectedAtOnce = 64;
+/// Idle connections that are looked at for one that can give way; others have a call in the kernel.
+constexpr int kMostTries = 16;
 constexpr auto kAcceptPause = std::chrono::milliseconds(100);
 
 absl::Status
@@ -55,20 +56,37 @@
   return absl::OkStatus();
 }
 
+/// Closes the connection of a lane that has been idle for longest.
+/// @returns whether there was one.
+bool
+MakeRoom(HttpLane& aLane)
+{
+  int tries = 0;
+  for (auto it = aLane.mIdle.begin(); it != aLane.mIdle.end() && tries < kMostTries; ++tries) {
+    // The connection that gives way takes itself out of the list.
+    if ((*it++)->GiveWay()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 TakeConnection(const SharedPointer& aShared,
                HttpLane& aLane,
                std::int64_t aOthers,
                asio::ip::tcp::socket aSocket)
 {
-  if (aOthers >= aShared->mSettings.MaxConnections() + kRejectedAtOnce) {
+  const auto& capacity = aShared->mCapacity;
+  const bool hasRoom = aOthers < capacity.mConnections || MakeRoom(aLane);
+  if (!hasRoom && aOthers >= capacity.mConnections + capacity.mRefusals) {
     aShared->ReleaseConnection();
     return;
   }
   ErrorCode ec;
   aSocket.set_option(asio::ip::tcp::no_delay(true), ec);
   const auto session = std::make_shared<HttpSession>(std::move(aSocket), aShared, aLane);
-  if (aOthers >= aShared->mSettings.MaxConnections()) {
+  if (!hasRoom) {
     session->Reject();
     return;
   }
--- a/modules/by_http/detail/HttpLane.h
+++ b/modules/by_http/detail/HttpLane.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +32,12 @@
   absl::flat_hash_map<std::uint64_t, std::weak_ptr<HttpSession>> mCalls;
   /// All connections.
   absl::flat_hash_map<const HttpSession*, std::weak_ptr<HttpSession>> mSessions;
+  /// Connections without a call; the one that has been without for longest comes first.
+  std::list<HttpSession*> mIdle;
+  /// Bytes that calls which are arriving hold.
+  std::size_t mCallBytes{ 0 };
+  /// Takes what has arrived at one connection; an idle connection needs no memory to read into.
+  std::array<char, 4096> mArrived{};
 };
 
 } // namespace by::detail
--- a/modules/by_http/detail/HttpSession.cpp
+++ b/modules/by_http/detail/HttpSession.cpp
@@ -4,8 +4,6 @@
 #include <utility>
 #include <variant>
 
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -13,6 +11,7 @@
 #include "by_http/Replies.h"
 #include "by_http/RouteCall.h"
 #include "by_http/detail/LaneOfName.h"
+#include "by_web/CallLimits.h"
 
 namespace by::detail {
 
@@ -24,41 +23,29 @@
 
 /// How long an operator's call may wait for its reply.
 constexpr auto kOperatorBound = std::chrono::seconds(10);
-/// How long a connection that is given up may still send, so that it reads the reply first.
-constexpr auto kLingerBound = std::chrono::seconds(1);
 constexpr std::int64_t kMillisecondsInSecond = 1000;
-/// Bytes that are read at once while a call waits, or thrown away after a refusal.
-constexpr std::size_t kPiece = 4096;
 
-std::chrono::milliseconds
-Span(Time aTime)
-{
-  return std::chrono::milliseconds(aTime.Milliseconds());
-}
-
-/// @returns the reply to a call that could not be read, or nothing where the connection broke.
-std::optional<HttpReply>
-ReplyToFault(beast::error_code aError, const HttpSettings& aSettings)
-{
-  if (aError == http::error::body_limit) {
-    return ErrorReply(
-      413,
-      "body_too_large",
-      absl::StrCat("the body is over the limit of ", aSettings.BodyLimit(), " bytes"));
-  }
-  if (aError == http::error::header_limit) {
-    return ErrorReply(
-      431,
-      "header_too_large",
-      absl::StrCat("the header is over the limit of ", aSettings.HeaderLimit(), " bytes"));
-  }
-  const auto& category = beast::error_code(http::error::bad_method).category();
-  const bool broken =
-    aError == http::error::end_of_stream || aError == http::error::partial_message;
-  if (aError.category() == category && !broken) {
-    return ErrorReply(400, "malformed", absl::StrCat("the call is not HTTP: ", aError.message()));
+/// @returns the reply to a call that could not be read.
+HttpReply
+ReplyToFault(const CallFault& aFault, const ConnectionLimits& aLimits)
+{
+  switch (aFault.mReason) {
+    case Refusal::BodyTooLarge:
+      return ErrorReply(
+        aFault.mStatus,
+        "body_too_large",
+        absl::StrCat("the body is over the limit of ", aLimits.BodyBytes(), " bytes"));
+    case Refusal::HeaderTooLarge:
+      return ErrorReply(
+        aFault.mStatus,
+        "header_too_large",
+        absl::StrCat("the header is over the limit of ", aLimits.HeaderBytes(), " bytes"));
+    case Refusal::FramingTooLarge:
+      return ErrorReply(
+        aFault.mStatus, "framing_too_large", "extensions of chunks or trailers are over the limit");
+    default:
+      return ErrorReply(aFault.mStatus, "malformed", "the call is not HTTP");
   }
-  return std::nullopt;
 }
 
 } // namespace
@@ -68,13 +55,18 @@
                          HttpLane& aLane)
   : mShared(std::move(aShared))
   , mLane(aLane)
-  , mStream(std::move(aSocket))
-  , mBound(mStream.get_executor())
+  , mSocket(std::move(aSocket))
+  , mTimer(mSocket.get_executor())
+  , mBound(mSocket.get_executor())
 {
 }
 
 HttpSession::~HttpSession()
 {
+  if (mPhase == ConnectionPhase::Idle) {
+    mLane.mIdle.erase(mIdlePlace);
+  }
+  mLane.mCallBytes -= mCharged;
   mLane.mSessions.erase(this);
   mShared->ReleaseConnection();
 }
@@ -83,106 +75,183 @@
 HttpSession::Start()
 {
   mLane.mSessions.emplace(this, weak_from_this());
-  ReadHeader();
+  ErrorCode ignored;
+  mSocket.non_blocking(true, ignored);
+  Enter(ConnectionPhase::Idle);
+  WaitForBytes();
 }
 
 void
 HttpSession::Reject()
 {
+  ErrorCode ignored;
+  mSocket.non_blocking(true, ignored);
   Write(ErrorReply(503, "too_many_connections", "the node has too many connections"));
 }
 
 void
-HttpSession::ReadHeader()
+HttpSession::Enter(ConnectionPhase aPhase)
 {
-  mParser.emplace();
-  mParser->header_limit(static_cast<std::uint32_t>(mShared->mSettings.HeaderLimit()));
-  mParser->body_limit(static_cast<std::uint64_t>(mShared->mSettings.BodyLimit()));
-  mKeepAlive = false;
-  ContinueHeader();
+  if (mPhase == aPhase) {
+    return;
+  }
+  if (mPhase == ConnectionPhase::Idle) {
+    mLane.mIdle.erase(mIdlePlace);
+  }
+  mPhase = aPhase;
+  if (mPhase == ConnectionPhase::Idle) {
+    mIdlePlace = mLane.mIdle.insert(mLane.mIdle.end(), this);
+  }
+  mSince = std::chrono::steady_clock::now();
+  ArmTimer();
 }
 
 void
-HttpSession::ContinueHeader()
+HttpSession::ArmTimer()
 {
-  mReading = true;
-  mStream.expires_after(Span(mShared->mSettings.IdleTimeout()));
-  http::async_read_header(
-    mStream, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
-      self->OnHeader(aError);
-    });
+  const auto time = TimeLimit(mPhase, mShared->mLimits);
+  if (!time) {
+    mTimer.cancel();
+    return;
+  }
+  mTimer.expires_at(mSince + std::chrono::milliseconds(time->Milliseconds()));
+  mTimer.async_wait([self = weak_from_this()](ErrorCode aError) {
+    const auto session = self.lock();
+    // The wait may have ended just before another one began.
+    if (session && !aError && session->mTimer.expiry() <= std::chrono::steady_clock::now()) {
+      session->OnTimeout();
+    }
+  });
 }
 
 void
-HttpSession::OnHeader(ErrorCode aError)
+HttpSession::OnTimeout()
 {
-  mReading = false;
-  if (aError == asio::error::operation_aborted && HasBegunCall()) {
-    // FinishCall() has interrupted the read.
-    ContinueHeader();
-  } else if (aError) {
-    OnReadError(aError);
-  } else if (beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
-    SendContinue();
-  } else {
-    ReadBody();
+  if (mPhase == ConnectionPhase::Idle && HasBegunCall()) {
+    // A busy thread has not read the call yet.
+    return;
+  }
+  if (mPhase != ConnectionPhase::Open) {
+    Close();
   }
 }
 
-bool
-HttpSession::HasBegunCall()
+void
+HttpSession::Charge()
 {
-  ErrorCode ec;
-  return mStream.socket().is_open() &&
-         (mBuffer.size() > 0 || mParser->got_some() || mStream.socket().available(ec) > 0);
+  const auto held = IsReading(mPhase) ? mReader.Held() : 0;
+  mLane.mCallBytes += held;
+  mLane.mCallBytes -= std::exchange(mCharged, held);
 }
 
 void
-HttpSession::SendContinue()
+HttpSession::ReadNext()
 {
-  mContinue = { http::status::continue_, mParser->get().version() };
-  http::async_write(mStream, mContinue, [self = shared_from_this()](ErrorCode aError, std::size_t) {
-    if (!aError) {
-      self->ReadBody();
-    }
-  });
+  // Bytes of the next call may have arrived with those of the previous one.
+  mKeepAlive = false;
+  mHasSentContinue = false;
+  Enter(ConnectionPhase::Idle);
+  mReader.Read({}, mShared->mLimits);
+  TakeProgress();
 }
 
 void
-HttpSession::ReadBody()
+HttpSession::WaitForBytes()
 {
-  http::async_read(
-    mStream, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
-      self->OnBody(aError);
-    });
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](ErrorCode aError) { self->OnBytes(aError); });
 }
 
 void
-HttpSession::OnBody(ErrorCode aError)
+HttpSession::OnBytes(ErrorCode aError)
 {
-  if (aError) {
-    OnReadError(aError);
+  if (!mSocket.is_open() || !IsReading(mPhase)) {
+    return;
+  }
+  if (aError == asio::error::operation_aborted && HasBegunCall()) {
+    // FinishCall() has interrupted the wait.
+    WaitForBytes();
     return;
   }
-  Handle(TakeCall());
+  auto& arrived = mLane.mArrived;
+  const auto size = aError ? 0 : mSocket.read_some(asio::buffer(arrived), aError);
+  if (aError == asio::error::would_block) {
+    WaitForBytes();
+  } else if (aError) {
+    Close();
+  } else {
+    mReader.Read({ arrived.data(), size }, mShared->mLimits);
+    TakeProgress();
+  }
 }
 
 void
-HttpSession::OnReadError(ErrorCode aError)
+HttpSession::TakeProgress()
 {
-  const auto reply = ReplyToFault(aError, mShared->mSettings);
-  if (reply.has_value()) {
-    Write(*reply);
+  if (mReader.Progress() == CallProgress::Complete) {
+    const auto call = TakeCall();
+    Enter(ConnectionPhase::Open);
+    Charge();
+    Handle(call);
+    return;
+  }
+  if (mReader.Progress() == CallProgress::Refused) {
+    Write(ReplyToFault(mReader.Fault(), mShared->mLimits));
+    return;
+  }
+  Enter(PhaseOf(mReader.Progress()));
+  Charge();
+  if (mReader.ExpectsContinue() && !std::exchange(mHasSentContinue, true)) {
+    SendContinue();
   } else {
-    Close();
+    WaitForBytes();
   }
+  if (mLane.mCallBytes > mShared->CallBytesLimit()) {
+    RefuseLargestCall(mLane);
+  }
+}
+
+void
+HttpSession::RefuseForMemory()
+{
+  mReader.Clear();
+  Write(ErrorReply(503, "out_of_memory", "calls that are arriving hold too much memory"));
+}
+
+bool
+HttpSession::GiveWay()
+{
+  if (mPhase != ConnectionPhase::Idle || HasBegunCall()) {
+    return false;
+  }
+  Close();
+  return true;
+}
+
+bool
+HttpSession::HasBegunCall()
+{
+  ErrorCode ec;
+  return mSocket.is_open() &&
+         (mReader.Progress() != CallProgress::None || mSocket.available(ec) > 0);
+}
+
+void
+HttpSession::SendContinue()
+{
+  mContinue = { http::status::continue_, mVersion };
+  http::async_write(mSocket, mContinue, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+    // FinishCall() may have interrupted the write.
+    if ((!aError || aError == asio::error::operation_aborted) && IsReading(self->mPhase)) {
+      self->WaitForBytes();
+    }
+  });
 }
 
 IncomingCall
 HttpSession::TakeCall()
 {
-  auto message = mParser->release();
-  mParser.reset();
+  auto message = mReader.Take();
   mVersion = message.version();
   mKeepAlive = message.keep_alive() && message.method() != http::verb::head;
   return IncomingCall::Create({ .mMethod = std::string(message.method_string()),
@@ -272,28 +341,31 @@
 void
 HttpSession::Watch()
 {
-  if (mBuffer.size() >= static_cast<std::size_t>(mShared->mSettings.HeaderLimit())) {
+  if (mReader.Held() >= static_cast<std::size_t>(mShared->mLimits.HeaderBytes())) {
     mSelf = shared_from_this();
     return;
   }
   mWatching = true;
-  mStream.expires_never();
-  mStream.async_read_some(mBuffer.prepare(kPiece),
-                          [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
-                            self->OnWatched(aError, aSize);
-                          });
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](ErrorCode aError) { self->OnWatched(aError); });
 }
 
 void
-HttpSession::OnWatched(ErrorCode aError, std::size_t aSize)
+HttpSession::OnWatched(ErrorCode aError)
 {
   mWatching = false;
-  mBuffer.commit(aSize);
   if (mReply.has_value()) {
     Write(*std::exchange(mReply, std::nullopt));
-  } else if (aError == asio::error::eof) {
+    return;
+  }
+  auto& arrived = mLane.mArrived;
+  const auto size = aError ? 0 : mSocket.read_some(asio::buffer(arrived), aError);
+  if (!aError) {
+    mReader.Keep({ arrived.data(), size });
+  }
+  if (aError == asio::error::eof) {
     OnSendingEnded();
-  } else if (aError) {
+  } else if (aError && aError != asio::error::would_block) {
     OnCallerGone();
   } else {
     Watch();
@@ -340,7 +412,8 @@
   const auto self = std::exchange(mSelf, nullptr);
   if (mWatching) {
     mReply = std::move(aReply);
-    mStream.cancel();
+    ErrorCode ignored;
+    mSocket.cancel(ignored);
   } else {
     Write(aReply);
   }
@@ -368,8 +441,9 @@
   mResponse.keep_alive(mKeepAlive);
   mResponse.body() = aReply.Body();
   mResponse.prepare_payload();
-  mStream.expires_after(Span(mShared->mSettings.IdleTimeout()));
-  http::async_write(mStream, mResponse, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+  Enter(ConnectionPhase::Answering);
+  Charge();
+  http::async_write(mSocket, mResponse, [self = shared_from_this()](ErrorCode aError, std::size_t) {
     self->OnWritten(aError);
   });
 }
@@ -380,7 +454,8 @@
   if (aError) {
     Close();
   } else if (mKeepAlive) {
-    ReadHeader();
+    mResponse = {};
+    ReadNext();
     if (mFinishing) {
       FinishCall();
     }
@@ -393,30 +468,34 @@
 HttpSession::Linger()
 {
   ErrorCode ec;
-  mStream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-  mStream.expires_after(kLingerBound);
-  mBuffer.clear();
+  mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  Enter(ConnectionPhase::Lingering);
+  mReader.Clear();
   Discard();
 }
 
 void
 HttpSession::Discard()
 {
-  mStream.async_read_some(mBuffer.prepare(kPiece),
-                          [self = shared_from_this()](ErrorCode aError, std::size_t) {
-                            if (!aError) {
-                              self->Discard();
-                            }
-                          });
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](ErrorCode aError) {
+                       if (!aError) {
+                         self->mSocket.read_some(asio::buffer(self->mLane.mArrived), aError);
+                       }
+                       if (!aError || aError == asio::error::would_block) {
+                         self->Discard();
+                       }
+                     });
 }
 
 void
 HttpSession::FinishCall()
 {
   mFinishing = true;
-  if (mReading) {
-    // Bytes that were read and not reported yet are seen only once the read has ended.
-    mStream.cancel();
+  if (IsReading(mPhase)) {
+    // Bytes that have arrived and were not reported yet are seen only once the wait has ended.
+    ErrorCode ignored;
+    mSocket.cancel(ignored);
   }
 }
 
@@ -425,7 +504,25 @@
 {
   mSelf.reset();
   mBound.cancel();
-  mStream.close();
+  Enter(ConnectionPhase::Closed);
+  Charge();
+  ErrorCode ignored;
+  mSocket.close(ignored);
+}
+
+void
+RefuseLargestCall(HttpLane& aLane)
+{
+  std::shared_ptr<HttpSession> largest;
+  for (const auto& it : aLane.mSessions) {
+    const auto session = it.second.lock();
+    if (session && (!largest || session->HeldBytes() > largest->HeldBytes())) {
+      largest = session;
+    }
+  }
+  if (largest && largest->HeldBytes() > 0) {
+    largest->RefuseForMemory();
+  }
 }
 
 } // namespace by::detail
--- a/modules/by_http/detail/HttpSession.h
+++ b/modules/by_http/detail/HttpSession.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,11 +11,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "by_http/detail/HttpLane.h"
@@ -23,6 +22,8 @@
 #include "by_schema/IncomingCall.h"
 #include "by_schema/OperatorReply.h"
 #include "by_schema/RoutedCall.h"
+#include "by_web/CallReader.h"
+#include "by_web/ConnectionPhase.h"
 
 namespace by::detail {
 
@@ -53,27 +54,39 @@
   /// Closes the connection unless a call on it is open or has begun to arrive.
   void FinishCall();
 
+  /// Refuses the call that is arriving, since such calls hold too much memory.
+  void RefuseForMemory();
+
+  /// Closes the connection, which has no call, for a new one.
+  /// @returns whether it did; a call may have arrived that is not read yet.
+  bool GiveWay();
+
+  /// @returns bytes of a call that is arriving.
+  std::size_t HeldBytes() const { return mCharged; }
+
   /// Closes the connection.
   void Close();
 
 private:
   using ErrorCode = boost::beast::error_code;
 
-  void ReadHeader();
-  void ContinueHeader();
+  void Enter(ConnectionPhase aPhase);
+  void ArmTimer();
+  void OnTimeout();
+  void Charge();
+  void ReadNext();
+  void WaitForBytes();
+  void OnBytes(ErrorCode aError);
+  void TakeProgress();
   bool HasBegunCall();
-  void OnHeader(ErrorCode aError);
   void SendContinue();
-  void ReadBody();
-  void OnBody(ErrorCode aError);
-  void OnReadError(ErrorCode aError);
   IncomingCall TakeCall();
   void Handle(const IncomingCall& aCall);
   void HandlePage(const ReadPage& aPage);
   void HandleSubmitted(const CallerSubmitted& aSubmitted);
   void HandleOperatorCall(const OperatorCall& aCall);
   void Watch();
-  void OnWatched(ErrorCode aError, std::size_t aSize);
+  void OnWatched(ErrorCode aError);
   void OnSendingEnded();
   void OnCallerGone();
   void DeliverCallerGone();
@@ -85,10 +98,14 @@
 
   std::shared_ptr<HttpShared> mShared;
   HttpLane& mLane;
-  boost::beast::tcp_stream mStream;
-  boost::beast::flat_buffer mBuffer;
+  boost::asio::ip::tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mBound;
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> mParser;
+  ConnectionPhase mPhase{ ConnectionPhase::New };
+  std::chrono::steady_clock::time_point mSince{};
+  std::list<HttpSession*>::iterator mIdlePlace{};
+  std::size_t mCharged{ 0 };
+  CallReader mReader;
   boost::beast::http::response<boost::beast::http::string_body> mResponse;
   boost::beast::http::response<boost::beast::http::empty_body> mContinue;
   /// The reply that came while the connection was watched.
@@ -98,7 +115,7 @@
   unsigned mVersion{ 11 };
   Secrets mSecrets{ Secrets::Hidden };
   bool mKeepAlive{ false };
-  bool mReading{ false };
+  bool mHasSentContinue{ false };
   bool mFinishing{ false };
   bool mWaiting{ false };
   bool mWatching{ false };
@@ -106,4 +123,8 @@
   std::shared_ptr<HttpSession> mSelf;
 };
 
+/// Refuses the call that holds the most bytes of those that are arriving on a traffic thread.
+void
+RefuseLargestCall(HttpLane& aLane);
+
 } // namespace by::detail
