Add `bergamotyard teams`, which tabulates the teams that a node's metrics show

An operator had to put a team's metrics together by hand. The command reads /metrics of the node that it is given, which on the users' platform is its ready address, and prints for each team its weight, entitled share, usage and quota by resource, open jobs, waiting steps and refusals, with the version of the configuration in force. Only the owner of a cell knows its jobs and runs, so a new metric, owns_cell, tells which node that is, and other nodes' rows show "-" for what they do not know.

--- a/modules/by_cli/BuildCall.cpp
+++ b/modules/by_cli/BuildCall.cpp
@@ -92,6 +92,8 @@
     return CallParts{ HttpMethod::Post, "/v1/config", WriteJsonText(*change, Secrets::Shown) };
   }
 
+  PartsOrFault operator()(const TeamsCommand&) const { return Get("/metrics"); }
+
   PartsOrFault operator()(const ShowConfigCommand& aShow) const
   {
     return Get(aShow.Tokens() ? "/v1/config?tokens=1" : "/v1/config");
--- a/modules/by_cli/FormatResult.cpp
+++ b/modules/by_cli/FormatResult.cpp
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
+#include "by_cli/detail/FormatTeams.h"
 #include "by_cli/detail/WriteTables.h"
 #include "by_json/JsonText.h"
 #include "by_json/generated/api_json.h"
@@ -191,6 +192,13 @@
     return FormatBody<StateDump>(mCommand, mResult);
   }
 
+  ToolOutput operator()(const TeamsCommand& aTeams) const
+  {
+    auto text = detail::FormatTeams(mResult.Body(), aTeams.Team(), mCommand.Options().Output());
+    return text.ok() ? Output(ExitCode::Ok, *std::move(text))
+                     : Failure(ExitCode::Refused, std::string(text.status().message()));
+  }
+
   /// Confirm, cancel, publish and drain show whatever the node has to show.
   template<class T>
   ToolOutput operator()(const T&) const
--- a/modules/by_cli/detail/CommandForms.cpp
+++ b/modules/by_cli/detail/CommandForms.cpp
@@ -250,6 +250,17 @@
     .value();
 }
 
+absl::StatusOr<CommandBody>
+ParseTeams(const ParsedLine& aLine)
+{
+  if (aLine.mOperands.size() > 1) {
+    return absl::InvalidArgumentError("takes one TEAM at most, see --help");
+  }
+  return TeamsCommand::Create(
+           { .mTeam = aLine.mOperands.empty() ? std::string() : aLine.mOperands.front() })
+    .value();
+}
+
 void
 AddNodeOptions(cxxopts::Options& aOptions, const CommandForm& aForm)
 {
@@ -339,6 +350,13 @@
       kShortCall,
       AddDumpOptions,
       ParseDump },
+    { "teams",
+      "[TEAM]",
+      "Shows teams with share, quota, usage, queue and refusals, from a node's metrics",
+      true,
+      kShortCall,
+      nullptr,
+      ParseTeams },
     { "trace",
       "JOB FILE...",
       "Explains from the logs of nodes what became of a job",
--- a/modules/by_entry/ConfigSample.h
+++ b/modules/by_entry/ConfigSample.h
@@ -19,8 +19,10 @@
   Time mConfirmedAge{};
   /// Keys that belong to a team.
   std::size_t mKeys{ 0 };
-  /// The teams of the configuration in its order; their usage is empty unless this node owns the
-  /// cell.
+  /// Whether this node owns the cell, so that it knows the jobs and runs of the teams.
+  bool mOwnsCell{ false };
+  /// The teams of the configuration in its order; shares, usage and work are zero unless this node
+  /// owns the cell.
   std::vector<TeamSample> mTeams{};
 
   friend bool operator==(const ConfigSample&, const ConfigSample&) = default;
--- a/modules/by_entry/SampleConfig.cpp
+++ b/modules/by_entry/SampleConfig.cpp
@@ -102,10 +102,11 @@
       index[team.Name()] = &sample.mTeams.back();
     }
   }
-  if (aState.mCell && !index.empty()) {
+  sample.mOwnsCell = aState.mCell.has_value();
+  if (sample.mOwnsCell && !index.empty()) {
     AddCell(*aState.mCell, index);
+    SetEntitlements(sample.mTeams);
   }
-  SetEntitlements(sample.mTeams);
   return sample;
 }
 
--- a/modules/by_entryd/detail/EntryMetrics.cpp
+++ b/modules/by_entryd/detail/EntryMetrics.cpp
@@ -116,6 +116,10 @@
       &AddGauges(*mRegistry, "bergamotyard_teams", "Teams of the configuration in force").Add({}))
   , mKeyCount(
       &AddGauges(*mRegistry, "bergamotyard_keys", "Keys of the configuration in force").Add({}))
+  , mOwnsCell(&AddGauges(*mRegistry,
+                         "bergamotyard_owns_cell",
+                         "Whether this node owns the cell, and so knows the work of its teams")
+                 .Add({}))
   , mTeams(*mRegistry)
 {
   for (const auto reason : kRefusalReasons) {
@@ -177,6 +181,7 @@
   mConfigAge->Set(static_cast<double>(aSample.mConfirmedAge.Milliseconds()) / kMillisInSecond);
   Set(*mTeamCount, aSample.mTeams.size());
   Set(*mKeyCount, aSample.mKeys);
+  Set(*mOwnsCell, aSample.mOwnsCell ? 1 : 0);
   mTeams.Observe(aSample.mTeams);
 }
 
--- a/modules/by_entryd/detail/EntryMetrics.h
+++ b/modules/by_entryd/detail/EntryMetrics.h
@@ -85,6 +85,7 @@
   prometheus::Gauge* mConfigAge;
   prometheus::Gauge* mTeamCount;
   prometheus::Gauge* mKeyCount;
+  prometheus::Gauge* mOwnsCell;
   TeamMetrics mTeams;
   LinkCounters mReceived;
   LinkCounters mSent;
--- a/modules/by_schema/ToolCommand.h
+++ b/modules/by_schema/ToolCommand.h
@@ -22,6 +22,7 @@
 #include "by_schema/ShowConfigCommand.h"
 #include "by_schema/StatusCommand.h"
 #include "by_schema/SubmitCommand.h"
+#include "by_schema/TeamsCommand.h"
 #include "by_schema/ToolOptions.h"
 #include "by_schema/TraceCommand.h"
 #include "by_schema/VersionCommand.h"
@@ -52,7 +53,8 @@
                  NodesCommand,
                  DrainCommand,
                  DumpCommand,
-                 TraceCommand>
+                 TraceCommand,
+                 TeamsCommand>
       mBody{};
 
     friend bool operator==(const Fields&, const Fields&) = default;
@@ -97,7 +99,8 @@
                      NodesCommand,
                      DrainCommand,
                      DumpCommand,
-                     TraceCommand>&
+                     TraceCommand,
+                     TeamsCommand>&
   Body() const
   {
     return mFields.mBody;
@@ -117,7 +120,8 @@
                                                   NodesCommand,
                                                   DrainCommand,
                                                   DumpCommand,
-                                                  TraceCommand> aValue) const
+                                                  TraceCommand,
+                                                  TeamsCommand> aValue) const
   {
     auto copy = *this;
     copy.mFields.mBody = std::move(aValue);
--- a/modules/by_schema/by_schema.h
+++ b/modules/by_schema/by_schema.h
@@ -277,6 +277,7 @@
 #include "by_schema/TeamToken.h"
 #include "by_schema/TeamTokens.h"
 #include "by_schema/TeamVersion.h"
+#include "by_schema/TeamsCommand.h"
 #include "by_schema/TelemetrySettings.h"
 #include "by_schema/Tick.h"
 #include "by_schema/Ticket.h"
--- a/tests/by_entry/SampleConfigTest.cpp
+++ b/tests/by_entry/SampleConfigTest.cpp
@@ -63,6 +63,8 @@
 TEST(SampleConfig, TeamListedTwiceHasTheFirstWeight)
 {
   const auto sample = Sample();
+  CHECK_FALSE(sample.mOwnsCell);
+  LONGS_EQUAL(0, sample.mTeams[0].mEntitledPermille);
   LONGS_EQUAL(5, sample.mVersion);
   LONGS_EQUAL(300, sample.mConfirmedAge.Milliseconds());
   LONGS_EQUAL(3, sample.mKeys);
@@ -83,6 +85,7 @@
   AddRun(cell, "ended", 250);
   AddRun(cell, "open", 2000);
   cell.mReady.insert(ReadyKey{ .mJob = "j1" });
+  CHECK(Sample().mOwnsCell);
   const auto teams = Sample().mTeams;
   LONGS_EQUAL(1250, teams[0].mUsage.CpuMillis());
   LONGS_EQUAL(500, teams[1].mUsage.CpuMillis());
--- a/tests/by_entryd/EntryMetricsTest.cpp
+++ b/tests/by_entryd/EntryMetricsTest.cpp
@@ -100,11 +100,13 @@
   mMetrics.Observe({ .mVersion = 7,
                      .mConfirmedAge = Time::FromMilliseconds(1500),
                      .mKeys = 9,
+                     .mOwnsCell = true,
                      .mTeams = { team, { .mTeam = TeamId("b") } } });
   CheckHas("bergamotyard_config_version 7\n");
   CheckHas("bergamotyard_config_confirmed_age_seconds 1.5\n");
   CheckHas("bergamotyard_teams 2\n");
   CheckHas("bergamotyard_keys 9\n");
+  CheckHas("bergamotyard_owns_cell 1\n");
   CheckHas("bergamotyard_team_weight{team=\"a\"} 3\n");
   CheckHas("bergamotyard_team_entitled_share{team=\"a\"} 0.25\n");
   CheckHas("bergamotyard_team_quota{resource=\"cpu_millis\",team=\"a\"} 8000\n");
