--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -12,6 +12,7 @@
 #include "LargeCell.h"
 #include "OwnerLoad.h"
 #include "TakeoverLoad.h"
+#include "TeamsCost.h"
 #include "by_json/by_json.h"
 #include "by_json/generated/backend_json.h"
 #include "by_json/generated/platform_json.h"
@@ -276,5 +277,17 @@
       "large_cell,configuration_ms,%s,%.2f\n", size.c_str(), load.mConfigurationMilliseconds);
     std::printf("large_cell,urgency_ms,%s,%.2f\n", size.c_str(), load.mUrgencyMilliseconds);
   }
+  for (const int teams : { 20, 150, 500 }) {
+    constexpr int kKeysATeam = 3;
+    constexpr int kRuns = 2000;
+    const auto load = by::MeasureTeams(teams, kKeysATeam, kRuns);
+    std::printf("teams,message_bytes,%d,%zu\n", teams, load.mMessageBytes);
+    std::printf("teams,decode_ms,%d,%.3f\n", teams, load.mDecodeMilliseconds);
+    std::printf("teams,change_ms,%d,%.3f\n", teams, load.mChangeMilliseconds);
+    std::printf("teams,known_key_us,%d,%.2f\n", teams, load.mKnownKeyMicroseconds);
+    std::printf("teams,unknown_key_us,%d,%.2f\n", teams, load.mUnknownKeyMicroseconds);
+    std::printf("teams,sample_ms,%d,%.3f\n", teams, load.mSampleMilliseconds);
+    std::printf("teams,heap_bytes,%d,%zu\n", teams, load.mHeapBytes);
+  }
   return 0;
 }
