Share a full pool between teams by weight

In a full pool the team with the longest queue got most of the capacity: steps were placed by urgency, priority and latest start alone, whoever sent them. Within one urgency and priority, steps of teams below their entitled share of the pool (their weight among the teams with work or runs there, of processor time, memory and accelerators) now come before those of teams above it, each by latest start; the usage that a pass adds counts at once. No capacity is withheld, and an idle team saves nothing up. The ready steps of one urgency and priority are grouped by team and pool in the ordered set, so that a pass finds the first step of each team by a search, however long another team's queue is; steps that wait for their quota, or for a pool that is full for their kind, no longer count among the 400 that a pass examines.

Steps of jobs in excess of their team's rate come after on-time and late steps of all teams, and before overdue ones, which have no value left. Jobs of open queues compete as one team of weight 1. Without teams in the configuration the order, the limits of a pass and all earlier tests are unchanged.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -54,6 +54,8 @@
 
   /// The weights, quotas and usage of the teams, over all workers.
   TeamTable mTeams;
+  /// What the runs of each team use, by pool.
+  absl::btree_map<std::pair<std::string, TeamId>, Resources> mPoolUsage;
   /// The teams of which the last placement pass that examined them held steps back for their quota.
   absl::btree_set<TeamId> mTeamsAtQuota;
 
--- a/modules/by_cell/ReadyKey.h
+++ b/modules/by_cell/ReadyKey.h
@@ -19,10 +19,18 @@
   /// The team whose quota the step exceeds by itself, so that it waits until the quota is raised;
   /// empty for all other steps.
   TeamId mExceededTeam;
+  /// Whether the job is overdue, and whether its submission exceeded the rate of its team. Excess
+  /// steps come after all others, but before overdue ones, which have no value left.
+  bool mIsOverdue{ false };
+  bool mIsExcess{ false };
   /// How urgent the job is with respect to its objective.
   Urgency mUrgency{ Urgency::OnTime };
   /// The queue's priority; 0 is the highest.
   std::uint32_t mPriority{ 0 };
+  /// The team of the job and its pool, between which PlacementOrder chooses; empty where the
+  /// configuration has no teams.
+  TeamId mTeam;
+  std::string mPool;
   /// The latest start of its first task for the job to meet its objective.
   Time mLatestStart{};
   std::string mJob;
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 #include "by_cell/RunPhase.h"
 #include "by_core/Identifier.h"
@@ -16,8 +17,10 @@
   RunPhase mPhase{ RunPhase::Planned };
   /// The resources that it holds.
   Resources mDemand;
-  /// The team of its job, which may have ended, and the resources that the team is charged with.
+  /// The team of its job, which may have ended, the pool of which it uses a share, and the
+  /// resources that the team is charged with.
   TeamId mTeam;
+  std::string mPool;
   Resources mCharge;
   /// Whether the resources that it holds are not known, so that the worker has none to spare.
   bool mIsDemandUnknown{ false };
--- a/modules/by_cell/detail/Jobs.cpp
+++ b/modules/by_cell/detail/Jobs.cpp
@@ -209,11 +209,16 @@
   }
   const auto& policy = PolicyOf(aState, aJob);
   const auto objective = ObjectiveTime(aJob.mJob.Definition(), policy);
+  const bool hasTeams = HasTeams(aState);
   const bool exceedsQuota = ExceedsQuota(aState, aJob.mTeam, definition);
   ReadyKey key{ .mInfeasible = step.mInfeasible || exceedsQuota,
                 .mExceededTeam = exceedsQuota ? aJob.mTeam : TeamId(),
+                .mIsOverdue = step.mUrgency == Urgency::Overdue,
+                .mIsExcess = aJob.mIsExcess,
                 .mUrgency = step.mUrgency,
                 .mPriority = policy.Priority(),
+                .mTeam = hasTeams ? aJob.mTeam : TeamId(),
+                .mPool = hasTeams ? policy.Pool() : std::string(),
                 .mLatestStart = occurrence.mDue + objective - step.mCriticalPath,
                 .mJob = aJob.mJob.Id(),
                 .mOccurrence = aOccurrence,
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -12,6 +13,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Feasibility.h"
 #include "by_cell/detail/Jobs.h"
+#include "by_cell/detail/PlacementOrder.h"
 #include "by_cell/detail/PlacementPass.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/StepCapacity.h"
@@ -36,6 +38,9 @@
 constexpr std::size_t kMaxWaitingGangsPerPass = 60;
 /// Advice queries per placement pass and pool, since selecting the workers to ask for takes long.
 constexpr std::size_t kMaxQueriesPerPass = 4;
+/// A placement pass leaves the steps of one team in a pool, urgency and priority after this many
+/// that its quota holds back or that are skipped, so that a long queue costs little time.
+constexpr std::size_t kMaxPassedOverPerGroup = 20;
 /// Minimum interval between passes, so that many events share one.
 constexpr Time kPassInterval = Time::FromMilliseconds(5);
 /// The interval grows by a millisecond for each so many waiting gangs, since they make up most of
@@ -214,21 +219,31 @@
   return isHeld;
 }
 
-void
+/// What a pass did with a step.
+enum class StepResult : std::uint8_t
+{
+  Examined,
+  /// Its team's quota keeps it from starting.
+  Held,
+  /// Enough steps of its kind have found no capacity in its pool.
+  Skipped,
+};
+
+StepResult
 PlaceStep(PlacementPass& aPass, const ReadyKey& aKey)
 {
   auto* job = FindJob(aPass.mState, aKey.mJob);
   if (job == nullptr) {
-    return;
+    return StepResult::Examined;
   }
-  const auto& policy = PolicyOf(aPass.mState, *job);
   const auto& step = StepOf(*job, aKey.mStep);
   if (IsHeldByQuota(aPass, *job, step)) {
-    return;
+    return StepResult::Held;
   }
+  const auto& policy = PolicyOf(aPass.mState, *job);
   auto& misses = step.Gang() ? aPass.mWaitingGangs[policy.Pool()] : aPass.mMisses[policy.Pool()];
   if (misses >= (step.Gang() ? kMaxWaitingGangsPerPass : kMaxMissesPerPass)) {
-    return;
+    return StepResult::Skipped;
   }
   const auto& occurrence = job->mOccurrences.at(aKey.mOccurrence);
   auto& row = job->mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
@@ -241,21 +256,21 @@
     row.mHasSuspects ? PlaceTrial(aPass, *job, aKey, candidates) : TrialOutcome::PlaceOthers;
   if (trial == TrialOutcome::Wait) {
     MarkIfInfeasible(aPass.mState, aKey, aPass.mOut);
-    return;
+    return StepResult::Examined;
   }
   const bool placesSuspects = trial == TrialOutcome::PlaceWeaklySuspected;
   const bool places = trial == TrialOutcome::PlaceOthers || placesSuspects;
   const bool hasPlaced =
     places && PlaceWaitingTasks(aPass, *job, aKey, latestStart, placesSuspects, candidates);
-  if (hasPlaced && row.mReady && IsHeldByQuota(aPass, *job, step)) {
-    return;
-  }
   if (placesSuspects && hasPlaced) {
     row.mTrialWaitsSince = Time();
   }
+  if (hasPlaced && row.mReady && IsHeldByQuota(aPass, *job, step)) {
+    return StepResult::Examined;
+  }
   if (places && !hasPlaced) {
     if (MarkIfInfeasible(aPass.mState, aKey, aPass.mOut)) {
-      return;
+      return StepResult::Examined;
     }
     // A step that waits for a trial says nothing of the capacity.
     misses += candidates.empty() || row.mTrialWaitsSince > Time() ? 0 : 1;
@@ -280,6 +295,7 @@
                 aPass.mNow,
                 aPass.mOut);
   }
+  return StepResult::Examined;
 }
 
 /// Notes the teams with steps that exceed their quota by themselves.
@@ -297,14 +313,14 @@
 }
 
 /// Logs which teams have begun or ceased to have steps that wait for their quota.
-/// @param aHasSeenAll whether the pass has examined all steps that can be placed.
+/// @param aWaiting the teams with steps that can be placed.
 void
-ReportQuotas(PlacementPass& aPass, bool aHasSeenAll)
+ReportQuotas(PlacementPass& aPass, const std::set<TeamId>& aWaiting)
 {
   auto& state = aPass.mState;
   NoteExceededTeams(aPass);
-  if (aHasSeenAll) {
-    for (const auto& team : state.mTeamsAtQuota) {
+  for (const auto& team : state.mTeamsAtQuota) {
+    if (!aWaiting.contains(team)) {
       aPass.mTeamsExamined.try_emplace(team, false);
     }
   }
@@ -324,6 +340,50 @@
   }
 }
 
+/// Places steps in the order of their keys.
+/// @returns the teams with steps that can be placed; none, since without teams there are no quotas.
+std::set<TeamId>
+PlaceInOrder(PlacementPass& aPass)
+{
+  std::vector<ReadyKey> keys;
+  for (const auto& key : aPass.mState.mReady) {
+    if (key.mInfeasible || keys.size() == kMaxStepsPerPass) {
+      break;
+    }
+    keys.push_back(key);
+  }
+  for (const auto& key : keys) {
+    PlaceStep(aPass, key);
+  }
+  return {};
+}
+
+/// Places steps in the order that gives each team its share.
+/// @returns the teams with steps that can be placed.
+std::set<TeamId>
+PlaceInFairOrder(PlacementPass& aPass)
+{
+  auto order = OrderReadySteps(aPass);
+  std::set<TeamId> waiting;
+  for (const auto& key : order.mGroups) {
+    waiting.insert(key.mTeam);
+  }
+  std::map<std::pair<TeamId, std::string>, std::size_t> passedOver;
+  std::size_t examined = 0;
+  while (examined < kMaxStepsPerPass) {
+    const auto key = TakeNextStep(aPass, order);
+    if (!key) {
+      break;
+    }
+    if (PlaceStep(aPass, *key) == StepResult::Examined) {
+      ++examined;
+    } else if (++passedOver[{ key->mTeam, key->mPool }] % kMaxPassedOverPerGroup == 0) {
+      LeaveGroup(order);
+    }
+  }
+  return waiting;
+}
+
 } // namespace
 
 std::size_t
@@ -340,19 +400,8 @@
   aState.mHasWaitingTrials = false;
   ++aState.mPlacementPass;
   PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
-  std::vector<ReadyKey> keys;
-  for (const auto& key : aState.mReady) {
-    if (key.mInfeasible || keys.size() == kMaxStepsPerPass) {
-      break;
-    }
-    keys.push_back(key);
-  }
-  const bool hasSeenAll = keys.size() < kMaxStepsPerPass;
+  ReportQuotas(pass, HasTeams(aState) ? PlaceInFairOrder(pass) : PlaceInOrder(pass));
   std::size_t gangs = 0;
-  for (const auto& key : keys) {
-    PlaceStep(pass, key);
-  }
-  ReportQuotas(pass, hasSeenAll);
   for (const auto& [pool, waiting] : pass.mWaitingGangs) {
     gangs += waiting;
   }
--- a/modules/by_cell/detail/TeamUsage.cpp
+++ b/modules/by_cell/detail/TeamUsage.cpp
@@ -35,6 +35,7 @@
 {
   const auto* job = FindJob(aState, aRun.mTask.Job());
   const auto ended = aState.mOutcomes.find(aRun.mTask.Job());
+  aRow.mPool = job != nullptr ? PolicyOf(aState, *job).Pool() : aWorker.mRegistration.Pool();
   if (job != nullptr) {
     aRow.mTeam = job->mTeam;
   } else if (ended != aState.mOutcomes.end()) {
@@ -48,12 +49,22 @@
                           : isStepKnown         ? StepOf(*job, aRun.mTask.Step()).Demand()
                                                 : aRow.mDemand);
   AddUsage(aState.mTeams, aRow.mTeam, WorkClass::Batch, aRow.mCharge);
+  auto& used = aState.mPoolUsage[{ aRow.mPool, aRow.mTeam }];
+  used = Plus(used, aRow.mCharge);
 }
 
 void
 ReleaseRun(CellState& aState, const RunRow& aRow)
 {
   SubtractUsage(aState.mTeams, aRow.mTeam, WorkClass::Batch, aRow.mCharge);
+  const auto used = aState.mPoolUsage.find({ aRow.mPool, aRow.mTeam });
+  if (used == aState.mPoolUsage.end()) {
+    return;
+  }
+  used->second = Minus(used->second, aRow.mCharge);
+  if (used->second == Resources()) {
+    aState.mPoolUsage.erase(used);
+  }
 }
 
 bool
--- a/tests/by_cell/LoadReplay.cpp
+++ b/tests/by_cell/LoadReplay.cpp
@@ -162,6 +162,13 @@
   return static_cast<double>(share.mOnTime) / static_cast<double>(share.mJobs);
 }
 
+double
+LoadReplay::OnTimeOfTeam(const TeamId& aTeam) const
+{
+  const auto& share = mTeamShares.at(aTeam);
+  return static_cast<double>(share.mOnTime) / static_cast<double>(share.mJobs);
+}
+
 void
 LoadReplay::Submit(const Arrival& aArrival, const std::string& aJob)
 {
@@ -182,7 +189,8 @@
                                       .mKind = JobCallKind::Submit,
                                       .mQueue = QueueOf(aArrival.mPriority),
                                       .mJob = aJob,
-                                      .mDefinition = std::move(definition) })
+                                      .mDefinition = std::move(definition),
+                                      .mTeam = aArrival.mTeam })
                   .value(),
                 mNow,
                 mOut);
@@ -190,6 +198,7 @@
   arrival.mAt = mNow;
   mOpen.emplace(aJob, arrival);
   ++mShares[aArrival.mPriority].mJobs;
+  ++mTeamShares[aArrival.mTeam].mJobs;
 }
 
 void
@@ -369,6 +378,7 @@
     const bool isOnTime = ended->second.mState == JobState::Completed &&
                           ended->second.mEnded <= arrival.mAt + arrival.mObjective;
     mShares[arrival.mPriority].mOnTime += isOnTime ? 1 : 0;
+    mTeamShares[arrival.mTeam].mOnTime += isOnTime ? 1 : 0;
     return true;
   });
 }
--- a/tests/by_cell/LoadReplay.h
+++ b/tests/by_cell/LoadReplay.h
@@ -22,8 +22,10 @@
     std::uint32_t mTasks;
     /// The time within which the job has to be done.
     Time mObjective;
+    /// The team that submits it; empty where there are no teams.
+    TeamId mTeam{};
   };
-  /// What becomes of the jobs of one priority.
+  /// What becomes of the jobs of one priority or team.
   struct Share
   {
     std::size_t mJobs{ 0 };
@@ -40,10 +42,13 @@
   void Play(const std::vector<Arrival>& aArrivals);
   /// @returns the share of jobs of a priority that were done within their objective.
   double OnTime(std::uint32_t aPriority) const;
+  /// @returns the share of jobs of a team that were done within their objective.
+  double OnTimeOfTeam(const TeamId& aTeam) const;
 
   CellState mCell;
   Time mNow{ Time::FromMilliseconds(1000000) };
   std::map<std::uint32_t, Share> mShares;
+  std::map<TeamId, Share> mTeamShares;
   /// The time that nodes spent on advice queries, in total.
   Time mAdviceTime{};
 
