--- a/tests/by_cell/LoadReplay.cpp
+++ b/tests/by_cell/LoadReplay.cpp
@@ -178,6 +178,13 @@
   return static_cast<double>(share.mOnTime) / static_cast<double>(share.mJobs);
 }
 
+double
+LoadReplay::OnTimeOfTeam(const TeamId& aTeam) const
+{
+  const auto& share = mTeamShares.at(aTeam);
+  return static_cast<double>(share.mOnTime) / static_cast<double>(share.mJobs);
+}
+
 void
 LoadReplay::Submit(const Arrival& aArrival, const std::string& aJob)
 {
@@ -213,6 +220,7 @@
   arrival.mAt = mNow;
   mOpen.emplace(aJob, arrival);
   ++mShares[aArrival.mPriority].mJobs;
+  ++mTeamShares[aArrival.mTeam].mJobs;
 }
 
 void
--- a/tests/by_cell/LoadReplay.h
+++ b/tests/by_cell/LoadReplay.h
@@ -47,6 +47,8 @@
   void Play(const std::vector<Arrival>& aArrivals);
   /// @returns the share of jobs of a priority that were done within their objective.
   double OnTime(std::uint32_t aPriority) const;
+  /// @returns the share of jobs of a team that were done within their objective.
+  double OnTimeOfTeam(const TeamId& aTeam) const;
 
   CellState mCell;
   Time mNow{ Time::FromMilliseconds(1000000) };
