--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -386,8 +386,8 @@
                             .mOverloaded = IsOverloadedOwner(aState),
                             .mLargestShare = aState.mLargestMemberShare,
                             .mConfigVersion = version,
-                            .mConfigAge = version > 0 ? aNow - ConfigConfirmedAt(aState) : Time(),
-                            .mTeamLoads = TeamLoadsOfOwner(aState) })
+                            .mTeamLoads = TeamLoadsOfOwner(aState),
+                            .mConfigAge = version > 0 ? aNow - ConfigConfirmedAt(aState) : Time() })
       .value();
   EmitToMember(aState, aNode, MessageOf(std::move(heartbeat)), aOut);
 }
