--- a/modules/by_daemon/detail/DaemonBody.cpp
+++ b/modules/by_daemon/detail/DaemonBody.cpp
@@ -104,9 +104,14 @@
     return backends.status();
   }
   mBackends = *std::move(backends);
-  const HttpHooks hooks{ .mDeliver = deliver, .mDrawId = DrawId, .mMetricsText = [this] {
-                          return mMetrics->MetricsText();
-                        } };
+  const HttpHooks hooks{ .mDeliver = deliver,
+                         .mDrawId = DrawId,
+                         .mMetricsText = [this] { return mMetrics->MetricsText(); },
+                         .mRefused =
+                           [this](Refusal aReason) {
+                             mMetrics->AddRefusedConnection(ToString(aReason));
+                             boost::asio::post(mControl, [this, aReason] { LogRefusal(aReason); });
+                           } };
   auto http = HttpServer::Create(mTraffic.All(), mSettings.Http(), hooks);
   if (!http.ok()) {
     return http.status();
@@ -115,6 +120,15 @@
   return absl::OkStatus();
 }
 
+void
+DaemonBody::LogRefusal(Refusal aReason)
+{
+  const auto line = ReportRefusal(mRefusals, aReason, MachineNow());
+  if (line) {
+    mLogger.Warn(LogPart::Http, absl::StrCat("Callers were refused: ", line->Detail(), "."));
+  }
+}
+
 bool
 DaemonBody::Run()
 {
--- a/modules/by_daemon/detail/DaemonBody.h
+++ b/modules/by_daemon/detail/DaemonBody.h
@@ -18,6 +18,7 @@
 #include "by_schema/NodeEvent.h"
 #include "by_schema/NodeSettings.h"
 #include "by_telemetry/by_telemetry.h"
+#include "by_web/RefusalReport.h"
 #include "by_wire/by_wire.h"
 
 namespace by::detail {
@@ -36,6 +37,8 @@
   void Deliver(NodeEvent aEvent);
 
 private:
+  /// Logs what callers were refused, once a second at most.
+  void LogRefusal(Refusal aReason);
   void Take(const NodeEvent& aEvent);
   void Perform(const NodeEffect& aEffect);
   void Perform(const AnswerCaller& aEffect);
@@ -71,6 +74,7 @@
   std::unique_ptr<PeerLinks> mPeers;
   std::unique_ptr<PlatformClient> mPlatform;
   std::unique_ptr<BackendClient> mBackends;
+  RefusalReport mRefusals;
   std::unique_ptr<HttpServer> mHttp;
 };
 
--- a/modules/by_http/HttpHooks.h
+++ b/modules/by_http/HttpHooks.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "by_schema/NodeEvent.h"
+#include "by_web/Refusal.h"
 
 namespace by {
 
@@ -16,6 +17,8 @@
   std::function<std::string()> mDrawId;
   /// Writes the metrics in Prometheus' text format.
   std::function<std::string()> mMetricsText;
+  /// Told of each call that was not read, and of each connection that a limit closed; may be empty.
+  std::function<void(Refusal)> mRefused;
 };
 
 } // namespace by
--- a/modules/by_http/HttpServer.cpp
+++ b/modules/by_http/HttpServer.cpp
@@ -79,6 +79,9 @@
 {
   const auto& capacity = aShared->mCapacity;
   const bool hasRoom = aOthers < capacity.mConnections || MakeRoom(aLane);
+  if (!hasRoom) {
+    aShared->Report(Refusal::TooManyConnections);
+  }
   if (!hasRoom && aOthers >= capacity.mConnections + capacity.mRefusals) {
     aShared->ReleaseConnection();
     return;
--- a/modules/by_http/detail/HttpSession.cpp
+++ b/modules/by_http/detail/HttpSession.cpp
@@ -131,9 +131,10 @@
     // A busy thread has not read the call yet.
     return;
   }
-  if (mPhase != ConnectionPhase::Open) {
-    Close();
+  if (const auto refusal = RefusalOfTimeout(mPhase)) {
+    mShared->Report(*refusal);
   }
+  Close();
 }
 
 void
@@ -196,6 +197,7 @@
     return;
   }
   if (mReader.Progress() == CallProgress::Refused) {
+    mShared->Report(mReader.Fault().mReason);
     Write(ReplyToFault(mReader.Fault(), mShared->mLimits));
     return;
   }
@@ -214,6 +216,7 @@
 void
 HttpSession::RefuseForMemory()
 {
+  mShared->Report(Refusal::OutOfMemory);
   mReader.Clear();
   Write(ErrorReply(503, "out_of_memory", "calls that are arriving hold too much memory"));
 }
@@ -224,6 +227,7 @@
   if (mPhase != ConnectionPhase::Idle || HasBegunCall()) {
     return false;
   }
+  mShared->Report(Refusal::GaveWay);
   Close();
   return true;
 }
--- a/modules/by_http/detail/HttpShared.h
+++ b/modules/by_http/detail/HttpShared.h
@@ -64,6 +64,13 @@
   {
     return static_cast<std::size_t>(mCapacity.mCallBytes) / mLanes.size();
   }
+  /// Reports a call that was not read, or a connection that a limit closed.
+  void Report(Refusal aReason) const
+  {
+    if (mHooks.mRefused) {
+      mHooks.mRefused(aReason);
+    }
+  }
   /// Counts a connection, from when it is accepted.
   std::int64_t AddConnection() { return mConnections.fetch_add(1); }
   /// Counts a connection as closed.
--- a/modules/by_json/StrictJson.cpp
+++ b/modules/by_json/StrictJson.cpp
@@ -16,6 +16,8 @@
 using boost::json::string_view;
 using Error = boost::json::error_code;
 
+// NOLINTBEGIN(readability-identifier-naming): the names are those that Boost.JSON calls.
+
 /// Takes what a parser finds, and keeps the keys of the objects that are open.
 struct KeyHandler
 {
@@ -70,6 +72,8 @@
   std::string mRepeated;
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 } // namespace
 
 absl::StatusOr<boost::json::value>
--- a/modules/by_telemetry/Metrics.cpp
+++ b/modules/by_telemetry/Metrics.cpp
@@ -75,6 +75,10 @@
     &CounterFamily(tables->mRegistry, { "requests_total", "Requests by outcome and reason" });
   tables->mHttpReplies =
     &CounterFamily(tables->mRegistry, { "http_replies_total", "HTTP calls by status" });
+  tables->mRefusedConnections =
+    &CounterFamily(tables->mRegistry,
+                   { "refused_connections_total",
+                     "Connections of callers that a limit refused or closed, by reason" });
   return std::unique_ptr<Metrics>(new Metrics(std::move(tables)));
 }
 
@@ -106,6 +110,12 @@
   mTables->mHttpReplies->Add({ { "status", std::to_string(aStatus) } }).Increment();
 }
 
+void
+Metrics::AddRefusedConnection(const char* aReason)
+{
+  mTables->mRefusedConnections->Add({ { "reason", aReason } }).Increment();
+}
+
 void
 Metrics::Set(GaugeName aName, double aValue)
 {
--- a/modules/by_telemetry/Metrics.h
+++ b/modules/by_telemetry/Metrics.h
@@ -38,6 +38,9 @@
   /// Counts one HTTP call by the status it was answered with.
   void AddHttpReply(std::int64_t aStatus);
 
+  /// Counts a call that was not read, or a connection that a limit closed.
+  void AddRefusedConnection(const char* aReason);
+
   /// Sets a gauge; times are in seconds.
   void Set(GaugeName aName, double aValue);
 
--- a/modules/by_telemetry/detail/MetricTables.h
+++ b/modules/by_telemetry/detail/MetricTables.h
@@ -20,6 +20,7 @@
   std::vector<prometheus::Histogram*> mHistograms;
   prometheus::Family<prometheus::Counter>* mAnswers{ nullptr };
   prometheus::Family<prometheus::Counter>* mHttpReplies{ nullptr };
+  prometheus::Family<prometheus::Counter>* mRefusedConnections{ nullptr };
 };
 
 } // namespace by::detail
--- a/modules/by_web/MachineLimits.h
+++ b/modules/by_web/MachineLimits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 namespace by {
--- a/platform/RefusalReport.cpp
+++ b/modules/by_web/RefusalReport.cpp
@@ -1,11 +1,11 @@
-#include "platform/RefusalReport.h"
+#include "by_web/RefusalReport.h"
 
 #include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 
-namespace by::platform {
+namespace by {
 
 namespace {
 
@@ -30,4 +30,4 @@
     .value();
 }
 
-} // namespace by::platform
+} // namespace by
--- a/platform/RefusalReport.h
+++ b/modules/by_web/RefusalReport.h
@@ -8,7 +8,7 @@
 #include "by_schema/LogLine.h"
 #include "by_web/Refusal.h"
 
-namespace by::platform {
+namespace by {
 
 /// What callers were refused since the last log line about it.
 struct RefusalReport
@@ -24,4 +24,4 @@
 std::optional<LogLine>
 ReportRefusal(RefusalReport& aReport, Refusal aReason, Time aNow);
 
-} // namespace by::platform
+} // namespace by
--- a/modules/by_web/WebCapacity.h
+++ b/modules/by_web/WebCapacity.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 #include "by_web/MachineLimits.h"
--- a/modules/by_web/by_web.h
+++ b/modules/by_web/by_web.h
@@ -9,6 +9,7 @@
 #include "by_web/CallLimits.h"
 #include "by_web/CallReader.h"
 #include "by_web/QueryText.h"
+#include "by_web/RefusalReport.h"
 #include "by_web/WebCapacity.h"
 #include "by_web/WebRequest.h"
 #include "by_web/WebServer.h"
--- a/tests/by_entryd/EntryDaemonTest.cpp
+++ b/tests/by_entryd/EntryDaemonTest.cpp
@@ -142,3 +142,30 @@
   CHECK(call.wait_for(std::chrono::seconds(0)) == std::future_status::ready);
   LONGS_EQUAL(7, call.get());
 }
+
+/// The limits of a configuration did not reach the connections, which have a thread of their own.
+TEST(EntryDaemon, ConnectionLimitsOfAConfigurationReachTheTrafficThread)
+{
+  const auto limits = ConnectionLimits::Create({ .mHeaderBytes = 1000,
+                                                 .mBodyBytes = 2000,
+                                                 .mHeaderTimeout = Time::FromMilliseconds(300),
+                                                 .mIdleTimeout = Time::FromMilliseconds(400) })
+                        .value();
+  std::promise<ConnectionLimits> applied;
+  auto open = [&](boost::asio::io_context&, EntryHooks aHooks) -> absl::StatusOr<EntryPorts> {
+    auto ports = NoPorts();
+    ports.mStart = [limits, hooks = std::move(aHooks)] {
+      hooks.mDeliver(
+        EventOf(ClusterConfig::Create({ .mVersion = 1, .mConnectionLimits = limits }).value()));
+    };
+    ports.mSetLimits = [&](const ConnectionLimits& aLimits) { applied.set_value(aLimits); };
+    return ports;
+  };
+  auto read = []() -> absl::StatusOr<ReloadedSettings> { return absl::UnavailableError("unused"); };
+  auto daemon = EntryDaemon::Create(Settings(), Time::FromMilliseconds(100), open, read);
+  CHECK(daemon.ok());
+  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run(); });
+  CHECK(applied.get_future().get() == limits);
+  CHECK_EQUAL(0, std::raise(SIGTERM));
+  ended.get();
+}
--- a/tests/platform/HostileInputTest.cpp
+++ b/tests/platform/HostileInputTest.cpp
@@ -3,8 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "by_web/RefusalReport.h"
 #include "platform/Decode.h"
-#include "platform/RefusalReport.h"
 
 using namespace by;
 using namespace by::platform;
