Let the random histories of a cell have teams whose quotas change

The histories had no teams, so nothing checked quotas beside late orders, lost workers and successive owners. Jobs now belong to three teams, and configurations with random quotas and weights follow each other. No start may take a team above the highest quota that may be in force: that of the last 10 ms, or of 4.5 s where orders are late or owners follow each other. A job whose submissions were all refused for its quota may not start, and every accepted job has to end once the quotas are lifted. Where owners follow each other, runs of ended jobs are left out of the sum, since a successor learns of them only from reports.

--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -66,6 +66,29 @@
   SimulateAll(900, { .mCrashEvery = 6000, .mCutEvery = 6000 });
 }
 
+/// Starts above the quota of their team, and accepted jobs that are not done once it is raised.
+TEST(CellHistory, RulesHoldWhenQuotasChange)
+{
+  SimulateAll(400, { .mQuotaChangeEvery = 800 });
+}
+
+TEST(CellHistory, RulesHoldWhenQuotasChangeAndOrdersAreLost)
+{
+  SimulateAll(400, { .mLostOrders = 10, .mQuotaChangeEvery = 1500 });
+}
+
+TEST(CellHistory, RulesHoldWhenQuotasChangeAndOwnersFollowEachOther)
+{
+  SimulateAll(
+    400,
+    { .mLostOrders = 5, .mLostAppends = 8, .mTakeoverEvery = 2500, .mQuotaChangeEvery = 1500 });
+}
+
+TEST(CellHistory, RulesHoldWhenQuotasChangeAndWorkersCrash)
+{
+  SimulateAll(400, { .mCrashEvery = 9000, .mCutEvery = 6000, .mQuotaChangeEvery = 2000 });
+}
+
 /// A job was failed after one crash under a task of it, since its other trials had met workers that
 /// had crashed before.
 TEST(CellHistory, RulesHoldInHistoriesInWhichAHealthyJobWasFailed)
--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -1,6 +1,7 @@
 #include "CellSimulation.h"
 
 #include <algorithm>
+#include <array>
 
 #include "absl/strings/str_cat.h"
 
@@ -13,6 +14,14 @@
 constexpr int kWorkers = 4;
 constexpr const char* kNode = "owner";
 
+constexpr std::array<const char*, 3> kTeams{ "red", "blue", "green" };
+
+TeamId
+TeamOfJob(std::size_t aJob)
+{
+  return TeamId(kTeams[aJob % kTeams.size()]);
+}
+
 /// @returns whether an order is for another process of a worker than the one that it reaches. Such
 /// an order is not sent, since it goes only over a connection to the process that it is for.
 template<class Worker>
@@ -28,6 +37,7 @@
   : mRandom(aSeed)
   , mFaults(aFaults)
   , mCrashesAtRandom(aFaults.mCrashEvery > 0 || aFaults.mRestartEvery > 0)
+  , mHasTakeovers(aFaults.mTakeoverEvery > 0)
 {
   for (int i = 1; i <= kWorkers; ++i) {
     Worker worker;
@@ -38,6 +48,9 @@
     mWorkers.emplace(worker.mId, worker);
   }
   TakeOver();
+  if (mFaults.mQuotaChangeEvery > 0) {
+    ChangeQuotas(false);
+  }
 }
 
 void
@@ -84,6 +97,9 @@
 {
   mNow = mNow + Time::FromMilliseconds(kStep);
   if (aWithoutFaults) {
+    if (mFaults.mQuotaChangeEvery > 0) {
+      ChangeQuotas(true);
+    }
     mFaults = {};
     for (auto& [id, worker] : mWorkers) {
       if (worker.mUp && worker.mCpu != kCpu) {
@@ -112,6 +128,9 @@
     Work(worker);
   }
   WorkGangs();
+  if (Every(mFaults.mQuotaChangeEvery)) {
+    ChangeQuotas(false);
+  }
   if (Every(mFaults.mTakeoverEvery)) {
     TakeOver();
   }
@@ -185,7 +204,8 @@
                             .mKind = JobCallKind::Submit,
                             .mQueue = queue,
                             .mJob = id,
-                            .mDefinition = JobDefinition::Create(std::move(definition)).value() })
+                            .mDefinition = JobDefinition::Create(std::move(definition)).value(),
+                            .mTeam = TeamOfJob(mRequests.size()) })
         .value());
   }
   if (mRequests.empty() || !Chance(3)) {
@@ -202,6 +222,7 @@
   mKinds[call] = kind;
   if (kind == JobCallKind::Submit) {
     mSubmitted.insert(it->first);
+    ++mUnthrottled[it->first];
   }
   Deliver(mOwner,
           [this, request = it->second.WithKind(kind), call](CellState& aCell, Effects& aOut) {
@@ -282,6 +303,8 @@
     mAccepted.insert(id);
   } else if (aReply.Outcome() == JobCallOutcome::Refused) {
     mRefused.insert(id);
+  } else if (aReply.Outcome() == JobCallOutcome::Throttled) {
+    --mUnthrottled[id];
   } else if (aReply.Outcome() == JobCallOutcome::Cancelled &&
              mKinds[aReply.Call()] == JobCallKind::Cancel) {
     mCancelled.emplace(id, mNow);
@@ -453,6 +476,7 @@
   CellState empty;
   empty.mNode = kNode;
   empty.mEpoch = mEpoch;
+  empty.mConfig = mConfig;
   empty.mConfirmedAt = mNow;
   empty.mOwnerSince = mNow;
   empty.mNextSequence = 1;
@@ -485,6 +509,29 @@
   });
 }
 
+void
+CellSimulation::ChangeQuotas(bool aUnlimited)
+{
+  constexpr int kMaxQuota = 8;
+  constexpr std::int64_t kQuotaUnit = 1000;
+  // Without late orders and earlier owners a start is carried out soon after it was decided.
+  const bool isSlow = mFaults.mLostOrders > 0 || mFaults.mTakeoverEvery > 0;
+  mEarlierQuotas.emplace_back(mNow + (isSlow ? kCapacityNotice : kOrderNotice), mQuotas);
+  std::vector<TeamPolicy> teams;
+  for (const auto* name : kTeams) {
+    const std::int64_t quota = aUnlimited || Chance(15) ? 0 : kQuotaUnit * (1 + Draw(kMaxQuota));
+    mQuotas[TeamId(name)] = quota;
+    teams.push_back(
+      TeamPolicy::Create({ .mName = TeamId(name),
+                           .mKeys = {},
+                           .mWeight = Draw(4),
+                           .mQuota = Resources::Create({ .mCpuMillis = quota }).value() })
+        .value());
+  }
+  mConfig = mConfig.WithTeams(std::move(teams)).WithVersion(mConfig.Version() + 1);
+  Deliver(mOwner, [&](CellState& aCell, Effects&) { ConfigureCell(aCell, mConfig); });
+}
+
 std::uint32_t
 CellSimulation::ProgressOf(const Run& aRun)
 {
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -35,6 +35,8 @@
   int mRestartEvery{ 0 };
   /// Mean time between changes of a worker's capacity; zero for none. [ms]
   int mResizeEvery{ 0 };
+  /// Mean time between changes of the teams' quotas; zero for no teams. [ms]
+  int mQuotaChangeEvery{ 0 };
   /// How many ends a worker lists at a time at most, the oldest first; zero for all.
   std::size_t mListedEnds{ 0 };
 };
@@ -153,6 +155,10 @@
   /// Begins the next process of a worker.
   void Begin(Worker& aWorker);
   void Resize(Worker& aWorker);
+  /// Publishes a configuration with random quotas, or without any.
+  void ChangeQuotas(bool aUnlimited);
+  /// Checks that a start takes its team to no more than the highest quota that may be in force.
+  void CheckQuota(const StartRun& aStart);
   /// Crashes a worker if a run there does so now.
   void CrashByTask(Worker& aWorker);
   void CheckFailedJob(const std::string& aJob);
@@ -167,8 +173,10 @@
   /// Processor capacity of a worker [millicores], and the attempts of a task.
   static constexpr std::int64_t kCpu = 4000;
   static constexpr std::uint32_t kAttempts = 3;
-  /// A start may still count on a capacity that shrank less than this ago.
+  /// A start may still count on a quota or a capacity that shrank less than this ago.
   static constexpr Time kCapacityNotice = Time::FromMilliseconds(4500);
+  /// The longest time that an order takes which is not late.
+  static constexpr Time kOrderNotice = Time::FromMilliseconds(10);
 
   std::mt19937 mRandom;
   CellFaults mFaults;
@@ -194,6 +202,15 @@
   std::set<std::string> mFailed;
   /// Whether workers crash for reasons of their own too.
   bool mCrashesAtRandom{ false };
+  /// The configuration in force, the quota of each team, and earlier quotas that a start may still
+  /// count on, with the end of that time. Zero is no limit. [millicores]
+  ClusterConfig mConfig;
+  std::map<TeamId, std::int64_t> mQuotas;
+  std::vector<std::pair<Time, std::map<TeamId, std::int64_t>>> mEarlierQuotas;
+  /// Whether runs of jobs that have ended may be unknown to the owner.
+  bool mHasTakeovers{ false };
+  /// The submissions of each job that were not answered with Throttled.
+  std::map<std::string, int> mUnthrottled;
   std::vector<std::string> mViolations;
   int mStarts{ 0 };
 };
--- a/tests/properties/CellSimulationWorkers.cpp
+++ b/tests/properties/CellSimulationWorkers.cpp
@@ -80,11 +80,51 @@
       mNow > cancelled->second + Time::FromMilliseconds(kCancelBound)) {
     ReportViolation("UNASKED", name + " after its job was cancelled");
   }
+  if (mUnthrottled[task.Job()] == 0) {
+    ReportViolation("REFUSED", name + " although all submissions exceeded the quota");
+  }
+  CheckQuota(aStart);
   if (mRefused.contains(task.Job()) && !mSubmitted.contains(task.Job())) {
     ReportViolation("REFUSED", name);
   }
 }
 
+void
+CellSimulation::CheckQuota(const StartRun& aStart)
+{
+  const auto teamOf = [&](const JobTaskKey& aTask) { return mRequests.at(aTask.Job()).Team(); };
+  const auto team = teamOf(aStart.Task());
+  std::erase_if(mEarlierQuotas, [&](const auto& aEntry) { return aEntry.first <= mNow; });
+  auto quota = mQuotas[team];
+  bool isLimited = quota > 0;
+  for (const auto& [until, quotas] : mEarlierQuotas) {
+    const auto earlier = quotas.find(team);
+    isLimited = isLimited && earlier != quotas.end() && earlier->second > 0;
+    quota = isLimited ? std::max(quota, earlier->second) : 0;
+  }
+  if (!isLimited) {
+    return;
+  }
+  auto used = StepOf(aStart.Task()).Demand().CpuMillis();
+  for (const auto& [id, worker] : mWorkers) {
+    for (const auto& run : worker.mRuns) {
+      // A successor learns of runs of jobs that have ended from the workers' reports only.
+      const bool isKnown = !mHasTakeovers || mOwner->mCell.mJobs.contains(run.mTask.Job());
+      used += isKnown && teamOf(run.mTask) == team ? StepOf(run.mTask).Demand().CpuMillis() : 0;
+    }
+  }
+  if (used > quota) {
+    ReportViolation("QUOTA",
+                    absl::StrCat(NameOf(aStart.Task()),
+                                 " takes team ",
+                                 team.Text(),
+                                 " to ",
+                                 used,
+                                 " millicores of ",
+                                 quota));
+  }
+}
+
 void
 CellSimulation::ExtendLease(Worker& aWorker, double aUntil)
 {
