Add two histories of quotas and lost appends, which show an owner that never finds its store again

Where the store rejects a batch that holds nothing but a new job, the owner drops the batch and keeps the store for lost. Only the answer to an append ends that, and an owner with nothing to append sends none: it refuses submissions and places nothing until something else changes.

Not fixed here, since it changes what an owner without teams does.

--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -72,6 +72,17 @@
   SimulateAll(400, { .mQuotaChangeEvery = 800 });
 }
 
+/// An owner that has nothing to append does not notice that the store is back (KNOWN-RED.txt).
+TEST(CellHistory, RulesHoldWhenQuotasChangeAndAppendsAreLost)
+{
+  SimulateAll(400, { .mLostAppends = 10, .mQuotaChangeEvery = 1000 });
+}
+
+TEST(CellHistory, RulesHoldWhenQuotasChangeAndOrdersAndAppendsAreLost)
+{
+  SimulateAll(400, { .mLostOrders = 10, .mLostAppends = 10, .mQuotaChangeEvery = 1500 });
+}
+
 TEST(CellHistory, RulesHoldWhenQuotasChangeAndOrdersAreLost)
 {
   SimulateAll(400, { .mLostOrders = 10, .mQuotaChangeEvery = 1500 });
