Probe the store after it has rejected a batch of new jobs alone

An idle owner whose append held only new jobs refused them when the store rejected it, dropped the batch and had nothing left to append. The batch now deletes the keys of the refused jobs, which changes nothing and is sent again until the store answers.

--- a/modules/by_cell/HandleStore.cpp
+++ b/modules/by_cell/HandleStore.cpp
@@ -246,6 +246,13 @@
   if (batch.mRecords.empty() && !batch.mFurtherRecords.empty()) {
     batch.mRecords = TakeNextRecords(batch);
   }
+  if (batch.mRecords.empty()) {
+    // Only an append shows that the store is back, and an owner without one would refuse every
+    // submission from then on. Deleting the keys of the refused jobs changes nothing.
+    for (const auto& id : refused) {
+      batch.mRecords.push_back(KeyedRecord::Create({ .mKey = JobRecordKey(id) }).value());
+    }
+  }
   if (batch.mRecords.empty()) {
     aState.mNextSequence = batch.mSequence;
     auto& ends = aState.mNextBatch.mEnds;
--- a/tests/by_cell/TeamLoadTest.cpp
+++ b/tests/by_cell/TeamLoadTest.cpp
@@ -54,9 +54,9 @@
 
 /// One team at 7.5 times its usual load beside nineteen others, at 83 % of the capacity before: the
 /// queue of the first grew, and the jobs of all others waited behind it.
-TEST_GROUP(TeamLoad){};
+TEST_GROUP(SharedPool){};
 
-TEST(TeamLoad, TeamAtManyTimesItsUsualLoadDelaysNoOther)
+TEST(SharedPool, TeamAtManyTimesItsUsualLoadDelaysNoOther)
 {
   LoadReplay replay(kWorkers, kNodes);
   std::vector<TeamPolicy> teams;
