--- a/modules/by_queueing/TeamRate.cpp
+++ b/modules/by_queueing/TeamRate.cpp
@@ -9,9 +9,9 @@
 /// Keeps the arithmetic of buckets far from its limits, whatever weight is configured.
 constexpr std::int64_t kMaxJobsPerSecond = 1000000;
 constexpr std::int64_t kMilli = 1000;
-/// A bucket holds the tokens of a second, and at least so many: submissions arrive at random, and
-/// with two tokens a team of weight 1 at four fifths of its rate would have a fifth refused.
-constexpr std::int64_t kMinDepth = 10;
+/// A bucket holds the tokens of a second, and at least so many, so that a team of weight 1 can
+/// submit two jobs at the same time.
+constexpr std::int64_t kMinDepth = 2;
 /// After this time any bucket is full.
 constexpr Time kMaxRefillTime = Time::FromSeconds(kMinDepth);
 /// Nodes forward so many hundredths of the rate.
--- a/scripts/soak_entry/teams.py
+++ b/scripts/soak_entry/teams.py
@@ -19,7 +19,7 @@
 RESOURCES = ("cpu", "mem_mb", "gpu")
 KEY_LETTERS = "ABCDEFGHJKLMNPQRSTUVWXYZabcdefghijkmnopqrstuvwxyz23456789"
 KEY_LENGTH = 20
-LONG_KEY_LENGTH = 6144  # with the other fields below the 8 KB that the parser of a node takes
+LONG_KEY_LENGTH = 10240
 MOST_KEYS = 4
 # Part of a service's capacity that a team may use: at first and at the end, and after a cut.
 QUOTA_SHARES = (0.08, 0.2)
