--- a/tests/by_web/RepeatedFieldsTest.cpp
+++ b/tests/by_web/RepeatedFieldsTest.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,17 +27,17 @@
   boost::asio::io_context context;
   std::map<std::string, std::string> headers;
   bool isReceived = false;
-  auto server =
-    WebServer::Create(context,
-                      Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 0 }).value(),
-                      1,
-                      [&](const WebRequest& aRequest, const std::shared_ptr<WebSession>& aSession) {
-                        headers = aRequest.mHeaders;
-                        isReceived = true;
-                        aSession->Answer(200, "");
-                      },
-                      { kName })
-      .value();
+  auto server = WebServer::Create(
+                  context,
+                  Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 0 }).value(),
+                  { .mConnections = 1, .mRefusals = 1, .mCallBytes = std::int64_t{ 1024 } * 1024 },
+                  [&](const WebRequest& aRequest, const std::shared_ptr<WebSession>& aSession) {
+                    headers = aRequest.mHeaders;
+                    isReceived = true;
+                    aSession->Answer(200, "");
+                  },
+                  { kName })
+                  .value();
   tcp::socket caller(context);
   caller.connect({ boost::asio::ip::make_address(server->Listening().Address()),
                    static_cast<boost::asio::ip::port_type>(server->Listening().Port()) });
