--- a/bench/capacity/TeamsCost.cpp
+++ b/bench/capacity/TeamsCost.cpp
@@ -104,7 +104,8 @@
   cost.mDecodeMilliseconds = MeanMilliseconds([&](int) { DecodeMessage(bytes).value(); });
   auto state = MakeEntryState({});
   cost.mChangeMilliseconds = MeanMilliseconds([&](int aRepeat) {
-    StepEntry(state, EventOf(config.WithVersion(static_cast<std::uint64_t>(2 + aRepeat))), kNow);
+    const auto version = config.Version() + 1 + static_cast<std::uint64_t>(aRepeat);
+    StepEntry(state, EventOf(config.WithVersion(version)), kNow);
   });
   constexpr double kMicrosInMilli = 1000.0;
   std::size_t found = 0;
