--- a/modules/by_cli/detail/CommandForms.cpp
+++ b/modules/by_cli/detail/CommandForms.cpp
@@ -278,6 +278,18 @@
     "output", "table or json", cxxopts::value<std::string>()->default_value("table"), "FORMAT");
 }
 
+CommandForm
+TeamsForm()
+{
+  return { "teams",
+           "[TEAM]",
+           "Shows teams with share, quota, usage, queue and refusals, from a node's metrics",
+           true,
+           kShortCall,
+           nullptr,
+           ParseTeams };
+}
+
 } // namespace
 
 const std::vector<CommandForm>&
@@ -350,13 +362,7 @@
       kShortCall,
       AddDumpOptions,
       ParseDump },
-    { "teams",
-      "[TEAM]",
-      "Shows teams with share, quota, usage, queue and refusals, from a node's metrics",
-      true,
-      kShortCall,
-      nullptr,
-      ParseTeams },
+    TeamsForm(),
     { "trace",
       "JOB FILE...",
       "Explains from the logs of nodes what became of a job",
--- a/modules/by_cli/detail/FormatTeams.cpp
+++ b/modules/by_cli/detail/FormatTeams.cpp
@@ -1,5 +1,6 @@
 #include "by_cli/detail/FormatTeams.h"
 
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -74,7 +75,7 @@
 {
   const auto it = aTeam.find("entitled_share");
   const auto percent = it == aTeam.end() ? 0.0 : it->second * kPercent;
-  return absl::StrCat(static_cast<std::int64_t>(percent + 0.5), "%");
+  return absl::StrCat(std::llround(percent), "%");
 }
 
 /// @returns a row of the table; what only the owner of the cell knows is "-" elsewhere.
