Take no unknown status of a worker or the store for a refusal

What callers would see: a run that has begun is placed again while it goes on (TWICE), or a job that is stored is answered 503 (REFUSED).

--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -158,6 +158,17 @@
   CHECK(OrderOutcomeOf(unsent) == OrderOutcome::NotSent);
 }
 
+/// A status that the platform does not use for refusals was taken for one: a run that had begun was
+/// placed again, and a job that was stored was said to be refused.
+TEST(Platform, StatusThatMayFollowAnEffectIsNeverTakenForARefusal)
+{
+  for (const auto status : { 201, 204, 302, 500, 502, 504 }) {
+    CHECK(OrderOutcomeOf(Answered(status)) == OrderOutcome::Unanswered);
+    CHECK(StoreOutcomeOf(Answered(status)) == StoreOutcome::Unanswered);
+    CHECK(UpkeepOutcomeOf(Answered(status)) == MaintenanceOutcome::Unanswered);
+  }
+}
+
 TEST(Platform, StatusOfTheStoreIsUnderstood)
 {
   CHECK(StoreOutcomeOf(Answered(200)) == StoreOutcome::Done);
@@ -166,6 +177,7 @@
   CHECK(StoreOutcomeOf(Answered(409, R"({"reason":"seq"})")) == StoreOutcome::Conflict);
   CHECK(StoreOutcomeOf(Answered(429)) == StoreOutcome::Refused);
   CHECK(StoreOutcomeOf(Answered(503)) == StoreOutcome::Refused);
+  CHECK(StoreOutcomeOf(Answered(507)) == StoreOutcome::Refused);
 }
 
 TEST(Platform, StatusOfAWorkerIsUnderstood)
@@ -178,6 +190,7 @@
   CHECK(OrderOutcomeOf(Answered(409, R"({"reason":"ticket"})")) == OrderOutcome::NoTicket);
   CHECK(OrderOutcomeOf(Answered(421)) == OrderOutcome::WrongWorker);
   CHECK(OrderOutcomeOf(Answered(503)) == OrderOutcome::Unhealthy);
+  CHECK(OrderOutcomeOf(Answered(400)) == OrderOutcome::Malformed);
 }
 
 TEST(Platform, WaveOfUpkeepIsDecoded)
