Start no gang while a run of a member is still there

What callers would see: two runs of a gang's task at the same time.

Cause: a step counts as ready from events, and a run that becomes known only from a worker's report was none of them. Tasks on their own are checked again when they are placed, members of a gang are not.

Change: a run that is found by a report refreshes the step of its task.

Evidence: GangIsNotStartedWhileARunOfAMemberIsStillThere fails without the change; the 207 tests of by_cell pass with it.

--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -9,6 +9,7 @@
 #include "by_cell/HandleStore.h"
 #include "by_cell/detail/Crashes.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/SuspectedTasks.h"
 #include "by_cell/detail/Tables.h"
@@ -90,6 +91,11 @@
   }
   row.mAliveInReport = aWorker.mReports;
   AddRun(aState, aWorker, run, std::move(row));
+  if (FindTask(aState, run.mTask) != nullptr) {
+    // A gang is placed as a whole only without live runs.
+    RefreshStep(
+      aState, *FindJob(aState, run.mTask.Job()), run.mTask.Occurrence(), run.mTask.Step());
+  }
   SendStop(aState, aWorker, run, aNow, aOut);
 }
 
--- a/tests/by_cell/ReportsTest.cpp
+++ b/tests/by_cell/ReportsTest.cpp
@@ -172,3 +172,39 @@
   CHECK_EQUAL(2, polls.front().Acknowledged());
   CHECK(polls.front().Wait() == Time());
 }
+
+/// A gang that waited for capacity was started again while a run of one of its members, which had
+/// counted as over, was still there: it had become known from a report, and the gang stayed ready.
+TEST(Reports, GangIsNotStartedWhileARunOfAMemberIsStillThere)
+{
+  CellFixture cell(2);
+  auto step = CellFixture::Step(2);
+  step.mGang = true;
+  step.mDemand = Resources::Create({ .mCpuMillis = 4000, .mMemoryMb = 64 }).value();
+  cell.Submit("j", { step });
+  for (const auto& start : cell.TakeStarts()) {
+    cell.Started(start.Worker(), { start.Task(), start.Run() }, OrderOutcome::Accepted);
+  }
+  const auto hasFirst = [&](const std::string& aWorker) {
+    return cell.mCell.mWorkers.at(aWorker).mRuns.contains(CellFixture::Run("j", 0, 1));
+  };
+  const std::string lost = hasFirst("w1") ? "w1" : "w2";
+  const std::string other = hasFirst("w1") ? "w2" : "w1";
+  cell.LoseWorker(lost);
+  cell.AdvanceTimeStoring(Time::FromSeconds(7));
+  cell.Poll(other, {}, { CellFixture::Ended(1, CellFixture::Run("j", 1, 1), RunEnd::GangBroken) });
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(100));
+  CHECK(cell.TakeStarts().empty());
+  const auto run = CellFixture::Run("j", 0, 1);
+  cell.Poll(lost, { CellFixture::Running(run) }, {});
+  cell.ReadRegistry({ cell.mCell.mWorkers.at("w1").mRegistration,
+                      cell.mCell.mWorkers.at("w2").mRegistration,
+                      cell.mCell.mWorkers.at("w1").mRegistration.WithId("w3") });
+  cell.Advance();
+  cell.Poll("w3", {}, {});
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(100));
+  CHECK(cell.TakeStarts().empty());
+  cell.Poll(lost, {}, { CellFixture::Ended(1, run, RunEnd::Stopped) });
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(100));
+  CHECK_EQUAL(2, cell.TakeStarts().size());
+}
