Judge the answer of another worker by where the poll was sent

What callers would see: all runs of a healthy worker are started again while they go on (TWICE), if another worker answers at the address of an entry that was dropped while the poll was under way.

Cause: whether a poll went to the address of a doubtful entry was decided when the answer came, by the entry and the count of failed polls of that moment.

Change: the row of the worker keeps where the poll went.

Evidence: AnswerAtTheAddressOfAnEntryDroppedMeanwhileDoesNotRetireTheWorker fails without the change; the 207 tests of by_cell pass with it.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -115,6 +115,7 @@
     aWorker.mLeaseSent = std::max(aWorker.mLeaseSent, *fields.mLeaseUntil);
   }
   aWorker.mPollInFlight = true;
+  aWorker.mPolledOther = IsOtherPolled(aWorker);
   aWorker.mPollSentAt = aNow;
   aWorker.mNextPoll = Time::Never();
   detail::Emit(aOut, PollWorker::Create(std::move(fields)).value());
@@ -190,7 +191,7 @@
     aState.mPollQueue.emplace(worker.mNextPoll, aEvent.Worker());
   }
   if (aEvent.Outcome() == OrderOutcome::WrongWorker) {
-    if (IsOtherPolled(worker)) {
+    if (worker.mPolledOther) {
       worker.mDoubtfulEntry.reset();
     } else {
       detail::RetireWorker(aState, worker, aNow, aOut);
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -54,6 +54,8 @@
   /// Whether a poll is unanswered, and when it was sent.
   bool mPollInFlight{ false };
   Time mPollSentAt{};
+  /// Whether it was sent to where mDoubtfulEntry showed another process.
+  bool mPolledOther{ false };
   /// When to send the next poll; Never() where none is needed.
   Time mNextPoll{ Time::Never() };
   /// When it first left a call unanswered since its last answer; Never() while it answers.
--- a/tests/by_cell/IncarnationsTest.cpp
+++ b/tests/by_cell/IncarnationsTest.cpp
@@ -94,6 +94,24 @@
   CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
 }
 
+// The answer to a poll at the address of a doubtful entry came after the entry was dropped, and was
+// taken for one from the worker's own address.
+TEST(Incarnations, AnswerAtTheAddressOfAnEntryDroppedMeanwhileDoesNotRetireTheWorker)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto run = CellFixture::Run("j", 0, 1);
+  cell.Started("w1", run, OrderOutcome::Accepted);
+  const auto current = cell.mCell.mWorkers.at("w1").mRegistration;
+  const auto endpoint = Endpoint::Create({ .mAddress = "127.0.0.1", .mPort = 9100 }).value();
+  cell.ReadRegistry({ EntryOf(cell, kEarlier).WithEndpoint(endpoint) });
+  PollFails(cell, OrderOutcome::Unanswered);
+  CHECK(cell.TakePolls().back().Endpoint() == endpoint);
+  cell.ReadRegistry({ current });
+  PollFails(cell, OrderOutcome::WrongWorker);
+  CHECK(cell.mCell.mWorkers.at("w1").mRuns.contains(run));
+}
+
 // The entry of a former process whose time of day had been ahead was taken for a new process, and
 // the runs of the living one were ended while they ran.
 TEST(Incarnations, LeftOverEntryOfAProcessThatSeemsYoungerEndsNoRuns)
