--- a/modules/by_entryd/EntryDaemon.cpp
+++ b/modules/by_entryd/EntryDaemon.cpp
@@ -28,9 +28,9 @@
 EntryDaemon::~EntryDaemon() = default;
 
 bool
-EntryDaemon::Run()
+EntryDaemon::Run(std::string_view aVersion)
 {
-  return mBody->Run();
+  return mBody->Run(aVersion);
 }
 
 } // namespace by
--- a/modules/by_entryd/EntryDaemon.h
+++ b/modules/by_entryd/EntryDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string_view>
 
 #include "absl/status/statusor.h"
 
@@ -33,8 +34,9 @@
   EntryDaemon& operator=(const EntryDaemon&) = delete;
 
   /// Runs until a planned stop is complete.
+  /// @param aVersion the version of the program, for the first line of the log.
   /// @returns whether nothing was left open.
-  bool Run();
+  bool Run(std::string_view aVersion);
 
 private:
   explicit EntryDaemon(std::unique_ptr<detail::EntryDaemonBody> aBody);
--- a/modules/by_entryd/detail/EntryDaemonBody.cpp
+++ b/modules/by_entryd/detail/EntryDaemonBody.cpp
@@ -124,11 +124,13 @@
 }
 
 bool
-EntryDaemonBody::Run()
+EntryDaemonBody::Run(std::string_view aVersion)
 {
-  Write(LogLine::Create({ .mEvent = "node.started",
-                          .mSubject = mState.mSettings.Node(),
-                          .mDetail = absl::StrCat("incarnation=", mState.mSettings.Incarnation()) })
+  Write(LogLine::Create(
+          { .mEvent = "node.started",
+            .mSubject = mState.mSettings.Node(),
+            .mDetail = absl::StrCat(
+              "incarnation=", mState.mSettings.Incarnation(), " version=", std::string(aVersion)) })
           .value());
   WatchSignals();
   boost::asio::post(mTraffic, [this] { mPorts.mStart(); });
--- a/modules/by_entryd/detail/EntryDaemonBody.h
+++ b/modules/by_entryd/detail/EntryDaemonBody.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -34,7 +35,7 @@
   /// Opens every socket.
   absl::Status Open(const OpenPorts& aOpen);
   /// Runs the control thread until the planned stop is complete.
-  bool Run();
+  bool Run(std::string_view aVersion);
   /// Queues an event for the control thread.
   void Deliver(EntryEvent aEvent);
 
--- a/tests/by_entryd/EntryDaemonTest.cpp
+++ b/tests/by_entryd/EntryDaemonTest.cpp
@@ -70,7 +70,7 @@
   };
   auto daemon = EntryDaemon::Create(Settings(), Time::FromMilliseconds(100), open, read);
   CHECK(daemon.ok());
-  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run(); });
+  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run("test"); });
   CHECK_EQUAL(0, std::raise(SIGHUP));
   isRead.get_future().wait();
   CHECK_EQUAL(0, std::raise(SIGTERM));
@@ -97,7 +97,7 @@
     },
     read);
   CHECK(daemon.ok());
-  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run(); });
+  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run("test"); });
   CHECK_EQUAL(0, std::raise(SIGHUP));
   isRead.get_future().wait();
   CHECK_EQUAL(0, std::raise(SIGTERM));
@@ -135,7 +135,7 @@
       return absl::UnavailableError("not asked");
     });
   CHECK(daemon.ok());
-  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run(); });
+  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run("test"); });
   CHECK_EQUAL(0, std::raise(SIGTERM));
   CHECK(ended.get());
   auto call = answered.get_future();
@@ -164,7 +164,7 @@
   auto read = []() -> absl::StatusOr<ReloadedSettings> { return absl::UnavailableError("unused"); };
   auto daemon = EntryDaemon::Create(Settings(), Time::FromMilliseconds(100), open, read);
   CHECK(daemon.ok());
-  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run(); });
+  auto ended = std::async(std::launch::async, [&] { return (*daemon)->Run("test"); });
   CHECK(applied.get_future().get() == limits);
   CHECK_EQUAL(0, std::raise(SIGTERM));
   ended.get();
