Let cuts hold calls back in the random histories of a cell

A cut dropped whatever met it. A network delivers what it has held back once the cut is over, also when the node has given the call up and newer calls have been answered.

Histories of earlier tests are unchanged. Starts that are carried out late are told apart now: LIMIT holds for them as before, and the time of UNASKED, which the rule does not set for them, no longer does.

--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -171,6 +171,23 @@
               12000);
 }
 
+/// Orders and polls that a cut had held back arrived after it, when newer ones had been answered.
+TEST(CellHistory, RulesHoldWhenCutsHoldCallsBack)
+{
+  SimulateAll(400, { .mCutEvery = 4000, .mHeldCalls = 60 }, 12000);
+}
+
+TEST(CellHistory, RulesHoldWhenCutsHoldCallsBackAndWorkersRestart)
+{
+  SimulateAll(250,
+              { .mLostAppends = 8,
+                .mTakeoverEvery = 3000,
+                .mCutEvery = 4000,
+                .mRestartEvery = 6000,
+                .mHeldCalls = 60 },
+              12000);
+}
+
 TEST(CellHistory, RulesHoldUnderAllFaultsTogether)
 {
   SimulateAll(1200,
--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -257,7 +257,9 @@
         aOwner,
         start->Worker(),
         start->ProcessStart(),
-        [this, start = *start](Worker& aWorker) { return Start(aWorker, start, false); },
+        [this, start = *start](Worker& aWorker, bool aLate) {
+          return Start(aWorker, start, aLate);
+        },
         [this, start = *start](CellState& aCell, Effects& aOut, OrderOutcome aOutcome) {
           if (aOutcome != OrderOutcome::Unanswered) {
             mWorkers.at(start.Worker()).mUnansweredStarts.erase(start.Task());
@@ -276,7 +278,7 @@
         aOwner,
         stop->Worker(),
         Time(),
-        [this, stop = *stop](Worker& aWorker) { return Stop(aWorker, stop); },
+        [this, stop = *stop](Worker& aWorker, bool) { return Stop(aWorker, stop); },
         [this, stop = *stop](CellState& aCell, Effects& aOut, OrderOutcome aOutcome) {
           HandleStopAnswered(aCell,
                              StopAnswered::Create({ .mWorker = stop.Worker(),
@@ -356,7 +358,7 @@
 CellSimulation::Order(const std::shared_ptr<Owner>& aOwner,
                       const std::string& aWorker,
                       Time aProcessStart,
-                      const std::function<OrderOutcome(Worker&)>& aAction,
+                      const OrderAction& aAction,
                       const std::function<void(CellState&, Effects&, OrderOutcome)>& aAnswer)
 {
   const auto answer = [this, aOwner, aAnswer](OrderOutcome aOutcome) {
@@ -366,30 +368,90 @@
   const int late = isLost && Chance(50) ? 2000 + Draw(6000) : 0;
   // A delayed order is lost when the worker's process ends.
   const auto processStart = mWorkers.at(aWorker).mProcessStart;
-  After(1 + Draw(4) + late,
-        [this, aWorker, aProcessStart, aAction, answer, isLost, late, processStart] {
-          auto& worker = mWorkers.at(aWorker);
-          const bool isReached = worker.mUp && (late > 0 ? worker.mProcessStart == processStart
-                                                         : worker.mCutUntil <= mNow);
-          if (!isReached) {
-            After(500, [answer] { answer(OrderOutcome::Unanswered); });
-            return;
-          }
-          if (IsForOther(worker, aProcessStart)) {
-            answer(OrderOutcome::OtherProcess);
-            return;
-          }
-          const auto outcome =
-            isLost && late == 0 && Chance(30) ? OrderOutcome::Unanswered : aAction(worker);
-          if (!isLost) {
-            After(1 + Draw(4), [answer, outcome] { answer(outcome); });
-          }
-        });
+  After(
+    1 + Draw(4) + late,
+    [this, aWorker, aProcessStart, aAction, answer, isLost, late, processStart] {
+      auto& worker = mWorkers.at(aWorker);
+      const bool isReached =
+        worker.mUp && (late > 0 ? worker.mProcessStart == processStart : worker.mCutUntil <= mNow);
+      if (!isReached) {
+        HoldBack(aWorker, aProcessStart, [aAction](Worker& aReached) { aAction(aReached, true); });
+        After(500, [answer] { answer(OrderOutcome::Unanswered); });
+        return;
+      }
+      if (IsForOther(worker, aProcessStart)) {
+        answer(OrderOutcome::OtherProcess);
+        return;
+      }
+      const auto outcome =
+        isLost && late == 0 && Chance(30) ? OrderOutcome::Unanswered : aAction(worker, late > 0);
+      if (!isLost) {
+        After(1 + Draw(4), [answer, outcome] { answer(outcome); });
+      }
+    });
   if (isLost) {
     After(500, [answer] { answer(OrderOutcome::Unanswered); });
   }
 }
 
+void
+CellSimulation::HoldBack(const std::string& aWorker,
+                         Time aProcessStart,
+                         const std::function<void(Worker&)>& aAction)
+{
+  const auto& worker = mWorkers.at(aWorker);
+  if (!worker.mUp || worker.mCutUntil <= mNow || mFaults.mHeldCalls == 0 ||
+      !Chance(mFaults.mHeldCalls)) {
+    return;
+  }
+  // The bytes are sent again some time after the cut.
+  constexpr int kRetransmissionTime = 1500;
+  const auto wait = static_cast<int>((worker.mCutUntil - mNow).Milliseconds());
+  After(wait + Draw(kRetransmissionTime),
+        [this, aWorker, aProcessStart, aAction, processStart = worker.mProcessStart] {
+          auto& reached = mWorkers.at(aWorker);
+          if (reached.mUp && reached.mProcessStart == processStart &&
+              !IsForOther(reached, aProcessStart)) {
+            aAction(reached);
+          }
+        });
+}
+
+void
+CellSimulation::CarryOut(Worker& aWorker, const PollWorker& aPoll)
+{
+  aWorker.mToken = aPoll.Epoch();
+  if (aPoll.LeaseUntil()) {
+    ExtendLease(aWorker, static_cast<double>(aPoll.LeaseUntil()->Milliseconds()));
+  }
+  std::erase_if(aWorker.mEnded, [&](const EndedRun& aEnd) {
+    if (aEnd.Number() > aPoll.Acknowledged()) {
+      return false;
+    }
+    auto& facts = mFacts[aEnd.Task()];
+    // A done run counts as acknowledged unless the worker's lease expired between the end of the
+    // run and the acknowledgement.
+    const bool counts = aWorker.mLeaseExpiredAt < aWorker.mEndTimes[aEnd.Number()];
+    const bool isDone = counts && aEnd.End() == RunEnd::Done;
+    facts.mDoneAcknowledged = facts.mDoneAcknowledged || isDone;
+    if (isDone && facts.mLastStart > aWorker.mEndTimes[aEnd.Number()]) {
+      ReportViolation("TWICE",
+                      absl::StrCat(aEnd.Task().Job(),
+                                   ".",
+                                   aEnd.Task().Step(),
+                                   ".",
+                                   aEnd.Task().Index(),
+                                   " began again before its end on ",
+                                   aWorker.mId,
+                                   " was acknowledged"));
+    }
+    if (aEnd.End() == RunEnd::Failed) {
+      facts.mFailedAcknowledged.insert(aEnd.Run());
+    }
+    return true;
+  });
+}
+
 void
 CellSimulation::Poll(const std::shared_ptr<Owner>& aOwner, const PollWorker& aPoll)
 {
@@ -409,6 +471,11 @@
   After(1 + Draw(4), [this, aPoll, answer] {
     auto& worker = mWorkers.at(aPoll.Worker());
     if (!worker.mUp || worker.mCutUntil > mNow || Chance(mFaults.mLostOrders)) {
+      HoldBack(aPoll.Worker(), aPoll.ProcessStart(), [this, aPoll](Worker& aReached) {
+        if (aPoll.Epoch() >= aReached.mToken) {
+          CarryOut(aReached, aPoll);
+        }
+      });
       After(500, [answer] { answer(OrderOutcome::Unanswered, {}); });
       return;
     }
@@ -416,38 +483,12 @@
       answer(OrderOutcome::Fenced, {});
       return;
     }
-    worker.mToken = aPoll.Epoch();
     // A process that the poll is not for is only asked to identify itself, by its report.
-    const bool isForOther = IsForOther(worker, aPoll.ProcessStart());
-    if (aPoll.LeaseUntil() && !isForOther) {
-      ExtendLease(worker, static_cast<double>(aPoll.LeaseUntil()->Milliseconds()));
+    if (IsForOther(worker, aPoll.ProcessStart())) {
+      worker.mToken = aPoll.Epoch();
+    } else {
+      CarryOut(worker, aPoll);
     }
-    std::erase_if(worker.mEnded, [&](const EndedRun& aEnd) {
-      if (isForOther || aEnd.Number() > aPoll.Acknowledged()) {
-        return false;
-      }
-      auto& facts = mFacts[aEnd.Task()];
-      // A done run counts as acknowledged unless the worker's lease expired between the end of the
-      // run and the acknowledgement.
-      const bool counts = worker.mLeaseExpiredAt < worker.mEndTimes[aEnd.Number()];
-      const bool isDone = counts && aEnd.End() == RunEnd::Done;
-      facts.mDoneAcknowledged = facts.mDoneAcknowledged || isDone;
-      if (isDone && facts.mLastStart > worker.mEndTimes[aEnd.Number()]) {
-        ReportViolation("TWICE",
-                        absl::StrCat(aEnd.Task().Job(),
-                                     ".",
-                                     aEnd.Task().Step(),
-                                     ".",
-                                     aEnd.Task().Index(),
-                                     " began again before its end on ",
-                                     worker.mId,
-                                     " was acknowledged"));
-      }
-      if (aEnd.End() == RunEnd::Failed) {
-        facts.mFailedAcknowledged.insert(aEnd.Run());
-      }
-      return true;
-    });
     WorkerReport::Fields report;
     report.mWorkerClock = Time::FromMilliseconds(static_cast<std::int64_t>(worker.mWorkerClock));
     report.mProcessStart = worker.mProcessStart;
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -37,6 +37,9 @@
   int mResizeEvery{ 0 };
   /// Mean time between changes of the teams' quotas; zero for no teams. [ms]
   int mQuotaChangeEvery{ 0 };
+  /// Share of the orders and polls that meet a cut and are carried out once it is over, without an
+  /// answer: the network holds back what a node has sent, also after it gave the call up. [percent]
+  int mHeldCalls{ 0 };
   /// How many ends a worker lists at a time at most, the oldest first; zero for all.
   std::size_t mListedEnds{ 0 };
 };
@@ -134,13 +137,22 @@
   void Deliver(const std::shared_ptr<Owner>& aOwner,
                const std::function<void(CellState&, Effects&)>& aEvent);
   void Append(const std::shared_ptr<Owner>& aOwner, const AppendToCell& aAppend);
+  /// Carries out an order at a worker; the second argument is whether it does so late.
+  using OrderAction = std::function<OrderOutcome(Worker&, bool)>;
   /// @param aProcessStart the process that the order is for; zero if any may receive it.
   void Order(const std::shared_ptr<Owner>& aOwner,
              const std::string& aWorker,
              Time aProcessStart,
-             const std::function<OrderOutcome(Worker&)>& aAction,
+             const OrderAction& aAction,
              const std::function<void(CellState&, Effects&, OrderOutcome)>& aAnswer);
   void Poll(const std::shared_ptr<Owner>& aOwner, const PollWorker& aPoll);
+  /// Does what a poll asks of a worker, which it is for.
+  void CarryOut(Worker& aWorker, const PollWorker& aPoll);
+  /// Carries out a call that meets a cut once that is over, if the network holds it back and the
+  /// worker's process is still the same.
+  void HoldBack(const std::string& aWorker,
+                Time aProcessStart,
+                const std::function<void(Worker&)>& aAction);
   void ExtendLease(Worker& aWorker, double aUntil);
   OrderOutcome Start(Worker& aWorker, const StartRun& aStart, bool aLate);
   OrderOutcome Stop(Worker& aWorker, const StopRun& aStop);
--- a/tests/properties/CellSimulationWorkers.cpp
+++ b/tests/properties/CellSimulationWorkers.cpp
@@ -43,7 +43,7 @@
   for (const auto& [until, larger] : aWorker.mLargerCpu) {
     capacity = until > mNow ? std::max(capacity, larger) : capacity;
   }
-  if (!aLate && cpu > capacity) {
+  if (cpu > capacity) {
     ReportViolation("LIMIT",
                     absl::StrCat(name, " raises the used millicores to ", cpu, " of ", capacity));
   }
