--- a/scripts/soak_entry/net.py
+++ b/scripts/soak_entry/net.py
@@ -13,6 +13,8 @@
 
 FIRST = 100  # Nodes and workers are numbered from this value in the last two parts of an address.
 CHUNK = 65536
+HELD_STEP_S = 0.02
+RETRANSMISSION_S = 1.5  # within which held bytes are sent again after a cut
 
 
 def node_address(node):
@@ -51,8 +53,8 @@
     """A fault in force on the calls of some nodes. Empty sets mean all."""
 
     kind: str  # store, worker or link
-    # delay, refuse, reset, drop (not executed), lose (executed, not answered), late (executed later), cut (drop, and
-    # open connections carry nothing any more)
+    # delay, refuse, reset, drop (not executed), lose (executed, not answered), late (executed later), cut (held back
+    # until the cut is over, then executed and not answered; open connections carry nothing any more)
     effect: str
     seconds: float = 0.0
     share: float = 1.0  # of the calls
@@ -197,7 +199,11 @@
                     connection.abort()
                     return
                 connection.unacked = connection.unacked or self.dark
-                if connection.silent or not await self._answer(request, connection, writer):
+                if connection.silent:
+                    for rule in self.network.find(self.kind, node, target):
+                        if rule.effect == "cut":
+                            self.network.spawn(self._hold_back(request, rule))
+                elif not await self._answer(request, connection, writer):
                     connection.silent = True
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -217,7 +223,10 @@
             if rule.effect == "refuse":
                 self._write(writer, 503, b"{}")
                 return True
-            if rule.effect in ("drop", "cut"):
+            if rule.effect == "cut":
+                self.network.spawn(self._hold_back(request, rule))
+                return False
+            if rule.effect == "drop":
                 return False
             if rule.effect == "late":
                 self.network.spawn(self._late(request, rule.seconds * self.network.random.random()))
@@ -236,6 +245,14 @@
         await writer.drain()
         return True
 
+    async def _hold_back(self, request, rule):
+        """A partition holds bytes back, also those of a caller that has given up; they are sent again after it."""
+        while rule in self.network.rules:
+            await asyncio.sleep(HELD_STEP_S)
+        await asyncio.sleep(RETRANSMISSION_S * self.network.random.random())
+        if request.process == self.process:
+            await self.handler(request)
+
     async def _late(self, request, seconds):
         await asyncio.sleep(seconds)
         await self.handler(request)
