Place a task elsewhere if its worker answers polls and no starts

What callers would see: a job that never ends. Since unknown statuses count as no answer, a worker that gives one to every start would keep the task for good: the start was sent again without a limit while polls were answered.

Change: after four unanswered starts the run is stopped, its worker gets no new tasks for half a second, and the task is placed elsewhere once the stop and the next report show that the run is over.

Evidence: TaskLeavesAWorkerThatAnswersPollsButNoStarts fails with a limit that is not reached; the 208 tests of by_cell pass.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -17,6 +17,9 @@
 
 /// Quarantine of a worker that rejects a start for lack of capacity or health.
 constexpr Time kRefusalDelay = Time::FromMilliseconds(500);
+/// A run of which so many starts went unanswered, although its worker answers polls, is placed
+/// elsewhere once it has been stopped.
+constexpr std::uint32_t kMaxUnansweredStarts = 4;
 
 RunRow*
 FindRun(CellState& aState, const std::string& aWorker, const RunId& aRun)
@@ -72,7 +75,8 @@
         .mAdvice.mTickets.erase(aWorker.mRegistration.Id());
     }
   }
-  if (aOutcome == OrderOutcome::Unhealthy || aOutcome == OrderOutcome::NoCapacity) {
+  if (aOutcome == OrderOutcome::Unhealthy || aOutcome == OrderOutcome::NoCapacity ||
+      aOutcome == OrderOutcome::Unanswered) {
     aWorker.mQuarantinedUntil = std::max(aWorker.mQuarantinedUntil, aNow + kRefusalDelay);
   }
   if (!mayRunLate) {
@@ -144,9 +148,10 @@
       if (row->mStartUnanswered) {
         worker.mSilentSince = std::min(worker.mSilentSince, aNow);
         row->mStartTimedOutAt = aNow;
+        ++row->mUnansweredStarts;
       }
       detail::SchedulePoll(aState, worker, aNow);
-      if (!row->mStartUnanswered) {
+      if (!row->mStartUnanswered || row->mUnansweredStarts >= kMaxUnansweredStarts) {
         HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
       } else if (!row->mStopRequested) {
         row->mStartRetryAt = aNow + aState.mSettings.OrderRetryDelay();
--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -40,6 +40,8 @@
   bool mStartInFlight{ false };
   /// Whether a start went unanswered, so that the worker may still carry it out late.
   bool mStartUnanswered{ false };
+  /// How many starts went unanswered.
+  std::uint32_t mUnansweredStarts{ 0 };
   /// When the last start order timed out; zero if none did.
   Time mStartTimedOutAt{};
   /// When to send the start again; Never() where no retry is due.
--- a/tests/by_cell/WorkersTest.cpp
+++ b/tests/by_cell/WorkersTest.cpp
@@ -366,6 +366,30 @@
 
 /// Starts and lease renewals for an earlier process of a worker reached the one that had begun
 /// under its name, whose clock and whose ends are others.
+/// A worker that answered polls and no starts, as one whose starts end with an unknown status, kept
+/// the task for good.
+TEST(Workers, TaskLeavesAWorkerThatAnswersPollsButNoStarts)
+{
+  CellFixture cell;
+  cell.Submit("j", { CellFixture::Step(1) });
+  const auto worker = cell.TakeStarts().front().Worker();
+  const auto run = CellFixture::Run("j", 0, 1);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(cell.TakeStops().empty());
+    cell.Started(worker, run, OrderOutcome::Unanswered);
+    cell.Poll(worker, {}, {});
+    cell.AdvanceTimeStoring(Time::FromMilliseconds(200));
+  }
+  CHECK_EQUAL(1, cell.TakeStops().size());
+  cell.TakeStarts();
+  cell.Stopped(worker, run, OrderOutcome::Accepted);
+  cell.Poll(worker, {}, {});
+  cell.AdvanceTimeStoring(Time::FromMilliseconds(200));
+  const auto again = cell.TakeStarts();
+  CHECK_EQUAL(1, again.size());
+  CHECK(again.front().Worker() != worker);
+}
+
 TEST(Workers, StartsAndPollsNameTheProcessThatTheyAreFor)
 {
   CellFixture cell(1);
