--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Interval between the answers of the group that confirm the newest owner. [ms]
+/// Interval between the reads of the claim that confirm the newest owner. [ms]
 constexpr std::int64_t kConfirmInterval = 300;
 constexpr int kWorkers = 4;
 constexpr const char* kNode = "owner";
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -130,7 +130,7 @@
   void ReportViolation(const std::string& aRule, const std::string& aSeen);
 
   void Step(bool aWithoutFaults);
-  /// Confirms the newest owner, as the answers of the group do while the store is quiet.
+  /// Confirms the newest owner, as reads of its claim do while the store is quiet.
   void ConfirmOwner();
   void SubmitRandomJobs();
   void Perform(const std::shared_ptr<Owner>& aOwner, Effects aEffects);
