Count a failed run of a gang once, however many members fail

Clients saw a job of a gang shown as failed although it had attempts left: all members of one run had ended failed at the same instant, and the job failed after that run.

Cause: FailTask() compared max_attempts with the failed ends of all members (FailedRuns::mEnds), so that one run of a gang of n members that failed together counted n times. The schema's comment said the same. Class: one event that is reported several times is counted as several events.

A gang's failures are now the distinct numbers of its failed runs. Members share the number of their run (AssignGang()), and it is stored with each member that failed, so that the count does not depend on the reports, their order, or the owner that reads them. No member can fail more often than its gang, so that BUDGET holds for each task as before.

--- a/modules/by_cell/detail/FailedRuns.cpp
+++ b/modules/by_cell/detail/FailedRuns.cpp
@@ -58,7 +58,7 @@
   ChangeProgress(aState, task, [&](auto& aFields) { aFields.mFailedRuns.push_back(aRun.mRun); });
   const auto attempts = std::max<std::size_t>(1, PolicyOf(aState, aJob).MaxAttempts());
   const auto failed = CollectFailedRuns(aJob, task);
-  const auto failures = failed.mEnds;
+  const auto failures = failed.mRuns.size();
   Log(aOut,
       "task.failed",
       FormatRunId(aRun),
--- a/modules/by_schema/QueuePolicy.h
+++ b/modules/by_schema/QueuePolicy.h
@@ -29,8 +29,8 @@
     std::string mPool{};
     /// Priority of its jobs; zero is the highest.
     std::uint32_t mPriority{ 0 };
-    /// Number of failed runs of a task, or of all tasks of a gang together, after which the job
-    /// fails; does not apply to long-running tasks.
+    /// Number of failed runs of a task, or of a gang, after which the job fails; does not apply to
+    /// long-running tasks. A run of a gang counts once, however many of its members fail.
     std::uint32_t mMaxAttempts{ 0 };
     /// Factor in a job's objective, which is the time within which the job should complete: its
     /// critical path times this factor, plus the slack.
@@ -97,8 +97,8 @@
     return copy;
   }
 
-  /// Number of failed runs of a task, or of all tasks of a gang together, after which the job
-  /// fails; does not apply to long-running tasks.
+  /// Number of failed runs of a task, or of a gang, after which the job fails; does not apply to
+  /// long-running tasks. A run of a gang counts once, however many of its members fail.
   std::uint32_t MaxAttempts() const { return mFields.mMaxAttempts; }
   /// @returns a copy of this value with another MaxAttempts.
   [[nodiscard]] QueuePolicy WithMaxAttempts(std::uint32_t aValue) const
--- a/modules/by_schema/TaskProgress.h
+++ b/modules/by_schema/TaskProgress.h
@@ -25,7 +25,7 @@
     JobTaskPhase mPhase{};
     /// Highest run number assigned so far; zero before the first run.
     std::uint32_t mRun{ 0 };
-    /// Numbers of the failed runs, each once, however often a worker reports them.
+    /// Numbers of the failed runs, each once however often reported; a gang's members share them.
     std::vector<std::uint32_t> mFailedRuns{};
     /// Worker that the task is placed on; empty for none.
     std::string mWorker{};
@@ -71,7 +71,7 @@
     return copy;
   }
 
-  /// Numbers of the failed runs, each once, however often a worker reports them.
+  /// Numbers of the failed runs, each once however often reported; a gang's members share them.
   const std::vector<std::uint32_t>& FailedRuns() const { return mFields.mFailedRuns; }
   /// @returns a copy of this value with another FailedRuns.
   [[nodiscard]] TaskProgress WithFailedRuns(std::vector<std::uint32_t> aValue) const
