--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -7,6 +7,7 @@
 #include "by_cell/OrderNumber.h"
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/FailedRuns.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
 #include "by_cell/detail/TeamUsage.h"
@@ -73,42 +74,6 @@
   UpdateCompletion(aState, aJob, aTask.Occurrence(), aTask.Step(), aNow, aOut);
 }
 
-/// @returns how many runs failed, of a task or of all members of its gang.
-std::size_t
-CountFailures(CellState& aState, JobRow& aJob, const JobTaskKey& aTask)
-{
-  if (!StepOf(aJob, aTask.Step()).Gang()) {
-    return FindTask(aState, aTask)->mProgress.FailedRuns().size();
-  }
-  std::size_t n = 0;
-  for (const auto& member : GangMembers(aTask, StepRowOf(aJob, aTask))) {
-    n += FindTask(aState, member)->mProgress.FailedRuns().size();
-  }
-  return n;
-}
-
-/// Counts a failed run, also where the task was requeued before the end was reported: a gang is
-/// requeued on the first end of a member, and the failed member may be reported last.
-void
-FailTask(CellState& aState, JobRow& aJob, const RunId& aRun, Time aNow, Effects& aOut)
-{
-  const auto& task = aRun.mTask;
-  const auto& known = FindTask(aState, task)->mProgress.FailedRuns();
-  if (std::find(known.begin(), known.end(), aRun.mRun) != known.end()) {
-    return;
-  }
-  ChangeProgress(aState, task, [&](auto& aFields) { aFields.mFailedRuns.push_back(aRun.mRun); });
-  const auto attempts = std::max<std::size_t>(1, PolicyOf(aState, aJob).MaxAttempts());
-  const auto failures = CountFailures(aState, aJob, task);
-  Log(aOut,
-      "task.failed",
-      FormatRunId(aRun),
-      absl::StrCat("failures=", failures, " attempts=", attempts));
-  if (!StepOf(aJob, task.Step()).LongRunning() && failures >= attempts) {
-    EndJob(aState, task.Job(), JobState::Failed, aNow, aOut);
-  }
-}
-
 void
 ClearWorker(CellState& aState, const JobTaskKey& aTask)
 {
