Let members of a gang fail together in the random histories

Callers saw a job of a gang shown as failed after one run. The random histories could not show it: in a failed run of a gang one member failed and the others ended as broken, and CheckFailedJob() added up the members' ends as the code did.

In 60 % of a gang's failed runs (CellFaults::mJointFailures) all members, or each with a chance of a half, now end as failed at the same instant. The checks become stricter: - CheckFailedJob() counts the distinct failed runs of a gang, for each step and occurrence, instead of the ends of its members. - CheckStart() reports BUDGET also for a gang whose distinct failed runs, all acknowledged, have reached the attempts, whichever members failed.

--- a/tests/properties/CellHistoryTest.cpp
+++ b/tests/properties/CellHistoryTest.cpp
@@ -104,13 +104,14 @@
 /// had crashed before.
 TEST(CellHistory, RulesHoldInHistoriesInWhichAHealthyJobWasFailed)
 {
-  SimulateOne(1557, { .mCrashEvery = 6000, .mCutEvery = 6000 }, 8000);
+  SimulateOne(1557, { .mCrashEvery = 6000, .mCutEvery = 6000, .mJointFailures = 0 }, 8000);
   SimulateOne(3810,
               { .mLostAppends = 15,
                 .mTakeoverEvery = 3000,
                 .mCrashEvery = 9000,
                 .mCutEvery = 9000,
-                .mListedEnds = 2 },
+                .mListedEnds = 2,
+                .mJointFailures = 0 },
               12000);
 }
 
--- a/tests/properties/CellSimulation.cpp
+++ b/tests/properties/CellSimulation.cpp
@@ -100,7 +100,7 @@
     if (mFaults.mQuotaChangeEvery > 0) {
       ChangeQuotas(true);
     }
-    mFaults = {};
+    mFaults = { .mJointFailures = mFaults.mJointFailures };
     for (auto& [id, worker] : mWorkers) {
       if (worker.mUp && worker.mCpu != kCpu) {
         Resize(worker);
--- a/tests/properties/CellSimulation.h
+++ b/tests/properties/CellSimulation.h
@@ -42,6 +42,9 @@
   int mHeldCalls{ 0 };
   /// How many ends a worker lists at a time at most, the oldest first; zero for all.
   std::size_t mListedEnds{ 0 };
+  /// Share of the failed runs of gangs in which several or all members fail at the same time; in
+  /// the others one fails. Also applies to the time without faults. [percent]
+  int mJointFailures{ 60 };
 };
 
 /// Simulates a cell under faults: successive owners, workers that carry out orders late, and a
@@ -161,6 +164,8 @@
   void Work(Worker& aWorker);
   void EndRunOf(Worker& aWorker, std::size_t aIndex, RunEnd aEnd);
   void WorkGangs();
+  /// @returns the chance of each further member of a gang to fail with the first one. [percent]
+  int DrawOtherFailures();
   void Crash(Worker& aWorker);
   /// Crashes a worker that is back soon, before the registry shows it.
   void Restart(Worker& aWorker);
@@ -174,6 +179,10 @@
   /// Crashes a worker if a run there does so now.
   void CrashByTask(Worker& aWorker);
   void CheckFailedJob(const std::string& aJob);
+  /// @returns the numbers of the failed runs of a task, or of any member of its gang.
+  /// @param aRuns which of the failed runs count.
+  std::set<std::uint32_t> FailuresOf(const JobTaskKey& aTask,
+                                     std::set<std::uint32_t> TaskFacts::*aRuns) const;
   void Reply(const JobReply& aReply);
   /// @returns the progress that a worker reports of a run. [percent]
   static std::uint32_t ProgressOf(const Run& aRun);
--- a/tests/properties/CellSimulationWorkers.cpp
+++ b/tests/properties/CellSimulationWorkers.cpp
@@ -58,8 +58,10 @@
   if (facts.mDoneAcknowledged) {
     ReportViolation("TWICE", name + " after it was done");
   }
-  if (facts.mFailedAcknowledged.size() >= kAttempts) {
-    ReportViolation("BUDGET", name);
+  // A run of a gang is one attempt, however many of its members fail.
+  const auto failures = FailuresOf(task, &TaskFacts::mFailedAcknowledged);
+  if (failures.size() >= kAttempts) {
+    ReportViolation("BUDGET", absl::StrCat(name, " after ", failures.size(), " failures"));
   }
   constexpr int kKnownCrashes = 3;
   constexpr int kMaxStartsAfterwards = 2;
@@ -241,23 +243,36 @@
   });
 }
 
-/// A job may fail for a task that used up its attempts, or under which two workers have crashed.
-/// Where workers crash by tasks alone, a healthy job never fails for it.
+std::set<std::uint32_t>
+CellSimulation::FailuresOf(const JobTaskKey& aTask, std::set<std::uint32_t> TaskFacts::*aRuns) const
+{
+  const auto& step = StepOf(aTask);
+  const auto first = step.Gang() ? 0 : aTask.Index();
+  const auto end = step.Gang() ? step.Count() : first + 1;
+  std::set<std::uint32_t> failures;
+  for (auto i = first; i < end; ++i) {
+    const auto it = mFacts.find(aTask.WithIndex(i));
+    if (it != mFacts.end()) {
+      const auto& runs = it->second.*aRuns;
+      failures.insert(runs.begin(), runs.end());
+    }
+  }
+  return failures;
+}
+
+/// A job may fail for a task or a gang that used up its attempts, or for a task under which two
+/// workers have crashed. Where workers crash by tasks alone, a healthy job never fails for it.
 void
 CellSimulation::CheckFailedJob(const std::string& aJob)
 {
   bool isCrashing = false;
   int crashes = 0;
-  std::map<std::uint32_t, std::size_t> failures;
   std::size_t most = 0;
   for (const auto& [task, facts] : mFacts) {
     if (task.Job() == aJob) {
       isCrashing = isCrashing || mCrashing.contains(task);
       crashes = std::max(crashes, facts.mCrashes);
-      const bool isGang = StepOf(task).Gang();
-      auto& failed = failures[isGang ? task.Step() : 0];
-      failed = isGang ? failed + facts.mFailed.size() : facts.mFailed.size();
-      most = std::max(most, failed);
+      most = std::max(most, FailuresOf(task, &TaskFacts::mFailed).size());
     }
   }
   const bool mayBeGivenUp = crashes >= 2 && (isCrashing || mCrashesAtRandom);
@@ -298,6 +313,17 @@
   }
 }
 
+int
+CellSimulation::DrawOtherFailures()
+{
+  constexpr int kSome = 50;
+  constexpr int kAll = 100;
+  if (mFaults.mJointFailures == 0 || !Chance(mFaults.mJointFailures)) {
+    return 0;
+  }
+  return Chance(50) ? kSome : kAll;
+}
+
 void
 CellSimulation::WorkGangs()
 {
@@ -334,14 +360,14 @@
     if (!end) {
       continue;
     }
+    const int others = *end == RunEnd::Failed ? DrawOtherFailures() : 0;
     bool isFirst = true;
     for (const auto& member : members) {
       for (std::size_t i = 0; i < member.mWorker->mRuns.size(); ++i) {
         if (IsRun(member.mWorker->mRuns[i], member.mTask, number)) {
-          const auto memberEnd = *end == RunEnd::Done || *end == RunEnd::GangIncomplete || isFirst
-                                   ? *end
-                                   : RunEnd::GangBroken;
-          EndRunOf(*member.mWorker, i, memberEnd);
+          const bool isSame = *end == RunEnd::Done || *end == RunEnd::GangIncomplete || isFirst ||
+                              (others > 0 && Chance(others));
+          EndRunOf(*member.mWorker, i, isSame ? *end : RunEnd::GangBroken);
           isFirst = false;
           break;
         }
