Record the end of a worker's process as one crash

Callers would see workers crash under a task that is not given up, and healthy tasks beside it lose their runs once more: a crash has little weight while other workers of the pool crash at the same time, and one end of a process was counted as several crashes.

Cause: RecordCrash() runs for each report of the end. Another worker that answers at the address refuses the open start, the poll and the stops one by one; the registry shows the next process of the worker after that; and an address that is polled in turn with that of a doubtful entry refuses each poll. Each report added a crash to those that CountPoolCrashes() compares with, and a line worker.crashed.

Change: WorkerRow notes that the crash of its process was recorded, until a process answers.

--- a/modules/by_cell/HandlePolls.cpp
+++ b/modules/by_cell/HandlePolls.cpp
@@ -76,6 +76,7 @@
   aWorker.mPollFailures = 0;
   aWorker.mSilentSince = Time::Never();
   aWorker.mLostRuns.clear();
+  aWorker.mIsCrashRecorded = false;
   aState.mLostWorkers.erase(aWorker.mRegistration.Id());
 }
 
--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -83,6 +83,8 @@
   Time mHeldForTrialUntil{};
   /// Runs whose lease expired while the worker was out of reach; they may have crashed it.
   std::vector<LostRun> mLostRuns;
+  /// Whether the crash of its current process has been recorded.
+  bool mIsCrashRecorded{ false };
   /// Consecutive runs that failed on the worker.
   std::uint32_t mConsecutiveFailures{ 0 };
   /// Until when it is quarantined, after which one new run at a time probes it; zero once a run
--- a/modules/by_cell/detail/Crashes.cpp
+++ b/modules/by_cell/detail/Crashes.cpp
@@ -174,6 +174,11 @@
   if (aWorker.mRegistration.Draining() || aWorker.mEvacuating) {
     return;
   }
+  // Each call that another worker answers at its address shows the same end, and so does the
+  // registry.
+  if (std::exchange(aWorker.mIsCrashRecorded, true)) {
+    return;
+  }
   const auto roles = RolesOf(runs);
   const auto isSuspect = [](CrashRole aRole) { return aRole != CrashRole::Bystander; };
   Log(aOut,
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -120,6 +120,7 @@
   aWorker.mQuarantinedUntil = Time();
   aWorker.mSlowness = 1.0;
   aWorker.mSilentSince = Time::Never();
+  aWorker.mIsCrashRecorded = false;
   SchedulePoll(aState, aWorker, aNow);
 }
 
