Count a machine once among the workers of a wide loss

Callers would see healthy tasks tried one at a time, and their jobs failed after more of it, once part of a rack or a whole pool is lost again and again: the crashes were no wide loss any more, and their tasks were blamed.

Cause: ScopeOfWideLoss() counts workers by name. A machine whose worker comes back under another name and takes new runs was counted twice, as a worker that was lost and as one with runs that was not. Crashes that are noticed when the leases expire are weighed seconds after the loss, when other machines are back.

Evidence: the new tests on the code before: a weight of 4 in place of 0 for a task whose worker was lost with half of its rack, in a pool of 300, and 0 of 6 crashes dismissed after a loss of a whole pool with one new task meanwhile.

Change: losses are counted by machine where it is known, else by worker.

--- a/modules/by_cell/WorkerCrash.h
+++ b/modules/by_cell/WorkerCrash.h
@@ -13,6 +13,8 @@
 struct WorkerCrash
 {
   std::string mWorker;
+  /// The machine that it ran on; empty where it is not known.
+  std::string mMachine;
   std::string mPool;
   RackId mRack;
   /// When the worker fell silent, and when it was known to have crashed.
--- a/modules/by_cell/detail/CrashStatistics.cpp
+++ b/modules/by_cell/detail/CrashStatistics.cpp
@@ -14,6 +14,14 @@
   return aLeft <= aRight + kWideLossWindow && aRight <= aLeft + kWideLossWindow;
 }
 
+/// @returns what a loss of a worker is counted by: a worker that comes back under another name is
+/// on the same machine.
+const std::string&
+CountedBy(const std::string& aWorker, const std::string& aMachine)
+{
+  return aMachine.empty() ? aWorker : aMachine;
+}
+
 /// How many workers were lost together with one, and how many had runs then.
 struct LossCounts
 {
@@ -31,9 +39,10 @@
   for (const auto& other : aState.mCrashes) {
     if (!other.mRuns.empty() && aSelects(other.mPool, other.mRack) &&
         IsNear(other.mLostAt, aCrash.mLostAt)) {
-      busy.insert(other.mWorker);
+      const auto& name = CountedBy(other.mWorker, other.mMachine);
+      busy.insert(name);
       if (!other.mIsExplained) {
-        lost.insert(other.mWorker);
+        lost.insert(name);
       }
     }
   }
@@ -42,10 +51,11 @@
     if (!hadRuns || !aSelects(worker.mRegistration.Pool(), worker.mRegistration.Rack())) {
       continue;
     }
-    busy.insert(id);
+    const auto& name = CountedBy(id, worker.mRegistration.Machine());
+    busy.insert(name);
     if (worker.mTrials == 0 && worker.mSilentSince != Time::Never() &&
         IsNear(worker.mSilentSince, aCrash.mLostAt)) {
-      lost.insert(id);
+      lost.insert(name);
     }
   }
   return { lost.size(), busy.size() };
--- a/modules/by_cell/detail/Crashes.cpp
+++ b/modules/by_cell/detail/Crashes.cpp
@@ -195,6 +195,7 @@
                    " silent_ms=",
                    (aNow - std::min(aNow, aWorker.mSilentSince)).Milliseconds()));
   WorkerCrash crash{ .mWorker = id,
+                     .mMachine = aWorker.mRegistration.Machine(),
                      .mPool = aWorker.mRegistration.Pool(),
                      .mRack = aWorker.mRegistration.Rack(),
                      .mLostAt = std::min(aNow, aWorker.mSilentSince),
--- a/tests/by_cell/CrashReportsTest.cpp
+++ b/tests/by_cell/CrashReportsTest.cpp
@@ -1,5 +1,7 @@
 #include "by_cell/CellFixture.h"
 #include "by_cell/TakeAll.h"
+#include "by_cell/WorkerPlay.h"
+#include "by_crashes/by_crashes.h"
 
 #include <algorithm>
 #include <map>
@@ -25,6 +27,22 @@
                aCell.mOut);
 }
 
+/// Registers the workers w1 to w10 in one rack, each on a machine of its own.
+void
+RegisterRack(CellFixture& aCell)
+{
+  std::vector<WorkerRegistration> entries;
+  for (int n = 1; n <= 10; ++n) {
+    const auto id = "w" + std::to_string(n);
+    entries.push_back(aCell.mCell.mWorkers.at(id)
+                        .mRegistration.WithMachine("m" + std::to_string(n))
+                        .WithRack(RackId("r"))
+                        .WithLabels({ "r" }));
+  }
+  HandleWorkersChanged(
+    aCell.mCell, WorkersChanged::Create({ .mPresent = entries }).value(), aCell.mNow, aCell.mOut);
+}
+
 /// Tasks that take a worker each.
 JobStep::Fields
 LargeTasks(std::uint32_t aCount)
@@ -123,3 +141,56 @@
   const auto crashes = CountCrashes(cell);
   CHECK_EQUAL(2, crashes);
 }
+
+/// The next worker of a machine, under another name, passed for a worker that had not been lost
+/// with the others. So half of a rack was no wide loss any more, and the tasks there were blamed.
+TEST(CrashReports, MachineThatComesBackUnderAnotherNameIsCountedOnceInAWideLoss)
+{
+  CellFixture cell(300);
+  RegisterRack(cell);
+  auto step = LargeTasks(10);
+  step.mRequiredLabel = "r";
+  cell.Submit("j", { step });
+  for (const auto& start : cell.TakeStarts()) {
+    cell.Started(start.Worker(), { start.Task(), start.Run() }, OrderOutcome::Accepted);
+  }
+  const std::string lost[] = { "w1", "w2", "w3", "w4", "w5" };
+  for (const auto& worker : lost) {
+    PollAnswered(cell, worker, OrderOutcome::Unanswered);
+  }
+  PollAnswered(cell, "w1", OrderOutcome::WrongWorker);
+  const auto next =
+    cell.mCell.mWorkers.at("w1").mRegistration.WithId("w1x").WithProcessStart(kNextStart);
+  HandleWorkersChanged(
+    cell.mCell, WorkersChanged::Create({ .mPresent = { next } }).value(), cell.mNow, cell.mOut);
+  cell.Poll("w1x", {}, {}, kNextStart);
+  step.mCount = 1;
+  cell.Submit("k", { step });
+  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1x").mRuns.size());
+  cell.AdvanceTime(kUntilSettled);
+  for (const auto& task : cell.mCell.mJobs.at("j").mOccurrences.at(0).mTasks) {
+    CHECK_EQUAL(0, BlameOf(task.mCrashes));
+  }
+}
+
+/// Machines that lose power together come back one after another, each with a worker of another
+/// name that takes new runs. It passed for a worker that had not been lost, so that the others'
+/// crashes were no total loss any more, and their tasks were blamed.
+TEST(CrashReports, MachinesThatComeBackUnderOtherNamesAreCountedOnceInALossOfPower)
+{
+  constexpr int kWorkers = 6;
+  WorkerPlay play(kWorkers);
+  play.mIsRenamed = true;
+  play.mIsMoved = true;
+  play.mDuration = Time::FromSeconds(60);
+  play.Submit("j", { LargeTasks(kWorkers) });
+  play.Play(Time::FromMilliseconds(200));
+  for (int w = 1; w <= kWorkers; ++w) {
+    play.mDownTime = Time::FromMilliseconds(1500 + 300 * w);
+    play.Crash("w" + std::to_string(w));
+  }
+  play.Submit("k", { LargeTasks(1) });
+  play.Play(Time::FromSeconds(10));
+  CHECK_EQUAL(kWorkers, play.Logged("worker.crashed"));
+  CHECK_EQUAL(kWorkers, play.Logged("crash.dismissed"));
+}
