Poll the next process of a worker once for all starts that meet it

Operators would pay a probe for each start that was open when a worker's process was replaced, and one outage then fails several polls at once, so that the worker passes for lost after one failure in place of two.

Cause: each start that is answered by another process than the expected one cleared the mark of an open poll and sent a poll, also while the one for the start before was open.

Evidence: the new test on the code before: three starts on the connection to the next process send three polls, where one tells all that there is to know.

Change: only the answer that makes the process unknown sends the poll.

--- a/modules/by_cell/HandleOrders.cpp
+++ b/modules/by_cell/HandleOrders.cpp
@@ -173,10 +173,12 @@
       return;
     case OrderOutcome::OtherProcess:
       // No order can be sent before the new process is known. A poll of the earlier one may stay
-      // unanswered for a while.
-      worker.mHealth = WorkerHealth::Unseen;
-      worker.mPollInFlight = false;
-      detail::SchedulePoll(aState, worker, aNow);
+      // unanswered for a while. Other starts that met the new process have led to a poll already.
+      if (worker.mHealth != WorkerHealth::Unseen) {
+        worker.mHealth = WorkerHealth::Unseen;
+        worker.mPollInFlight = false;
+        detail::SchedulePoll(aState, worker, aNow);
+      }
       HandleFailedStart(aState, worker, run, aEvent.Outcome(), aNow, aOut);
       return;
     case OrderOutcome::NoCapacity:
--- a/tests/by_cell/IncarnationsTest.cpp
+++ b/tests/by_cell/IncarnationsTest.cpp
@@ -211,3 +211,28 @@
   CHECK(runs.contains(run));
   CHECK(!runs.contains(CellFixture::Run("a", 0, 1)));
 }
+
+// Each of the starts on a connection to the next process sent a poll of its own beside those that
+// were unanswered, and one outage failed all of them.
+TEST(Incarnations, StartsThatMeetTheNextProcessTogetherPollItOnce)
+{
+  CellFixture cell(1);
+  cell.Submit("j", { CellFixture::Step(3) });
+  CHECK_EQUAL(3, cell.TakeStarts().size());
+  cell.TakePolls();
+  for (std::uint32_t n = 0; n < 3; ++n) {
+    cell.Started("w1", CellFixture::Run("j", n, 1), OrderOutcome::OtherProcess);
+    cell.Advance();
+  }
+  const auto polls = cell.TakePolls();
+  CHECK_EQUAL(1, polls.size());
+  for (const auto& poll : polls) {
+    HandlePolled(
+      cell.mCell,
+      WorkerPolled::Create({ .mWorker = poll.Worker(), .mOutcome = OrderOutcome::Unanswered })
+        .value(),
+      cell.mNow,
+      cell.mOut);
+  }
+  CHECK_EQUAL(1, cell.mCell.mWorkers.at("w1").mPollFailures);
+}
