--- a/modules/by_cell/detail/Crashes.cpp
+++ b/modules/by_cell/detail/Crashes.cpp
@@ -174,6 +174,11 @@
   if (aWorker.mRegistration.Draining() || aWorker.mEvacuating) {
     return;
   }
+  // Each call that another worker answers at its address shows the same end, and so does the
+  // registry.
+  if (std::exchange(aWorker.mIsCrashRecorded, true)) {
+    return;
+  }
   const auto roles = RolesOf(runs);
   const auto isSuspect = [](CrashRole aRole) { return aRole != CrashRole::Bystander; };
   Log(aOut,
@@ -190,6 +195,7 @@
                    " silent_ms=",
                    (aNow - std::min(aNow, aWorker.mSilentSince)).Milliseconds()));
   WorkerCrash crash{ .mWorker = id,
+                     .mMachine = aWorker.mRegistration.Machine(),
                      .mPool = aWorker.mRegistration.Pool(),
                      .mRack = aWorker.mRegistration.Rack(),
                      .mLostAt = std::min(aNow, aWorker.mSilentSince),
