Say which runs set a worker aside and why a gang without advice waits

Callers saw a job whose gang had nothing running beside free capacity. worker.aside named no runs, so that the log could not tell two ends of one run of a gang from two runs, and a gang that waited for quarantined workers had no line at all unless its queue had advice.

worker.aside gets run= and run_before=, the last two failures that were counted. step.waiting is written for gangs without advice too, still once a second a step. Its reason probe stands for capacity that is there, but on quarantined workers; workers_aside, workers_to_probe and slots_aside give the numbers. The present keys stay. No decision changes.

--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -85,6 +85,8 @@
   std::vector<LostRun> mLostRuns;
   /// Consecutive runs that failed on the worker.
   std::uint32_t mConsecutiveFailures{ 0 };
+  /// The last of them; empty while there is none.
+  std::optional<RunId> mLastFailedRun;
   /// Until when it is quarantined, after which one new run at a time probes it; zero once a run
   /// was done, or a long-running one has been at work for long enough.
   Time mQuarantinedUntil{};
--- a/modules/by_cell/detail/Incarnations.cpp
+++ b/modules/by_cell/detail/Incarnations.cpp
@@ -117,6 +117,7 @@
   aWorker.mEndsKnownUntilReport = 0;
   aWorker.mUnresolvedRuns = 0;
   aWorker.mConsecutiveFailures = 0;
+  aWorker.mLastFailedRun.reset();
   aWorker.mQuarantinedUntil = Time();
   aWorker.mSlowness = 1.0;
   aWorker.mSilentSince = Time::Never();
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -284,8 +284,9 @@
         ? ReserveForGang(
             aPass, step, TaskOf(aKey, 0), row, latestStart, needsAdvice ? allowed.mAll : candidates)
         : 0;
-    if (step.Gang() && needsAdvice) {
-      ReportWait(aPass, aKey, row, step, latestStart, allowed, reserved);
+    if (step.Gang()) {
+      const auto& all = needsAdvice ? allowed.mAll : candidates;
+      ReportWait(aPass, *job, aKey, latestStart, all, candidates, reserved);
     }
   }
   if (needsAdvice && row.mReady && aPass.mQueries[policy.Pool()] < kMaxQueriesPerPass &&
--- a/modules/by_cell/detail/PlacementPass.cpp
+++ b/modules/by_cell/detail/PlacementPass.cpp
@@ -8,7 +8,9 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
+#include "by_cell/detail/Tables.h"
 #include "by_cell/detail/Trials.h"
+#include "by_placement/ResourceMath.h"
 #include "by_queueing/GangReservation.h"
 
 namespace by::detail {
@@ -23,6 +25,58 @@
 /// Interval between two lines of the log that say why a step waits.
 constexpr Time kWaitReportInterval = Time::FromMilliseconds(1000);
 
+/// The quarantined workers that a step may run on.
+struct QuarantinedWorkers
+{
+  /// Those that are still aside or have their probe, and the tasks of the step that fit there.
+  std::size_t mWorkers{ 0 };
+  std::size_t mSlots{ 0 };
+  /// Those that a probe may be placed on.
+  std::size_t mProbes{ 0 };
+};
+
+QuarantinedWorkers
+CountQuarantined(const PlacementPass& aPass, const JobRow& aJob, const ReadyKey& aKey)
+{
+  const auto& policy = PolicyOf(aPass.mState, aJob);
+  const auto& step = StepOf(aJob, aKey.mStep);
+  const auto& tickets = aJob.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep].mAdvice.mTickets;
+  QuarantinedWorkers quarantined;
+  for (const auto& [id, worker] : aPass.mState.mWorkers) {
+    const bool isAllowed = !policy.Advice() || tickets.contains(id);
+    if (worker.mQuarantinedUntil == Time() || worker.mRegistration.Pool() != policy.Pool() ||
+        worker.mHealth != WorkerHealth::Reachable || !isAllowed ||
+        !HasLabel(worker, step.RequiredLabel())) {
+      continue;
+    }
+    if (IsUsable(worker, policy.Pool(), aPass.mNow)) {
+      ++quarantined.mProbes;
+    } else {
+      ++quarantined.mWorkers;
+      quarantined.mSlots += CountFits(EffectiveDemand(step), FreeCapacity(worker), step.Count());
+    }
+  }
+  return quarantined;
+}
+
+/// @param aSlots the free slots on usable workers.
+/// @param aWithTicket those of them that tickets are held for.
+/// @returns what a gang waits for.
+const char*
+WaitReason(std::size_t aTasks,
+           std::size_t aSlots,
+           std::size_t aWithTicket,
+           const QuarantinedWorkers& aQuarantined)
+{
+  if (aSlots < aTasks) {
+    return aSlots + aQuarantined.mSlots < aTasks ? "capacity" : "probe";
+  }
+  if (aWithTicket < aTasks) {
+    return "advice";
+  }
+  return aQuarantined.mProbes > 0 ? "probe" : "capacity";
+}
+
 } // namespace
 
 const Candidates&
@@ -118,40 +172,48 @@
 
 void
 ReportWait(PlacementPass& aPass,
+           JobRow& aJob,
            const ReadyKey& aKey,
-           StepRow& aRow,
-           const JobStep& aStep,
            Time aLatestStart,
-           const AllowedWorkers& aAllowed,
+           const Candidates& aAllowed,
+           const Candidates& aCandidates,
            std::size_t aReserved)
 {
-  if (aPass.mNow < aRow.mNextWaitReport) {
+  auto& row = aJob.mOccurrences.at(aKey.mOccurrence).mSteps[aKey.mStep];
+  if (aPass.mNow < row.mNextWaitReport) {
     return;
   }
-  aRow.mNextWaitReport = aPass.mNow + kWaitReportInterval;
-  const auto task = TaskOf(aKey, 0);
-  const auto slots =
-    CountSlots(aPass, aAllowed.mAll, aStep, task, aRow, aLatestStart, kUnlimitedSlots);
-  const auto usable =
-    CountSlots(aPass, aAllowed.mWithTicket, aStep, task, aRow, aLatestStart, kUnlimitedSlots);
-  const char* reason = slots < aStep.Count() ? "capacity" : "advice";
+  row.mNextWaitReport = aPass.mNow + kWaitReportInterval;
+  const auto& step = StepOf(aJob, aKey.mStep);
+  const auto countSlots = [&](const Candidates& aWorkers) {
+    return CountSlots(aPass, aWorkers, step, TaskOf(aKey, 0), row, aLatestStart, kUnlimitedSlots);
+  };
+  const auto slots = countSlots(aAllowed);
+  const auto withTicket = countSlots(aCandidates);
+  const auto aside = CountQuarantined(aPass, aJob, aKey);
   Log(aPass.mOut,
       "step.waiting",
       absl::StrCat(aKey.mJob, ".", aKey.mOccurrence, ".", aKey.mStep),
       absl::StrCat("for=",
-                   reason,
+                   WaitReason(step.Count(), slots, withTicket, aside),
                    " tasks=",
-                   aStep.Count(),
+                   step.Count(),
                    " slots=",
                    slots,
                    " slots_with_ticket=",
-                   usable,
+                   withTicket,
                    " allowed_workers=",
-                   aAllowed.mAll.size(),
+                   aAllowed.size(),
                    " reserved_workers=",
                    aReserved,
                    " until_latest_start_ms=",
-                   (aLatestStart - aPass.mNow).Milliseconds()));
+                   (aLatestStart - aPass.mNow).Milliseconds(),
+                   " workers_aside=",
+                   aside.mWorkers,
+                   " workers_to_probe=",
+                   aside.mProbes,
+                   " slots_aside=",
+                   aside.mSlots));
 }
 
 } // namespace by::detail
--- a/modules/by_cell/detail/PlacementPass.h
+++ b/modules/by_cell/detail/PlacementPass.h
@@ -92,14 +92,16 @@
                Time aLatestStart,
                const Candidates& aCandidates);
 
-/// Logs why a step waits, at most once a second.
+/// Logs why a gang waits, at most once a second.
+/// @param aAllowed the usable workers that it may run on.
+/// @param aCandidates those of them that it has valid tickets for; all of them without advice.
 void
 ReportWait(PlacementPass& aPass,
+           JobRow& aJob,
            const ReadyKey& aKey,
-           StepRow& aRow,
-           const JobStep& aStep,
            Time aLatestStart,
-           const AllowedWorkers& aAllowed,
+           const Candidates& aAllowed,
+           const Candidates& aCandidates,
            std::size_t aReserved);
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -221,7 +221,7 @@
     if (aEnd == RunEnd::Done) {
       UpdateSlowness(aWorker, it->second, aNow);
     }
-    UpdateFailures(aState, aWorker, aEnd, aNow, aOut);
+    UpdateFailures(aState, aWorker, aRun, aEnd, aNow, aOut);
     RemoveRun(aState, aWorker, aRun);
   }
   auto* job = FindJob(aState, aRun.mTask.Job());
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -1,6 +1,8 @@
 #include "by_cell/detail/WorkerStatistics.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -26,6 +28,14 @@
   return aRun.mOrderedAt > Time() ? aRun.mOrderedAt : aRun.mPhaseSince;
 }
 
+void
+ClearFailures(WorkerRow& aWorker)
+{
+  aWorker.mConsecutiveFailures = 0;
+  aWorker.mLastFailedRun.reset();
+  aWorker.mQuarantinedUntil = Time();
+}
+
 } // namespace
 
 void
@@ -62,8 +72,7 @@
     const bool isAtWork = row.mPhase == RunPhase::Confirmed && row.mPercent >= kFullPercent;
     if (row.mIsLongRunning && isAtWork && start >= aWorker.mQuarantinedUntil &&
         answered >= start + kProbeTime) {
-      aWorker.mConsecutiveFailures = 0;
-      aWorker.mQuarantinedUntil = Time();
+      ClearFailures(aWorker);
       Log(
         aOut,
         "worker.proven",
@@ -76,17 +85,22 @@
 }
 
 void
-UpdateFailures(const CellState& aState, WorkerRow& aWorker, RunEnd aEnd, Time aNow, Effects& aOut)
+UpdateFailures(const CellState& aState,
+               WorkerRow& aWorker,
+               const RunId& aRun,
+               RunEnd aEnd,
+               Time aNow,
+               Effects& aOut)
 {
   if (aEnd == RunEnd::Done) {
-    aWorker.mConsecutiveFailures = 0;
-    aWorker.mQuarantinedUntil = Time();
+    ClearFailures(aWorker);
     return;
   }
   if (aEnd != RunEnd::Failed) {
     return;
   }
   ++aWorker.mConsecutiveFailures;
+  const auto before = std::exchange(aWorker.mLastFailedRun, aRun);
   if (aWorker.mConsecutiveFailures >= aState.mSettings.FailureLimit()) {
     aWorker.mQuarantinedUntil = aNow + aState.mSettings.QuarantineTime();
     Log(aOut,
@@ -95,7 +109,11 @@
         absl::StrCat("failures_in_a_row=",
                      aWorker.mConsecutiveFailures,
                      " for_ms=",
-                     aState.mSettings.QuarantineTime().Milliseconds()));
+                     aState.mSettings.QuarantineTime().Milliseconds(),
+                     " run=",
+                     FormatRunId(aRun),
+                     " run_before=",
+                     before ? FormatRunId(*before) : std::string("none")));
   }
 }
 
--- a/modules/by_cell/detail/WorkerStatistics.h
+++ b/modules/by_cell/detail/WorkerStatistics.h
@@ -21,6 +21,11 @@
 
 /// Counts consecutive failed runs of a worker, and quarantines the worker at the limit.
 void
-UpdateFailures(const CellState& aState, WorkerRow& aWorker, RunEnd aEnd, Time aNow, Effects& aOut);
+UpdateFailures(const CellState& aState,
+               WorkerRow& aWorker,
+               const RunId& aRun,
+               RunEnd aEnd,
+               Time aNow,
+               Effects& aOut);
 
 } // namespace by::detail
