Count the failed members of one run of a gang once against a worker

Callers saw a gang with nothing running after one failed run of it: with two members on a sound worker, that run alone reached failure_limit and set the worker aside, and with few workers allowed the gang had none left.

Cause: each failed member counted against its worker as a run of its own.

The first failure that is counted of a gang's run on a worker marks the rows of its other members there (RunRow::mIsEndCounted); the mark goes with the rows, so that nothing grows. The row says whether its task is a member of a gang, since the job may have ended when the last members are reported. Another run of the gang, other gangs and tasks that work alone count each, as before.

--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -83,7 +83,7 @@
   Time mHeldForTrialUntil{};
   /// Runs whose lease expired while the worker was out of reach; they may have crashed it.
   std::vector<LostRun> mLostRuns;
-  /// Consecutive runs that failed on the worker.
+  /// Consecutive runs that failed on the worker; the members of one run of a gang count once.
   std::uint32_t mConsecutiveFailures{ 0 };
   /// The last of them; empty while there is none.
   std::optional<RunId> mLastFailedRun;
--- a/modules/by_cell/detail/Tables.cpp
+++ b/modules/by_cell/detail/Tables.cpp
@@ -82,6 +82,7 @@
   row.mIsScavenging = aStep.Scavenging();
   row.mIsLatencySensitive = aStep.TailTarget() > Time();
   row.mIsLongRunning = aStep.LongRunning();
+  row.mIsGangMember = aStep.Gang();
   row.mPhaseSince = aNow;
   row.mEstimate = aStep.Estimate();
   return row;
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -88,6 +88,7 @@
     job == nullptr || run.mTask.Step() >= job->mJob.Definition().Steps().size();
   if (!row.mIsDemandUnknown) {
     row.mDemand = StepOf(*job, run.mTask.Step()).Demand();
+    row.mIsGangMember = StepOf(*job, run.mTask.Step()).Gang();
   }
   row.mAliveInReport = aWorker.mReports;
   AddRun(aState, aWorker, run, std::move(row));
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -36,6 +36,30 @@
   aWorker.mQuarantinedUntil = Time();
 }
 
+/// Notes that a run has failed. The members of a gang's run end together, by one fault, so that the
+/// failures of several of them on a worker are one observation.
+/// @returns whether it is the first that is noted of its gang's run there; true for other tasks.
+bool
+NoteFailure(WorkerRow& aWorker, const RunId& aRun)
+{
+  const auto failed = aWorker.mRuns.find(aRun);
+  if (failed == aWorker.mRuns.end() || !failed->second.mIsGangMember) {
+    return true;
+  }
+  if (failed->second.mIsEndCounted) {
+    return false;
+  }
+  const auto first = aRun.mTask.WithIndex(0);
+  for (auto it = aWorker.mRuns.lower_bound({ first, 0 });
+       it != aWorker.mRuns.end() && it->first.mTask.WithIndex(0) == first;
+       ++it) {
+    if (it->first.mRun == aRun.mRun) {
+      it->second.mIsEndCounted = true;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 void
@@ -96,7 +120,7 @@
     ClearFailures(aWorker);
     return;
   }
-  if (aEnd != RunEnd::Failed) {
+  if (aEnd != RunEnd::Failed || !NoteFailure(aWorker, aRun)) {
     return;
   }
   ++aWorker.mConsecutiveFailures;
--- a/modules/by_cell/detail/WorkerStatistics.h
+++ b/modules/by_cell/detail/WorkerStatistics.h
@@ -19,7 +19,9 @@
 bool
 EndQuarantineIfProven(WorkerRow& aWorker, Time aNow, Effects& aOut);
 
-/// Counts consecutive failed runs of a worker, and quarantines the worker at the limit.
+/// Counts consecutive failed runs of a worker, and quarantines the worker at the limit. The members
+/// of one run of a gang count once.
+/// @param aRun the run that has ended, which still has its row.
 void
 UpdateFailures(const CellState& aState,
                WorkerRow& aWorker,
