Take the members of a gang's run on a worker for one probe

Callers saw a gang that never started while nothing ran on its workers. Quarantined workers, also those that had refused one start, take one new run at a time until one is done there. The row that FindGangWorkers puts on a chosen worker for the earlier members of the gang counted as the probe, so that such a worker offered a gang one place, while CountSlots counted all of them. A gang that needs two places on each of its workers was never placed, and without other work nothing ever proved the workers.

Ruled out: late polls or a missing placement pass.

The members of one run of a gang on a worker are one probe now: they prove it, or not, together. ForecastSlots gives what a worker may take while it is quarantined, nothing beside its probe and one task that works alone, so that CountSlots, reservations, queries for advice and trials agree with the placement. Trials of tasks that work alone placed several on a quarantined worker at once; they place one now.

--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -87,8 +87,9 @@
   std::uint32_t mConsecutiveFailures{ 0 };
   /// The last of them; empty while there is none.
   std::optional<RunId> mLastFailedRun;
-  /// Until when it is quarantined, after which one new run at a time probes it; zero once a run
-  /// was done, or a long-running one has been at work for long enough.
+  /// Until when it is quarantined, after which one new run at a time probes it, or the members of
+  /// one run of a gang; zero once a run was done, or a long-running one has been at work for long
+  /// enough.
   Time mQuarantinedUntil{};
   /// The ratio of the actual to the declared duration of its tasks, as a moving average.
   double mSlowness{ 1.0 };
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -66,10 +66,7 @@
     if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack)) {
       continue;
     }
-    if (IsProbed(*worker)) {
-      continue;
-    }
-    if (IsKeptForTrial(*worker, aPass.mNow)) {
+    if (IsProbed(*worker) || IsKeptForTrial(*worker, aPass.mNow)) {
       continue;
     }
     if (!MayUseCapacity(aPass.mState, *worker, aStep, row, latestStart, aPass.mNow)) {
@@ -133,9 +130,8 @@
     if (worker == nullptr) {
       break;
     }
-    RunRow member;
-    member.mPhaseSince = aPass.mNow;
-    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, member);
+    // The row has no time, so that it is no probe: the members of the gang on a worker are one.
+    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, RunRow());
     worker->mUsed = Plus(worker->mUsed, step.Demand());
     hosts.push_back(worker);
   }
--- a/modules/by_cell/detail/PlacementPass.cpp
+++ b/modules/by_cell/detail/PlacementPass.cpp
@@ -71,10 +71,7 @@
   if (aSlots < aTasks) {
     return aSlots + aQuarantined.mSlots < aTasks ? "capacity" : "probe";
   }
-  if (aWithTicket < aTasks) {
-    return "advice";
-  }
-  return aQuarantined.mProbes > 0 ? "probe" : "capacity";
+  return aWithTicket < aTasks ? "advice" : "capacity";
 }
 
 } // namespace
--- a/modules/by_cell/detail/StepCapacity.cpp
+++ b/modules/by_cell/detail/StepCapacity.cpp
@@ -6,6 +6,7 @@
 
 #include "by_cell/detail/PollTimes.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/WorkerStatistics.h"
 #include "by_placement/ResourceMath.h"
 #include "by_queueing/GangReservation.h"
 
@@ -34,10 +35,11 @@
               Time aSoon,
               Time aNow)
 {
-  if (!HasLabel(aWorker, aStep.RequiredLabel()) || Interferes(aWorker, aStep)) {
+  if (!HasLabel(aWorker, aStep.RequiredLabel()) || Interferes(aWorker, aStep) ||
+      IsProbed(aWorker)) {
     return {};
   }
-  auto limit = aStep.Count();
+  auto limit = ProbeLimit(aWorker, aStep);
   if (aStep.SpreadLimit() > 0) {
     const auto runs = CountRunsOfStep(aWorker, aTask);
     limit = std::min(limit, aStep.SpreadLimit() - std::min(aStep.SpreadLimit(), runs));
--- a/modules/by_cell/detail/StepCapacity.h
+++ b/modules/by_cell/detail/StepCapacity.h
@@ -13,7 +13,8 @@
 CountRunsOfStep(const WorkerRow& aWorker, const JobTaskKey& aTask);
 
 /// Counts the further tasks of a step that fit on a worker, now and at a later time, from the
-/// expected ends of its runs; at most as many as the step has.
+/// expected ends of its runs; at most as many as the step has, and as many as may
+/// probe a quarantined worker.
 /// @param aTask any task of the step.
 /// @param aSoon the later time.
 SlotForecast
--- a/modules/by_cell/detail/Trials.cpp
+++ b/modules/by_cell/detail/Trials.cpp
@@ -14,7 +14,6 @@
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Tables.h"
 #include "by_cell/detail/TeamUsage.h"
-#include "by_cell/detail/WorkerStatistics.h"
 #include "by_crashes/by_crashes.h"
 #include "by_placement/ResourceMath.h"
 
@@ -110,8 +109,7 @@
 {
   std::vector<TrialHost> hosts;
   for (const auto* worker : aCandidates) {
-    const bool isUsable =
-      worker->mTrials == 0 && !aPool.mPromised.contains(worker) && !IsProbed(*worker);
+    const bool isUsable = worker->mTrials == 0 && !aPool.mPromised.contains(worker);
     hosts.push_back(
       { .mSlots =
           isUsable ? ForecastSlots(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots : 0,
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -84,6 +84,13 @@
          });
 }
 
+std::uint32_t
+ProbeLimit(const WorkerRow& aWorker, const JobStep& aStep)
+{
+  const bool isQuarantined = aWorker.mQuarantinedUntil > Time();
+  return isQuarantined && !aStep.Gang() ? std::min(aStep.Count(), 1U) : aStep.Count();
+}
+
 bool
 EndQuarantineIfProven(WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
--- a/modules/by_cell/detail/WorkerStatistics.h
+++ b/modules/by_cell/detail/WorkerStatistics.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstdint>
+
 #include "by_cell/CellState.h"
 #include "by_cell/Effects.h"
+#include "by_schema/JobStep.h"
 #include "by_schema/RunEnd.h"
 
 namespace by::detail {
@@ -14,6 +17,11 @@
 bool
 IsProbed(const WorkerRow& aWorker);
 
+/// @returns how many tasks of a step may probe a worker, if it is quarantined, at the same time.
+/// The members of a gang end together, so that they are one probe.
+std::uint32_t
+ProbeLimit(const WorkerRow& aWorker, const JobStep& aStep);
+
 /// Ends the quarantine of a worker whose probe is a long-running task at work.
 /// @returns whether it has ended.
 bool
--- a/tests/by_cell/GangPlay.cpp
+++ b/tests/by_cell/GangPlay.cpp
@@ -31,11 +31,24 @@
   return step;
 }
 
+void
+GangPlay::RequireAdvice(const std::set<std::string>& aAllowed)
+{
+  mAllowed = aAllowed;
+  mQueue = mQueue.WithAdvice(
+    AdvicePolicy::Create(
+      { .mDecisionUs = 10000, .mWorkerUs = 1000, .mValidity = Time::FromSeconds(2) })
+      .value());
+  mCell.mConfig =
+    ClusterConfig::Create({ .mVersion = 3, .mQueues = { mQueue }, .mPools = {} }).value();
+}
+
 void
 GangPlay::Play(Time aTime)
 {
   const auto until = mNow + aTime;
   while (mNow < until) {
+    AnswerAdvice();
     Perform();
     Report();
     AdvanceTimeStoring(kTick);
@@ -55,6 +68,27 @@
   return it == mLastRuns.end() ? 0 : it->second;
 }
 
+void
+GangPlay::AnswerAdvice()
+{
+  for (const auto& query : TakeAdviceRequests()) {
+    std::vector<Ticket> tickets;
+    for (const auto& worker : query.Workers()) {
+      if (mAllowed.contains(worker)) {
+        tickets.push_back(Ticket::Create({ .mWorker = worker, .mText = "t" }).value());
+      }
+    }
+    HandleAdvice(mCell,
+                 AdviceAnswered::Create({ .mJob = query.Job(),
+                                          .mAnswered = true,
+                                          .mWorkers = query.Workers(),
+                                          .mTickets = std::move(tickets) })
+                   .value(),
+                 mNow,
+                 mOut);
+  }
+}
+
 void
 GangPlay::Perform()
 {
--- a/tests/by_cell/GangPlay.h
+++ b/tests/by_cell/GangPlay.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
 
   /// A gang of which two members fill a worker.
   static JobStep::Fields Gang(std::uint32_t aCount);
+  /// Lets the queue need advice, which is answered at once and allows some workers.
+  void RequireAdvice(const std::set<std::string>& aAllowed);
   /// Lets time pass.
   void Play(Time aTime);
 
@@ -34,8 +37,10 @@
 
 private:
   void Perform();
+  void AnswerAdvice();
   void Report();
 
+  std::set<std::string> mAllowed;
   std::map<std::string, std::uint64_t> mLastEnds;
   std::map<std::string, std::uint32_t> mLastRuns;
   std::map<std::string, std::vector<EndedRun>> mNewEnds;
