Hold for a gang's members what they reserve, not what they declare

A gang of tasks that use only idle processor time was never placed where its tasks fit. While FindGangWorkers looks for a worker for each member, it held the declared processor time for the earlier ones, although such tasks reserve none; CountSlots reckons with what they reserve.

--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -123,6 +123,7 @@
                 const RackId* aRack)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
+  const auto demand = EffectiveDemand(step);
   std::vector<WorkerRow*> hosts;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
     const auto task = TaskOf(aKey, i);
@@ -132,13 +133,13 @@
     }
     // The row has no time, so that it is no probe: the members of the gang on a worker are one.
     worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, RunRow());
-    worker->mUsed = Plus(worker->mUsed, step.Demand());
+    worker->mUsed = Plus(worker->mUsed, demand);
     hosts.push_back(worker);
   }
   for (std::uint32_t i = 0; i < hosts.size(); ++i) {
     const auto task = TaskOf(aKey, i);
     hosts[i]->mRuns.erase(RunId{ task, std::numeric_limits<std::uint32_t>::max() });
-    hosts[i]->mUsed = Minus(hosts[i]->mUsed, step.Demand());
+    hosts[i]->mUsed = Minus(hosts[i]->mUsed, demand);
   }
   return hosts;
 }
--- a/tests/by_cell/GangReservationTest.cpp
+++ b/tests/by_cell/GangReservationTest.cpp
@@ -138,3 +138,16 @@
   cell.EndRun();
   CHECK_EQUAL(1, cell.CountStarts("loose"));
 }
+
+// The room that was kept for the first members held their processor time, which a scavenging task
+// does not reserve, so that the gang was never placed beside free capacity.
+TEST(GangReservationInCell, GangOfScavengingTasksReservesNoProcessorTime)
+{
+  CellFixture cell(1);
+  auto gang = CellFixture::Step(3);
+  gang.mGang = true;
+  gang.mScavenging = true;
+  gang.mDemand = Resources::Create({ .mCpuMillis = 3000, .mMemoryMb = 128 }).value();
+  cell.Submit("gang", { gang });
+  CHECK_EQUAL(3, cell.TakeStarts().size());
+}
