--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -85,10 +85,13 @@
   std::vector<LostRun> mLostRuns;
   /// Whether the crash of its current process has been recorded.
   bool mIsCrashRecorded{ false };
-  /// Consecutive runs that failed on the worker.
+  /// Consecutive runs that failed on the worker; the members of one run of a gang count once.
   std::uint32_t mConsecutiveFailures{ 0 };
-  /// Until when it is quarantined, after which one new run at a time probes it; zero once a run
-  /// was done, or a long-running one has been at work for long enough.
+  /// The last of them; empty while there is none.
+  std::optional<RunId> mLastFailedRun;
+  /// Until when it is quarantined, after which one new run at a time probes it, or the members of
+  /// one run of a gang; zero once a run was done, or a long-running one has been at work for long
+  /// enough.
   Time mQuarantinedUntil{};
   /// The ratio of the actual to the declared duration of its tasks, as a moving average.
   double mSlowness{ 1.0 };
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -66,10 +66,7 @@
     if (!CanHost(*worker, aStep) || (aRack != nullptr && worker->mRegistration.Rack() != *aRack)) {
       continue;
     }
-    if (IsProbed(*worker)) {
-      continue;
-    }
-    if (IsKeptForTrial(*worker, aPass.mNow)) {
+    if (IsProbed(*worker) || IsKeptForTrial(*worker, aPass.mNow)) {
       continue;
     }
     if (!MayUseCapacity(aPass.mState, *worker, aStep, row, latestStart, aPass.mNow)) {
@@ -126,6 +123,7 @@
                 const RackId* aRack)
 {
   const auto& step = StepOf(aJob, aKey.mStep);
+  const auto demand = EffectiveDemand(step);
   std::vector<WorkerRow*> hosts;
   for (std::uint32_t i = 0; i < step.Count(); ++i) {
     const auto task = TaskOf(aKey, i);
@@ -133,16 +131,15 @@
     if (worker == nullptr) {
       break;
     }
-    RunRow member;
-    member.mPhaseSince = aPass.mNow;
-    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, member);
-    worker->mUsed = Plus(worker->mUsed, step.Demand());
+    // The row has no time, so that it is no probe: the members of the gang on a worker are one.
+    worker->mRuns.emplace(RunId{ task, std::numeric_limits<std::uint32_t>::max() }, RunRow());
+    worker->mUsed = Plus(worker->mUsed, demand);
     hosts.push_back(worker);
   }
   for (std::uint32_t i = 0; i < hosts.size(); ++i) {
     const auto task = TaskOf(aKey, i);
     hosts[i]->mRuns.erase(RunId{ task, std::numeric_limits<std::uint32_t>::max() });
-    hosts[i]->mUsed = Minus(hosts[i]->mUsed, step.Demand());
+    hosts[i]->mUsed = Minus(hosts[i]->mUsed, demand);
   }
   return hosts;
 }
@@ -284,8 +281,9 @@
         ? ReserveForGang(
             aPass, step, TaskOf(aKey, 0), row, latestStart, needsAdvice ? allowed.mAll : candidates)
         : 0;
-    if (step.Gang() && needsAdvice) {
-      ReportWait(aPass, aKey, row, step, latestStart, allowed, reserved);
+    if (step.Gang()) {
+      const auto& all = needsAdvice ? allowed.mAll : candidates;
+      ReportWait(aPass, *job, aKey, latestStart, all, candidates, reserved);
     }
   }
   if (needsAdvice && row.mReady && aPass.mQueries[policy.Pool()] < kMaxQueriesPerPass &&
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -1,6 +1,8 @@
 #include "by_cell/detail/WorkerStatistics.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -26,6 +28,38 @@
   return aRun.mOrderedAt > Time() ? aRun.mOrderedAt : aRun.mPhaseSince;
 }
 
+void
+ClearFailures(WorkerRow& aWorker)
+{
+  aWorker.mConsecutiveFailures = 0;
+  aWorker.mLastFailedRun.reset();
+  aWorker.mQuarantinedUntil = Time();
+}
+
+/// Notes that a run has failed. The members of a gang's run end together, by one fault, so that the
+/// failures of several of them on a worker are one observation.
+/// @returns whether it is the first that is noted of its gang's run there; true for other tasks.
+bool
+NoteFailure(WorkerRow& aWorker, const RunId& aRun)
+{
+  const auto failed = aWorker.mRuns.find(aRun);
+  if (failed == aWorker.mRuns.end() || !failed->second.mIsGangMember) {
+    return true;
+  }
+  if (failed->second.mIsEndCounted) {
+    return false;
+  }
+  const auto first = aRun.mTask.WithIndex(0);
+  for (auto it = aWorker.mRuns.lower_bound({ first, 0 });
+       it != aWorker.mRuns.end() && it->first.mTask.WithIndex(0) == first;
+       ++it) {
+    if (it->first.mRun == aRun.mRun) {
+      it->second.mIsEndCounted = true;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 void
@@ -50,6 +84,13 @@
          });
 }
 
+std::uint32_t
+ProbeLimit(const WorkerRow& aWorker, const JobStep& aStep)
+{
+  const bool isQuarantined = aWorker.mQuarantinedUntil > Time();
+  return isQuarantined && !aStep.Gang() ? std::min(aStep.Count(), 1U) : aStep.Count();
+}
+
 bool
 EndQuarantineIfProven(WorkerRow& aWorker, Time aNow, Effects& aOut)
 {
@@ -62,8 +103,7 @@
     const bool isAtWork = row.mPhase == RunPhase::Confirmed && row.mPercent >= kFullPercent;
     if (row.mIsLongRunning && isAtWork && start >= aWorker.mQuarantinedUntil &&
         answered >= start + kProbeTime) {
-      aWorker.mConsecutiveFailures = 0;
-      aWorker.mQuarantinedUntil = Time();
+      ClearFailures(aWorker);
       Log(
         aOut,
         "worker.proven",
@@ -76,17 +116,22 @@
 }
 
 void
-UpdateFailures(const CellState& aState, WorkerRow& aWorker, RunEnd aEnd, Time aNow, Effects& aOut)
+UpdateFailures(const CellState& aState,
+               WorkerRow& aWorker,
+               const RunId& aRun,
+               RunEnd aEnd,
+               Time aNow,
+               Effects& aOut)
 {
   if (aEnd == RunEnd::Done) {
-    aWorker.mConsecutiveFailures = 0;
-    aWorker.mQuarantinedUntil = Time();
+    ClearFailures(aWorker);
     return;
   }
-  if (aEnd != RunEnd::Failed) {
+  if (aEnd != RunEnd::Failed || !NoteFailure(aWorker, aRun)) {
     return;
   }
   ++aWorker.mConsecutiveFailures;
+  const auto before = std::exchange(aWorker.mLastFailedRun, aRun);
   if (aWorker.mConsecutiveFailures >= aState.mSettings.FailureLimit()) {
     aWorker.mQuarantinedUntil = aNow + aState.mSettings.QuarantineTime();
     Log(aOut,
@@ -95,7 +140,11 @@
         absl::StrCat("failures_in_a_row=",
                      aWorker.mConsecutiveFailures,
                      " for_ms=",
-                     aState.mSettings.QuarantineTime().Milliseconds()));
+                     aState.mSettings.QuarantineTime().Milliseconds(),
+                     " run=",
+                     FormatRunId(aRun),
+                     " run_before=",
+                     before ? FormatRunId(*before) : std::string("none")));
   }
 }
 
