Let gangs of the soak fail, and count a gang's failed runs once

Callers saw jobs shown as failed after one run of a gang whose members had failed together. The soak could not show it: its workers never ended a gang as failed, and its check added up the failed members as the product does.

Both checks become stricter. LOST, "failed without cause": a job may be failed once max_attempts distinct runs of a task or of its gang have ended as failed; members that fail in one run, and a run that fails twice, count once. BUDGET also holds for gangs: no member starts on an order that arrives after max_attempts distinct runs of its gang were noted as failed. The check of each task by itself counts each noted end as before.

--- a/scripts/soak_entry/faults.py
+++ b/scripts/soak_entry/faults.py
@@ -11,6 +11,7 @@
 WORKER_CRASH_PERIOD_S = 4.0
 OWNER = -1  # Stands for the node that owns the cell when the fault begins.
 RESIZE_SHARES = (0.0, 0.25, 0.5, 0.75)
+FAILING_SHARE = 0.085  # of the workers, in each fault of workers that fail all they start
 RESTART_SHARES = (0.0, 0.0, 0.1, 0.25)  # of the workers; drawn once for each run
 KINDS = ("stop", "kill", "freeze", "reload", "config", "redeal", "store", "worker", "link", "silence", "reset",
          "crash", "drain")
@@ -46,6 +47,7 @@
         elif not options.no_faults:
             self._draw_series()
             self._draw_resizes(random.Random(f"{seed}/resizes"))
+            self._draw_failing_workers(random.Random(f"{seed}/failing"))
             self._draw_rebirths(random.Random(f"{seed}/rebirths"))
             self.restart_share = self.restart_share or random.Random(f"{seed}/restart-share").choice(RESTART_SHARES)
         if options.teams:
@@ -86,6 +88,18 @@
                                      seconds=round(draw.uniform(1.0, 9.0), 3), share=draw.choice(RESIZE_SHARES)))
             at += draw.uniform(0.4, 1.5)
 
+    def _draw_failing_workers(self, draw):
+        """Workers that fail all they start for a while, in a third of the seeds."""
+        if draw.random() < 2 / 3:
+            return
+        at = draw.uniform(0.2, 2.0)
+        count = max(1, round(self.options.workers * FAILING_SHARE))
+        while at < self.options.seconds - 0.5:
+            workers = tuple(sorted(draw.sample(range(self.options.workers), count)))
+            self.events.append(Fault(at=round(at, 3), kind="fail-all", workers=workers,
+                                     seconds=round(draw.uniform(2.0, 6.5), 3)))
+            at += draw.uniform(1.0, 4.0)
+
     def _draw_rebirths(self, draw):
         """Nodes that are killed and serve again while the owner stands still with their calls, in half of the seeds."""
         if draw.random() < 0.5:
@@ -232,6 +246,8 @@
         site.network.reset(fault.scope, indexes)
     elif fault.kind == "resize":
         await asyncio.gather(*(site.cluster.workers[w].resize(fault.share, fault.seconds) for w in fault.workers))
+    elif fault.kind == "fail-all":
+        await asyncio.gather(*(site.cluster.workers[w].fail_all(fault.seconds) for w in fault.workers))
     elif fault.kind == "restart":
         await asyncio.gather(*(site.cluster.restart(w, fault.pause, fault.effect == "dark") for w in fault.workers))
     elif fault.kind in ("crash", "drain"):
--- a/scripts/soak_entry/judge.py
+++ b/scripts/soak_entry/judge.py
@@ -19,8 +19,8 @@
 @dataclass
 class Task:
     running: set = field(default_factory=set)
-    failed: int = 0  # ends that workers have listed
-    failed_noted: int = 0
+    failed: set = field(default_factory=set)  # runs with an end `failed` that a worker has listed
+    failed_noted: list = field(default_factory=list)  # (run, when its end was noted)
     done: bool = False  # an end `done` was listed
     done_noted: bool = False
     done_ends: dict = field(default_factory=dict)  # (life of a worker, number of the end) -> starts after it
@@ -59,12 +59,20 @@
         return [(k, s, i) for k in occurrences for s, step in enumerate(self.body["steps"])
                 for i in range(step.get("count", 1))]
 
-    def failures(self, key):
-        """How many runs of a task have failed, or of its gang."""
+    def members(self, key):
+        """A task alone, or all members of its gang."""
         k, s, _ = key
         step = self.body["steps"][s]
-        members = [(k, s, i) for i in range(step["count"])] if step.get("gang") else [key]
-        return sum(self.tasks[member].failed for member in members if member in self.tasks)
+        return [(k, s, i) for i in range(step["count"])] if step.get("gang") else [key]
+
+    def failures(self, key):
+        """How many runs of a task have failed, or of its gang; members that fail in one run count once."""
+        return len(set().union(*(self.tasks[m].failed for m in self.members(key) if m in self.tasks)))
+
+    def failures_noted(self, key, before):
+        """How many runs of a task, or of its gang, were noted as failed before a time."""
+        return len({run for m in self.members(key) if m in self.tasks
+                    for run, at in self.tasks[m].failed_noted if at < before})
 
     def may_have_failed(self):
         return any(task.crashes >= 2 or (not self.is_long_running() and self.failures(key) >= self.max_attempts)
@@ -153,11 +161,13 @@
             self.violate("TWICE", f"{what} beside {others}")
         if self._noted(job, key):
             self.violate("TWICE", f"{what}: it was done before, and that was acknowledged")
-        for member in self._represented(job, key):
+        for member in job.members(key):
             for starts in job.tasks[member].done_ends.values():
                 starts.append(what)
-        if task.failed_noted >= job.max_attempts and not job.is_long_running():
-            self.violate("BUDGET", f"{what}: it has failed {task.failed_noted} times")
+        if len(task.failed_noted) >= job.max_attempts and not job.is_long_running():
+            self.violate("BUDGET", f"{what}: it has failed {len(task.failed_noted)} times")
+        elif job.failures_noted(key, received) >= job.max_attempts and not job.is_long_running():
+            self.violate("BUDGET", f"{what}: its gang has failed {job.failures_noted(key, received)} times")
         if task.crashes >= KNOWN_CRASHES:
             task.starts_after_crashes += 1
             if task.starts_after_crashes > STARTS_AFTER_CRASHES:
@@ -180,14 +190,9 @@
         self.counts["most_crashes_by_a_task"] = max(self.counts["most_crashes_by_a_task"], job.tasks[key].crashes)
 
     @staticmethod
-    def _represented(job, key):
-        """The tasks whose end as done is the end of this one; one member's is that of its gang."""
-        k, s, _ = key
-        step = job.body["steps"][s]
-        return [(k, s, i) for i in range(step["count"])] if step.get("gang") else [key]
-
-    def _noted(self, job, key):
-        return any(job.tasks[member].done_noted for member in self._represented(job, key))
+    def _noted(job, key):
+        """Whether the end of a task as done was noted; one member's is that of its gang."""
+        return any(job.tasks[member].done_noted for member in job.members(key))
 
     def ended(self, run, how, number):
         job, key = self.split(run.task)
@@ -203,9 +208,9 @@
             task.done = True
             task.done_ends[run.worker.name(), number] = []
         elif how == "failed":
-            task.failed += 1
+            task.failed.add(run.number)
 
-    def noted(self, name, how, worker, number):
+    def noted(self, name, run, how, worker, number):
         """An end was acknowledged by the system while the lease of its worker held."""
         job, key = self.split(name)
         if job is None:
@@ -216,7 +221,7 @@
             for what in task.done_ends.pop((worker, number), []):
                 self.violate("TWICE", f"{what}: done on {worker} before, and that was acknowledged later")
         elif how == "failed":
-            task.failed_noted += 1
+            task.failed_noted.append((run, time.monotonic()))
 
     def shown(self, job, state, node, asked_at):
         """A client was told a job's state; None is an answer 410."""
--- a/scripts/soak_entry/shapes.py
+++ b/scripts/soak_entry/shapes.py
@@ -100,6 +100,7 @@
     restore_s: float = 0.6
     checkpoint_s: float = 0.5
     failure_share: float = 0.03
+    gang_failure_share: float = 0.05  # of the runs of gangs
 
     @property
     def services(self):
--- a/scripts/soak_entry/site.py
+++ b/scripts/soak_entry/site.py
@@ -5,6 +5,7 @@
 import json
 import random
 import time
+from dataclasses import replace
 
 from . import net
 from .clients import HOST, Client
@@ -40,6 +41,8 @@
     def __init__(self, options, seed, folder):
         self.options, self.seed, self.folder = options, seed, folder
         self.shape = SHAPES[options.shape]
+        if options.gang_failures is not None:
+            self.shape = replace(self.shape, gang_failure_share=options.gang_failures)
         if options.teams:
             self.shape = with_open_queue(self.shape)
         self.teams = Teams(self, options.teams) if options.teams else None
--- a/scripts/soak_entry/workers.py
+++ b/scripts/soak_entry/workers.py
@@ -13,6 +13,7 @@
 CRASH_PAUSE_S = (1.5, 4.0)
 GANG_TIMEOUT_S = 3.0
 DRAIN_S = 2.0
+SINGLE_FAILURES = 0.3  # share of the failing runs of gangs in which one member ends as failed; in the others several
 CAPACITY_NOTICE_S = 4.5  # how long a start may still count on capacity that the worker no longer has
 LISTED_ENDS = (500, 500, 5, 1)  # how many ends a worker lists at a time; drawn once for each run
 
@@ -28,6 +29,7 @@
         self.timer = None
         self.stopping = False
         self.gang = None
+        self.fails = False  # since its worker fails all that it starts
 
     def progress(self):
         done = self.work - self.left
@@ -76,6 +78,7 @@
         self.running, self.ended, self.last_end = {}, [], 0
         self.highest, self.fence, self.until = {}, 0, 0
         self.void = set()
+        self.failing_until = 0.0
         self.changed = asyncio.Event()
         self.sequence = 0
         self.draining_until = None
@@ -119,6 +122,11 @@
         if self.up and self.life == life:
             self._set_capacity(dict(self.cluster.shape.capacity))
 
+    async def fail_all(self, seconds):
+        """All that the worker starts meanwhile ends as failed, part way through its work."""
+        self.failing_until = max(self.failing_until, time.monotonic() + seconds)
+        await asyncio.sleep(seconds)
+
     def _set_capacity(self, capacity):
         self.lost_capacity.append((time.monotonic() + CAPACITY_NOTICE_S, self.capacity))
         self.capacity = capacity
@@ -239,6 +247,7 @@
         name = run.task if run.task not in self.running else f"{run.task}#{run.number}"
         self.running[name] = run
         run.name = name
+        run.fails = time.monotonic() < self.failing_until
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number - 1)
         self.cluster.judge.started(run, order, self, received)
         if job is None:
@@ -255,20 +264,32 @@
             if members:
                 for member in members:
                     member.work_begun = time.monotonic()
-                self._later(run, run.left, lambda: self._gang_done(run))
+                failing = self._draw_failing(members)
+                self._later(run, run.left * (0.5 if failing else 1), lambda: self._end_gang(run, failing))
             else:
                 self._later(run, GANG_TIMEOUT_S, lambda: run.work_begun or self._end(run, "alone"))
             return
         run.work_begun = time.monotonic()
-        if definition.get("long_running"):
+        if definition.get("long_running") and not run.fails:
             return
-        how = "failed" if self.cluster.random.random() < self.cluster.shape.failure_share else "done"
+        how = "failed" if self.cluster.random.random() < self.cluster.shape.failure_share or run.fails else "done"
         pause = self.cluster.shape.restore_s if restored else 0.0
         self._later(run, run.left * (0.5 if how == "failed" else 1) + pause, lambda: self._end(run, how))
 
-    def _gang_done(self, run):
+    def _draw_failing(self, members):
+        """Returns which members of a gang's run end as failed, at the same time; mostly none."""
+        random = self.cluster.random
+        failing = [member for member in members if member.fails]
+        if not failing and random.random() < self.cluster.shape.gang_failure_share:
+            several = random.choice((len(members), random.randint(min(2, len(members)), len(members))))
+            failing = random.sample(members, 1 if random.random() < SINGLE_FAILURES else several)
+        return failing
+
+    def _end_gang(self, run, failing):
+        """All members end at the same time: as done, or those that fail as failed and the others as broken."""
+        self.cluster.judge.counts["failed_gang_runs"] += bool(failing)
         for member in self.cluster.gangs.leave(run):
-            member.worker._end(member, "done")
+            member.worker._end(member, ("failed" if member in failing else "broken") if failing else "done")
 
     def _later(self, run, seconds, action):
         run.timer = asyncio.get_running_loop().call_later(seconds, action)
@@ -319,9 +340,9 @@
         if "until_ms" in order:
             self._extend(order["until_ms"])
         acked = order.get("acked_through", 0)
-        for number, task, _, how, _ in self.ended:
+        for number, task, run, how, _ in self.ended:
             if number <= acked and number not in self.void:
-                self.cluster.judge.noted(task, how, self.name(), number)
+                self.cluster.judge.noted(task, run, how, self.name(), number)
         self.ended = [row for row in self.ended if row[0] > acked]
         wait = min(order.get("wait_ms", 0), 2000) / 1000
         if wait and not self.ended:
