Expect the next run of the gang on the worker of its failed one

Cause: the check was written beside the count by members, which gave the gang up after two failed members, as its queue allows two attempts. Counted by runs the gang has one attempt left, and its second run starts on the same worker at once.

Change: the check names the two members of run 2, and with that that no row of run 1 is left. It is as strict: any other row fails it.

--- a/tests/by_cell/GangQuarantineTest.cpp
+++ b/tests/by_cell/GangQuarantineTest.cpp
@@ -99,7 +99,11 @@
               CellFixture::Ended(2, CellFixture::Run("gang", 1, 1), RunEnd::Failed) });
   CHECK_EQUAL(1, cell.Failures());
   CHECK(!cell.IsQuarantined());
-  CHECK(cell.mCell.mWorkers.at("w1").mRuns.empty());
+  // Of the failed run nothing is left; the gang is started again.
+  const auto& runs = cell.mCell.mWorkers.at("w1").mRuns;
+  CHECK_EQUAL(2, runs.size());
+  CHECK(runs.contains(CellFixture::Run("gang", 0, 2)));
+  CHECK(runs.contains(CellFixture::Run("gang", 1, 2)));
 }
 
 TEST(GangQuarantine, FailedMembersOfOneRunCountOnceThoughTheyAreReportedApart)
