--- a/modules/by_cell/RunRow.h
+++ b/modules/by_cell/RunRow.h
@@ -31,8 +31,8 @@
   bool mIsLongRunning{ false };
   /// Whether its task is a member of a gang.
   bool mIsGangMember{ false };
-  /// Whether an end of its gang's run has been counted in the worker's statistics.
-  bool mIsEndCounted{ false };
+  /// Whether a failure of its gang's run has been counted against the worker.
+  bool mIsFailureCounted{ false };
   /// How long the run of a suspected task has to go on alone before it counts as harmless; zero
   /// once it has, and for all other tasks.
   Time mProbation{};
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -46,7 +46,7 @@
   if (failed == aWorker.mRuns.end() || !failed->second.mIsGangMember) {
     return true;
   }
-  if (failed->second.mIsEndCounted) {
+  if (failed->second.mIsFailureCounted) {
     return false;
   }
   const auto first = aRun.mTask.WithIndex(0);
@@ -54,7 +54,7 @@
        it != aWorker.mRuns.end() && it->first.mTask.WithIndex(0) == first;
        ++it) {
     if (it->first.mRun == aRun.mRun) {
-      it->second.mIsEndCounted = true;
+      it->second.mIsFailureCounted = true;
     }
   }
   return true;
