--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -10,11 +10,12 @@
 
 #include "by_cell/detail/Advice.h"
 #include "by_cell/detail/Assignment.h"
-#include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Feasibility.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/PlacementOrder.h"
 #include "by_cell/detail/PlacementPass.h"
+#include "by_cell/detail/QueryRounds.h"
+#include "by_cell/detail/QuotaReport.h"
 #include "by_cell/detail/Runs.h"
 #include "by_cell/detail/StepCapacity.h"
 #include "by_cell/detail/Suitability.h"
@@ -37,8 +38,6 @@
 /// A placement pass leaves the gangs of a pool after this many that can't start, beside the steps
 /// without capacity.
 constexpr std::size_t kMaxWaitingGangsPerPass = 60;
-/// Advice queries per placement pass and pool, since selecting the workers to ask for takes long.
-constexpr std::size_t kMaxQueriesPerPass = 4;
 /// A placement pass leaves a group of steps after this many that the quota of their team holds
 /// back, so that a long queue costs little time.
 constexpr std::size_t kMaxHeldPerGroup = 8;
@@ -286,62 +285,12 @@
       ReportWait(aPass, *job, aKey, latestStart, all, candidates, reserved);
     }
   }
-  if (needsAdvice && row.mReady && aPass.mQueries[policy.Pool()] < kMaxQueriesPerPass &&
-      MayQueryAdvice(row.mAdvice, aPass.mNow)) {
-    ++aPass.mQueries[policy.Pool()];
-    QueryAdvice(aPass.mState,
-                *job,
-                aKey.mOccurrence,
-                aKey.mStep,
-                PoolOf(aPass, policy.Pool()),
-                aPass.mNow,
-                aPass.mOut);
+  if (needsAdvice && row.mReady) {
+    QueryInPass(aPass, *job, aKey);
   }
   return StepResult::Examined;
 }
 
-/// Notes the teams with steps that exceed their quota by themselves.
-void
-NoteExceededTeams(PlacementPass& aPass)
-{
-  const auto& ready = aPass.mState.mReady;
-  ReadyKey next;
-  next.mInfeasible = true;
-  next.mExceededTeam = TeamId(std::string(1, '\0'));
-  for (auto it = ready.lower_bound(next); it != ready.end(); it = ready.lower_bound(next)) {
-    aPass.mTeamsExamined[it->mExceededTeam] = true;
-    next.mExceededTeam = TeamId(it->mExceededTeam.Text() + '\0');
-  }
-}
-
-/// Logs which teams have begun or ceased to have steps that wait for their quota.
-/// @param aWaiting the teams with steps that can be placed.
-void
-ReportQuotas(PlacementPass& aPass, const std::set<TeamId>& aWaiting)
-{
-  auto& state = aPass.mState;
-  NoteExceededTeams(aPass);
-  for (const auto& team : state.mTeamsAtQuota) {
-    if (!aWaiting.contains(team)) {
-      aPass.mTeamsExamined.try_emplace(team, false);
-    }
-  }
-  for (const auto& [team, isHeld] : aPass.mTeamsExamined) {
-    if (isHeld == state.mTeamsAtQuota.contains(team)) {
-      continue;
-    }
-    if (isHeld) {
-      state.mTeamsAtQuota.insert(team);
-    } else {
-      state.mTeamsAtQuota.erase(team);
-    }
-    Log(aPass.mOut,
-        isHeld ? "team.quota_reached" : "team.quota_free",
-        team.Text(),
-        FormatUsage(state, team));
-  }
-}
-
 /// Places steps in the order of their keys.
 /// @returns the teams with steps that can be placed; none, since without teams there are no quotas.
 std::set<TeamId>
@@ -405,6 +354,7 @@
   ++aState.mPlacementPass;
   PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   ReportQuotas(pass, HasTeams(aState) ? PlaceInFairOrder(pass) : PlaceInOrder(pass));
+  HandOnEmptyRounds(pass);
   std::size_t gangs = 0;
   for (const auto& [pool, waiting] : pass.mWaitingGangs) {
     gangs += waiting;
