Withdraw what a gang that failed on all workers counted against them

Callers saw jobs with nothing running beside idle workers while a gang that fails by its own fault used up its attempts.

Cause: the members of a failed run count once against each worker, so that one run is as many failures as the gang has workers. The second run quarantines all of them. The gang is then the probe of each worker, and its next run quarantines them again.

A faulty worker fails the members that it runs, and the others end as broken. Where all members of a run have failed, on three workers or more, the last report withdraws what the others have counted and restores the quarantine that each worker had before. Gangs on fewer workers, and runs with a member that ended otherwise, count as before. A run that hangs is no failure of the gang's, so that its quarantine is not withdrawn.

Tried and dropped: counting a run against the first worker that reports it.

--- a/modules/by_cell/WorkerRow.h
+++ b/modules/by_cell/WorkerRow.h
@@ -93,6 +93,8 @@
   /// one run of a gang; zero once a run was done, or a long-running one has been at work for long
   /// enough.
   Time mQuarantinedUntil{};
+  /// The same before its last failed run.
+  Time mQuarantinedBefore{};
   /// The ratio of the actual to the declared duration of its tasks, as a moving average.
   double mSlowness{ 1.0 };
   /// The last placement pass that reserved its free capacity for a gang, the number of the
--- a/modules/by_cell/detail/FailedRuns.cpp
+++ b/modules/by_cell/detail/FailedRuns.cpp
@@ -10,6 +10,7 @@
 #include "by_cell/detail/Emit.h"
 #include "by_cell/detail/Jobs.h"
 #include "by_cell/detail/Tables.h"
+#include "by_cell/detail/WorkerStatistics.h"
 
 namespace by::detail {
 
@@ -28,6 +29,19 @@
                       earlier > 0 ? absl::StrCat("+", earlier) : std::string());
 }
 
+/// @returns whether all members of a gang's run have failed.
+bool
+HaveAllFailed(const JobRow& aJob, const RunId& aRun)
+{
+  const auto& occurrence = aJob.mOccurrences.at(aRun.mTask.Occurrence());
+  const auto& step = occurrence.mSteps[aRun.mTask.Step()];
+  const auto first = occurrence.mTasks.begin() + step.mFirst;
+  return std::all_of(first, first + step.mCount, [&](const TaskRow& aTask) {
+    const auto& runs = aTask.mProgress.FailedRuns();
+    return std::find(runs.begin(), runs.end(), aRun.mRun) != runs.end();
+  });
+}
+
 } // namespace
 
 FailedRuns
@@ -72,6 +86,10 @@
                    FormatRunNumbers(failed.mRuns)));
   if (!StepOf(aJob, task.Step()).LongRunning() && failures >= attempts) {
     EndJob(aState, task.Job(), JobState::Failed, aNow, aOut);
+    return;
+  }
+  if (StepOf(aJob, task.Step()).Gang() && HaveAllFailed(aJob, aRun)) {
+    WithdrawFailures(aState, aRun, aOut);
   }
 }
 
--- a/modules/by_cell/detail/Hangs.cpp
+++ b/modules/by_cell/detail/Hangs.cpp
@@ -68,6 +68,7 @@
                      (aNow - worker.mRuns.at(run).mProgressAt).Milliseconds()));
     worker.mConsecutiveFailures =
       std::max(worker.mConsecutiveFailures, aState.mSettings.FailureLimit());
+    worker.mLastFailedRun.reset();
     worker.mQuarantinedUntil = aNow + aState.mSettings.QuarantineTime();
     Requeue(aState, run.mTask, aNow, aOut);
   }
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 
@@ -21,6 +22,8 @@
 /// A long-running task never ends as done, so it proves its worker by being at work for this long.
 constexpr Time kProbeTime = Time::FromMilliseconds(1000);
 constexpr std::uint32_t kFullPercent = 100;
+/// The members of a gang on fewer workers may well fail by as many faulty workers.
+constexpr std::size_t kMinWorkersOfGang = 3;
 
 Time
 StartOf(const RunRow& aRun)
@@ -36,6 +39,14 @@
   aWorker.mQuarantinedUntil = Time();
 }
 
+/// @returns whether the last failure of a worker is of a member of a gang's run.
+bool
+IsLastFailureOf(const WorkerRow& aWorker, const RunId& aRun)
+{
+  const auto& last = aWorker.mLastFailedRun;
+  return last && last->mRun == aRun.mRun && last->mTask.WithIndex(0) == aRun.mTask.WithIndex(0);
+}
+
 /// Notes that a run has failed. The members of a gang's run end together, by one fault, so that the
 /// failures of several of them on a worker are one observation.
 /// @returns whether it is the first that is noted of its gang's run there; true for other tasks.
@@ -131,6 +142,7 @@
     return;
   }
   ++aWorker.mConsecutiveFailures;
+  aWorker.mQuarantinedBefore = aWorker.mQuarantinedUntil;
   const auto before = std::exchange(aWorker.mLastFailedRun, aRun);
   if (aWorker.mConsecutiveFailures >= aState.mSettings.FailureLimit()) {
     aWorker.mQuarantinedUntil = aNow + aState.mSettings.QuarantineTime();
@@ -148,4 +160,30 @@
   }
 }
 
+void
+WithdrawFailures(CellState& aState, const RunId& aRun, Effects& aOut)
+{
+  std::vector<WorkerRow*> workers;
+  for (auto& [id, worker] : aState.mWorkers) {
+    if (IsLastFailureOf(worker, aRun)) {
+      workers.push_back(&worker);
+    }
+  }
+  if (workers.size() < kMinWorkersOfGang) {
+    return;
+  }
+  std::size_t aside = 0;
+  for (auto* worker : workers) {
+    --worker->mConsecutiveFailures;
+    worker->mLastFailedRun.reset();
+    aside += worker->mQuarantinedUntil != worker->mQuarantinedBefore ? 1 : 0;
+    worker->mQuarantinedUntil = worker->mQuarantinedBefore;
+  }
+  aState.mPlacementNeeded = true;
+  Log(aOut,
+      "gang.all_failed",
+      FormatRunId(aRun),
+      absl::StrCat("workers=", workers.size(), " no_longer_aside=", aside));
+}
+
 } // namespace by::detail
--- a/modules/by_cell/detail/WorkerStatistics.h
+++ b/modules/by_cell/detail/WorkerStatistics.h
@@ -38,4 +38,10 @@
                Time aNow,
                Effects& aOut);
 
+/// Takes back the failures that a gang's run has counted against its workers, if there are several:
+/// a faulty worker fails the members that it runs, and the others end as broken.
+/// @param aRun a run of which all members have failed.
+void
+WithdrawFailures(CellState& aState, const RunId& aRun, Effects& aOut);
+
 } // namespace by::detail
