Look only at the workers of a gang's failed run when it is withdrawn

What a run of which all members failed had counted was withdrawn by a walk over all workers of the cell, so that one report could cost time in proportion to the fleet. The step keeps the workers that reported failed members of its newest failed run now, at most one a member, and only these are looked up. A late end of an earlier run withdraws nothing, also where it is the last one of its run.

--- a/modules/by_cell/StepRow.h
+++ b/modules/by_cell/StepRow.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "by_cell/ReadyKey.h"
 #include "by_cell/StepAdvice.h"
@@ -28,6 +30,10 @@
   StepAdvice mAdvice;
   /// The number of its last gang reservation; zero before the first.
   std::uint64_t mReservation{ 0 };
+  /// The newest failed run of its gang, and the workers that reported a failed member of it; zero
+  /// before the first.
+  std::uint32_t mFailedRun{ 0 };
+  std::set<std::string> mFailedOn;
   /// Whether a task of it is suspected of crashing workers, or was.
   bool mHasSuspects{ false };
   /// Since when a trial of its suspects waits for workers; zero while none does.
--- a/modules/by_cell/detail/FailedRuns.cpp
+++ b/modules/by_cell/detail/FailedRuns.cpp
@@ -42,6 +42,19 @@
   });
 }
 
+/// Notes a worker that reported a failed member of a gang's run.
+void
+NoteWorker(StepRow& aStep, std::uint32_t aRun, const std::string& aWorker)
+{
+  if (aRun > aStep.mFailedRun) {
+    aStep.mFailedRun = aRun;
+    aStep.mFailedOn.clear();
+  }
+  if (aRun == aStep.mFailedRun) {
+    aStep.mFailedOn.insert(aWorker);
+  }
+}
+
 } // namespace
 
 FailedRuns
@@ -62,7 +75,12 @@
 }
 
 void
-FailTask(CellState& aState, JobRow& aJob, const RunId& aRun, Time aNow, Effects& aOut)
+FailTask(CellState& aState,
+         JobRow& aJob,
+         const RunId& aRun,
+         const std::string& aWorker,
+         Time aNow,
+         Effects& aOut)
 {
   const auto& task = aRun.mTask;
   const auto& known = FindTask(aState, task)->mProgress.FailedRuns();
@@ -88,8 +106,13 @@
     EndJob(aState, task.Job(), JobState::Failed, aNow, aOut);
     return;
   }
-  if (StepOf(aJob, task.Step()).Gang() && HaveAllFailed(aJob, aRun)) {
-    WithdrawFailures(aState, aRun, aOut);
+  if (!StepOf(aJob, task.Step()).Gang()) {
+    return;
+  }
+  auto& step = aJob.mOccurrences.at(task.Occurrence()).mSteps[task.Step()];
+  NoteWorker(step, aRun.mRun, aWorker);
+  if (aRun.mRun == step.mFailedRun && HaveAllFailed(aJob, aRun)) {
+    WithdrawFailures(aState, aRun, step.mFailedOn, aOut);
   }
 }
 
--- a/modules/by_cell/detail/FailedRuns.h
+++ b/modules/by_cell/detail/FailedRuns.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
+#include <string>
 
 #include "by_cell/CellState.h"
 #include "by_cell/Effects.h"
@@ -28,7 +29,13 @@
 /// Counts a failed run, also where the task was requeued before the end was reported: a gang is
 /// requeued on the first end of a member, and the failed member may be reported last.
 /// The job's row is invalid afterwards if the job has failed.
+/// @param aWorker the id of the worker that reported the end.
 void
-FailTask(CellState& aState, JobRow& aJob, const RunId& aRun, Time aNow, Effects& aOut);
+FailTask(CellState& aState,
+         JobRow& aJob,
+         const RunId& aRun,
+         const std::string& aWorker,
+         Time aNow,
+         Effects& aOut);
 
 } // namespace by::detail
--- a/modules/by_cell/detail/Runs.cpp
+++ b/modules/by_cell/detail/Runs.cpp
@@ -203,7 +203,7 @@
   // A finished task counts even if its worker was lost and another run has been started.
   const bool isLateDone = aEnd == RunEnd::Done && !isCurrent;
   if (aEnd == RunEnd::Failed) {
-    FailTask(aState, *job, aRun, aNow, aOut);
+    FailTask(aState, *job, aRun, aWorker.mRegistration.Id(), aNow, aOut);
   }
   if ((!isCurrent && !isLateDone) || FindTask(aState, aRun.mTask) == nullptr) {
     return;
--- a/modules/by_cell/detail/WorkerStatistics.cpp
+++ b/modules/by_cell/detail/WorkerStatistics.cpp
@@ -161,12 +161,16 @@
 }
 
 void
-WithdrawFailures(CellState& aState, const RunId& aRun, Effects& aOut)
+WithdrawFailures(CellState& aState,
+                 const RunId& aRun,
+                 const std::set<std::string>& aWorkers,
+                 Effects& aOut)
 {
   std::vector<WorkerRow*> workers;
-  for (auto& [id, worker] : aState.mWorkers) {
-    if (IsLastFailureOf(worker, aRun)) {
-      workers.push_back(&worker);
+  for (const auto& id : aWorkers) {
+    const auto it = aState.mWorkers.find(id);
+    if (it != aState.mWorkers.end() && IsLastFailureOf(it->second, aRun)) {
+      workers.push_back(&it->second);
     }
   }
   if (workers.size() < kMinWorkersOfGang) {
--- a/modules/by_cell/detail/WorkerStatistics.h
+++ b/modules/by_cell/detail/WorkerStatistics.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
+#include <string>
 
 #include "by_cell/CellState.h"
 #include "by_cell/Effects.h"
@@ -41,7 +43,11 @@
 /// Takes back the failures that a gang's run has counted against its workers, if there are several:
 /// a faulty worker fails the members that it runs, and the others end as broken.
 /// @param aRun a run of which all members have failed.
+/// @param aWorkers the workers that reported them.
 void
-WithdrawFailures(CellState& aState, const RunId& aRun, Effects& aOut);
+WithdrawFailures(CellState& aState,
+                 const RunId& aRun,
+                 const std::set<std::string>& aWorkers,
+                 Effects& aOut);
 
 } // namespace by::detail
