Count a trial that ends with its gang as a start

Cause: HasUsedItsStarts() counts the starts after the third crash by crashes and lapses.

Change: from the third crash on probation on, a trial that ends as broken before its probation is over counts as a lapse: a start of which nothing is known. It is stored with the lapses, so that a successor knows it, has no weight, and is cleared like them. A run of an earlier owner is not counted, since its age is not known.

--- a/modules/by_cell/detail/SuspectedTasks.cpp
+++ b/modules/by_cell/detail/SuspectedTasks.cpp
@@ -115,6 +115,21 @@
   }
 }
 
+void
+AddBrokenTrial(CellState& aState, const WorkerRow& aWorker, const RunId& aRun, Time aNow)
+{
+  const auto it = aWorker.mRuns.find(aRun);
+  const auto* task = FindTask(aState, aRun.mTask);
+  if (it == aWorker.mRuns.end() || task == nullptr || !NeedsCalmTrial(task->mCrashes)) {
+    return;
+  }
+  // An inherited run may be of any age.
+  const auto& row = it->second;
+  if (row.mOrderedAt > Time() && aNow < row.mOrderedAt + row.mProbation) {
+    AddLapse(aState, aRun);
+  }
+}
+
 void
 DropLapse(CellState& aState, const RunId& aRun)
 {
--- a/modules/by_cell/detail/SuspectedTasks.h
+++ b/modules/by_cell/detail/SuspectedTasks.h
@@ -21,6 +21,11 @@
 void
 AddLapse(CellState& aState, const RunId& aRun);
 
+/// Counts a trial that ended with its gang, before its probation was over, as a lapse, where the
+/// task may have crashed so many workers that few starts are left.
+void
+AddBrokenTrial(CellState& aState, const WorkerRow& aWorker, const RunId& aRun, Time aNow);
+
 /// Forgets it for a run whose worker reports its end.
 void
 DropLapse(CellState& aState, const RunId& aRun);
--- a/modules/by_cell/detail/WorkerReports.cpp
+++ b/modules/by_cell/detail/WorkerReports.cpp
@@ -51,8 +51,16 @@
       continue;
     }
     aWorker.mLastEndSeen = std::max(aWorker.mLastEndSeen, end.Number());
-    DropLapse(aState, { end.Task(), end.Run() });
-    EndRun(aState, aWorker, { end.Task(), end.Run() }, end.End(), end.Checkpoint(), aNow, aOut);
+    const RunId run{ end.Task(), end.Run() };
+    DropLapse(aState, run);
+    const bool isBroken = end.End() == RunEnd::GangBroken;
+    if (isBroken) {
+      AddBrokenTrial(aState, aWorker, run, aNow);
+    }
+    EndRun(aState, aWorker, run, end.End(), end.Checkpoint(), aNow, aOut);
+    if (isBroken) {
+      GiveUpIfHopeless(aState, run.mTask, aNow, aOut);
+    }
   }
   if (aWorker.mLastEndSeen == before) {
     return;
--- a/modules/by_crashes/CrashHistory.h
+++ b/modules/by_crashes/CrashHistory.h
@@ -15,8 +15,9 @@
   /// The runs whose worker crashed, each once, however many owners notice it. Those that a later
   /// run of the task has cleared are left out.
   std::vector<CrashedRun> mRuns;
-  /// The runs on probation whose lease expired while their worker was out of reach. They may have
-  /// crashed it, which is no evidence, but counts for the starts that are left.
+  /// The runs on probation whose lease expired while their worker was out of reach, so that they
+  /// may have crashed it, and those of a task with few starts left that ended with their gang. They
+  /// are no evidence, but count for the starts that are left.
   std::vector<std::uint32_t> mLapsed;
   /// When the last crash was noticed.
   Time mLastCrash{};
