Try suspected tasks where a crash ends the fewest runs of gangs too

PlaceTrial() looks for the worker with the fewest runs once none has been idle for 0.7 s. A member of a gang counted as one run, although the crash of its worker ends the run of the whole gang.

Change: TrialHost::mRuns counts the runs that a crash would end, a gang with members on the worker as a whole and once.

Ruled out: a shorter lease, since a successor has to take over before it expires; starting the gang before the leases have expired, since the worker may be cut off only.

Result: Crash.TrialIsPlacedBesideFewTasksRatherThanBesideAGang fails before (the trial on w1, with a member of the gang) and passes now.

--- a/modules/by_cell/detail/Trials.cpp
+++ b/modules/by_cell/detail/Trials.cpp
@@ -100,6 +100,29 @@
   return pool;
 }
 
+/// @returns how many runs the crash of a worker would end: its own, and all of a gang with members
+/// there.
+std::size_t
+CountRunsAtRisk(CellState& aState, const WorkerRow& aWorker)
+{
+  std::size_t runs = 0;
+  const JobTaskKey* member = nullptr;
+  // The members of a gang follow each other.
+  for (const auto& [run, row] : aWorker.mRuns) {
+    const auto& task = run.mTask;
+    const auto* job = row.mIsGangMember ? FindJob(aState, task.Job()) : nullptr;
+    // The job may be a later one of the same name.
+    if (job == nullptr || task.Step() >= job->mJob.Definition().Steps().size()) {
+      ++runs;
+    } else if (member == nullptr || member->Job() != task.Job() ||
+               member->Occurrence() != task.Occurrence() || member->Step() != task.Step()) {
+      runs += StepOf(*job, task.Step()).Count();
+      member = &task;
+    }
+  }
+  return runs;
+}
+
 std::vector<TrialHost>
 ListHosts(PlacementPass& aPass,
           const TrialPool& aPool,
@@ -113,7 +136,7 @@
     hosts.push_back(
       { .mSlots =
           isUsable ? ForecastSlots(*worker, aStep, aTask, aPass.mNow, aPass.mNow).mSlots : 0,
-        .mRuns = worker->mRuns.size(),
+        .mRuns = isUsable ? CountRunsAtRisk(aPass.mState, *worker) : 0,
         .mHasProbation = aPool.mWithProbation.contains(worker),
         .mAnsweredAt = worker->mWorkerClockReadAt });
   }
--- a/modules/by_crashes/TrialHost.h
+++ b/modules/by_crashes/TrialHost.h
@@ -12,7 +12,7 @@
 {
   /// The tasks of the step that it has capacity for.
   std::size_t mSlots{ 0 };
-  /// The runs that a crash would end.
+  /// The runs that a crash would end, on other workers too.
   std::size_t mRuns{ 0 };
   /// Whether one of them is on probation, so that a crash could be its doing.
   bool mHasProbation{ false };
--- a/modules/by_crashes/TrialHosts.h
+++ b/modules/by_crashes/TrialHosts.h
@@ -20,7 +20,8 @@
 bool
 IsAnswerRecent(Time aAnsweredAt, Time aStartedAt);
 
-/// Chooses the workers for a trial: idle ones, or after a wait those with the fewest runs.
+/// Chooses the workers for a trial: idle ones, or after a wait those whose crash would end the
+/// fewest runs.
 /// @param aTasks the tasks that are tried together.
 /// @param aWaited how long the trial has waited for workers.
 /// @returns the indices of the workers in the order of their use; empty while there are not enough.
--- a/tests/by_cell/CrashTest.cpp
+++ b/tests/by_cell/CrashTest.cpp
@@ -360,3 +360,32 @@
   CHECK(play.StateOf("bad") == JobState::Failed);
   CHECK(play.Starts(Task("bad")) <= 5);
 }
+
+/// A trial ran on the worker with the fewest runs, which held a member of a gang, and its crash
+/// broke the run of the whole gang.
+TEST(Crash, TrialIsPlacedBesideFewTasksRatherThanBesideAGang)
+{
+  constexpr int kWorkers = 6;
+  constexpr std::int64_t kLargerCpu = 8000;
+  WorkerPlay play(kWorkers);
+  play.mDuration = kLong;
+  auto gang = Gang(kWorkers - 1);
+  gang.mDemand = Resources::Create({ .mCpuMillis = 3000, .mMemoryMb = 128 }).value();
+  play.Submit("gang", { gang });
+  auto loose = CellFixture::Step(2);
+  loose.mDemand = Resources::Create({ .mCpuMillis = 1500, .mMemoryMb = 128 }).value();
+  play.Submit("loose", { loose });
+  const auto host = AwaitWorker(play, Task("loose"));
+  CHECK_EQUAL(2, play.mCell.mCell.mWorkers.at(host).mRuns.size());
+  auto suspected = CellFixture::Step(1);
+  suspected.mDemand = Resources::Create({ .mCpuMillis = 4000, .mMemoryMb = 128 }).value();
+  play.Submit("bad", { suspected });
+  play.Play(kSoon);
+  auto& occurrence = play.mCell.mCell.mJobs.at("bad").mOccurrences.at(0);
+  occurrence.mTasks.front().mCrashes.mRuns = { { .mRun = 1, .mIsSuspect = true, .mBlame = 4 } };
+  occurrence.mSteps.front().mHasSuspects = true;
+  for (int n = 1; n <= kWorkers; ++n) {
+    play.SetCpu("w" + std::to_string(n), kLargerCpu);
+  }
+  STRCMP_EQUAL(host.c_str(), AwaitWorker(play, Task("bad")).c_str());
+}
