Revert "Give late steps a share of the advice queries"

A failed try. The share is not given where it is needed: the late step's turn is at the end of a pass, when steps that can be on time have taken the idle nodes, and a query of more than 100 ms is not sent unless two nodes are idle.

One turn may be three queries, a turn whose query can't be sent loses its place, and steps that were never queried go first.

Still open: a late step is turned away while fewer than half of the nodes are idle, and has no query as long as that lasts. What was learnt: the turn of a late step has to be kept free before the others take the nodes.

--- a/modules/by_cell/CellState.h
+++ b/modules/by_cell/CellState.h
@@ -78,10 +78,6 @@
   absl::btree_set<std::pair<std::uint64_t, std::string>> mNewMaintenance;
   /// Nodes that can query the advice service.
   std::vector<AdviceProxyRow> mAdviceProxies;
-  /// When a query was last sent for a job that can be on time, and the earliest time of the next
-  /// for a late one while most nodes are busy.
-  Time mTimelyQueryAt{};
-  Time mNextLateQuery{};
   /// How many of the queried workers the service allowed, by the host and path prefix of the queue.
   std::map<std::pair<std::string, std::string>, AdviceShare> mAdviceShares;
 
--- a/modules/by_cell/detail/Advice.cpp
+++ b/modules/by_cell/detail/Advice.cpp
@@ -33,11 +33,6 @@
 /// Queries with a longer decision time are kept off the last idle nodes, so that short ones need
 /// not wait behind them.
 constexpr Time kLongQuery = Time::FromMilliseconds(100);
-/// While jobs that can be on time need the nodes, a query is sent for late ones once in this time,
-/// divided by the number of nodes.
-constexpr Time kLateQueryInterval = Time::FromMilliseconds(8000);
-/// Jobs that can be on time need the nodes until so long after the last query for one.
-constexpr Time kTimelyMemory = Time::FromMilliseconds(2000);
 /// The number of queried workers from which on older answers count less.
 constexpr double kShareSamples = 400.0;
 
@@ -142,22 +137,6 @@
   return true;
 }
 
-/// Remembers that a query was sent for a job that can be on time, or for one that is late.
-void
-NoteQuery(CellState& aState,
-          const JobRow& aJob,
-          std::uint32_t aOccurrence,
-          std::uint32_t aStep,
-          Time aNow)
-{
-  if (CanBeOnTime(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow)) {
-    aState.mTimelyQueryAt = aNow;
-    return;
-  }
-  const auto nodes = static_cast<std::int64_t>(aState.mAdviceProxies.size());
-  aState.mNextLateQuery = aNow + Time::FromMilliseconds(kLateQueryInterval.Milliseconds() / nodes);
-}
-
 } // namespace
 
 const WorkerTicket*
@@ -185,18 +164,6 @@
                       [&](const AdviceQuery& aQuery) { return aQuery.mDeadline > aNow; });
 }
 
-bool
-YieldsToTimelyJobs(CellState& aState,
-                   const JobRow& aJob,
-                   std::uint32_t aOccurrence,
-                   std::uint32_t aStep,
-                   Time aNow)
-{
-  return aNow < aState.mTimelyQueryAt + kTimelyMemory &&
-         !CanBeOnTime(aJob, aJob.mOccurrences.at(aOccurrence), aStep, aNow) &&
-         2 * CountIdleProxies(aState, aNow) < aState.mAdviceProxies.size();
-}
-
 double
 AllowedShareOf(const CellState& aState, const JobRow& aJob)
 {
@@ -269,8 +236,7 @@
   for (auto& [index, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
       if (ArePredecessorsDone(aJob, occurrence, s) &&
-          QuotaAllowsStart(aState, aJob, StepOf(aJob, s)) &&
-          !YieldsToTimelyJobs(aState, aJob, index, s, aNow)) {
+          QuotaAllowsStart(aState, aJob, StepOf(aJob, s))) {
         QueryAdvice(aState, aJob, index, s, candidates, aNow, aOut);
       }
     }
@@ -294,8 +260,13 @@
   advice.mNextQuery = aNow + kQueryInterval;
   std::erase_if(advice.mOpenQueries,
                 [&](const AdviceQuery& aQuery) { return aQuery.mDeadline <= aNow; });
+  const auto& occurrence = aJob.mOccurrences.at(aOccurrence);
   const auto idle = CountIdleProxies(aState, aNow);
   const auto nodes = aState.mAdviceProxies.size();
+  if (!CanBeOnTime(aJob, occurrence, aStep, aNow) && 2 * idle < nodes) {
+    // Jobs that can be on time need the nodes more.
+    return true;
+  }
   const auto selected = SelectWorkers(aState, aJob, aOccurrence, aStep, *policy, aCandidates, aNow);
   auto next = selected.begin();
   for (const auto size : SplitQueries(CostOf(*policy), selected.size(), idle, nodes)) {
@@ -305,7 +276,6 @@
     }
     next = last;
     advice.mNextQuery = aNow + kQueryRetryDelay;
-    NoteQuery(aState, aJob, aOccurrence, aStep, aNow);
   }
   return !selected.empty();
 }
--- a/modules/by_cell/detail/Advice.h
+++ b/modules/by_cell/detail/Advice.h
@@ -29,15 +29,6 @@
 bool
 MayQueryAdvice(const StepAdvice& aAdvice, Time aNow);
 
-/// @returns whether the query of a step has to wait, since its job is late and most nodes are busy
-/// with jobs that can be on time.
-bool
-YieldsToTimelyJobs(CellState& aState,
-                   const JobRow& aJob,
-                   std::uint32_t aOccurrence,
-                   std::uint32_t aStep,
-                   Time aNow);
-
 /// @returns the share of queried workers that the service allows for the steps of a job's queue.
 double
 AllowedShareOf(const CellState& aState, const JobRow& aJob);
--- a/modules/by_cell/detail/Placement.cpp
+++ b/modules/by_cell/detail/Placement.cpp
@@ -355,7 +355,6 @@
   PlacementPass pass{ .mState = aState, .mNow = aNow, .mOut = aOut, .mPools = {} };
   ReportQuotas(pass, HasTeams(aState) ? PlaceInFairOrder(pass) : PlaceInOrder(pass));
   HandOnEmptyRounds(pass);
-  QueryLateStep(pass);
   std::size_t gangs = 0;
   for (const auto& [pool, waiting] : pass.mWaitingGangs) {
     gangs += waiting;
--- a/modules/by_cell/detail/PlacementPass.h
+++ b/modules/by_cell/detail/PlacementPass.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -70,8 +69,6 @@
   std::map<std::string, std::size_t> mMisses{};
   std::map<std::string, std::size_t> mWaitingGangs{};
   std::map<std::string, QueryRounds> mQueryRounds{};
-  /// The step that has waited longest of those that yield to jobs that can be on time.
-  std::optional<QueryRounds::Waiting> mLateStep{};
   std::map<std::string, TrialPool> mTrialPools{};
   /// The teams with examined steps, and whether a step of theirs waits for their quota.
   std::map<TeamId, bool> mTeamsExamined{};
--- a/modules/by_cell/detail/QueryRounds.cpp
+++ b/modules/by_cell/detail/QueryRounds.cpp
@@ -42,16 +42,6 @@
     aPass.mState, aJob, aKey.mOccurrence, aKey.mStep, PoolOf(aPass, aPool), aPass.mNow, aPass.mOut);
 }
 
-/// Queries advice for a step that was passed over before, if it may still start.
-void
-QueryWaitingStep(PlacementPass& aPass, const ReadyKey& aKey)
-{
-  auto* job = FindJob(aPass.mState, aKey.mJob);
-  if (job != nullptr && QuotaAllowsStart(aPass.mState, *job, StepOf(*job, aKey.mStep))) {
-    QueryStep(aPass, *job, aKey, PolicyOf(aPass.mState, *job).Pool());
-  }
-}
-
 } // namespace
 
 void
@@ -61,12 +51,6 @@
   if (!MayQueryAdvice(advice, aPass.mNow)) {
     return;
   }
-  if (YieldsToTimelyJobs(aPass.mState, aJob, aKey.mOccurrence, aKey.mStep, aPass.mNow)) {
-    if (!aPass.mLateStep || advice.mNextQuery < aPass.mLateStep->first) {
-      aPass.mLateStep.emplace(advice.mNextQuery, aKey);
-    }
-    return;
-  }
   const auto& pool = PolicyOf(aPass.mState, aJob).Pool();
   auto& rounds = aPass.mQueryRounds[pool];
   if (rounds.mUsed == kMaxQueriesPerPass) {
@@ -84,17 +68,12 @@
 {
   for (const auto& [pool, rounds] : aPass.mQueryRounds) {
     for (const auto& [since, key] : rounds.mWaiting) {
-      QueryWaitingStep(aPass, key);
+      auto* job = FindJob(aPass.mState, key.mJob);
+      if (job != nullptr && QuotaAllowsStart(aPass.mState, *job, StepOf(*job, key.mStep))) {
+        QueryStep(aPass, *job, key, pool);
+      }
     }
   }
 }
 
-void
-QueryLateStep(PlacementPass& aPass)
-{
-  if (aPass.mLateStep && aPass.mState.mNextLateQuery <= aPass.mNow) {
-    QueryWaitingStep(aPass, aPass.mLateStep->second);
-  }
-}
-
 } // namespace by::detail
--- a/modules/by_cell/detail/QueryRounds.h
+++ b/modules/by_cell/detail/QueryRounds.h
@@ -4,8 +4,7 @@
 
 namespace by::detail {
 
-/// Queries advice for a step if the pass has a round of queries left for its pool. A late step
-/// takes no round while most nodes are busy with jobs that can be on time.
+/// Queries advice for a step if the pass has a round of queries left for its pool.
 void
 QueryInPass(PlacementPass& aPass, JobRow& aJob, const ReadyKey& aKey);
 
@@ -13,8 +12,4 @@
 void
 HandOnEmptyRounds(PlacementPass& aPass);
 
-/// Queries advice for the late step that has waited longest, if its turn has come.
-void
-QueryLateStep(PlacementPass& aPass);
-
 } // namespace by::detail
