Log answers that callers waited for

The cause is not known: a question about a job had a line in the log where it was refused, given up or not handed to the kernel, so that one which was answered late could not be told from one that never came.

Change: call.slow says how long a call took that was answered after 500 ms or more, counted from when the node began to handle it, with its kind, outcome and the epoch of the owner that it was handed to. The time in the node's queue of events before that is not in it; queue_delay_seconds has it.

Result: Calls.AnswerThatComesLateIsLogged fails before.

--- a/modules/by_entry/LoadState.h
+++ b/modules/by_entry/LoadState.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "by_cell/RefusalLog.h"
 #include "by_core/Time.h"
 #include "by_schema/TeamLoad.h"
 
@@ -31,6 +32,8 @@
   /// waited, and when the next report is due.
   std::uint64_t mDroppedRequests{ 0 };
   Time mNextDropReport{};
+  /// Bounds the log lines about answers that took long.
+  RefusalLog mSlowAnswers;
 };
 
 } // namespace by
--- a/modules/by_entry/StepEntry.cpp
+++ b/modules/by_entry/StepEntry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
 
 #include "absl/strings/str_cat.h"
 
@@ -166,13 +167,15 @@
 /// Removes the calls of this node that the cell has answered.
 /// @param aFrom the number of effects that were examined before.
 void
-RemoveAnsweredCalls(EntryState& aState, const Effects& aOut, std::size_t aFrom = 0)
+RemoveAnsweredCalls(EntryState& aState, Time aNow, Effects& aOut, std::size_t aFrom = 0)
 {
+  Effects lines;
   for (std::size_t k = aFrom; k < aOut.size(); ++k) {
     if (const auto* reply = std::get_if<ReplyToCaller>(&aOut[k].Body())) {
-      aState.mCalls.erase(reply->Reply().Call());
+      detail::CloseCall(aState, reply->Reply(), aNow, lines);
     }
   }
+  std::move(lines.begin(), lines.end(), std::back_inserter(aOut));
 }
 
 /// Handles one event without the work that follows it.
@@ -204,10 +207,10 @@
   detail::RelayWorkerOrders(aState, aNow, aOut);
   detail::ReturnRelayedAnswers(aState, aNow, aOut);
   detail::BroadcastOwnerState(aState, aNow, aOut);
-  RemoveAnsweredCalls(aState, aOut);
+  RemoveAnsweredCalls(aState, aNow, aOut);
   detail::ContinueStop(aState, aNow, aOut);
   detail::PublishReadiness(aState, aNow, aOut);
-  RemoveAnsweredCalls(aState, aOut);
+  RemoveAnsweredCalls(aState, aNow, aOut);
 }
 
 /// Runs a part of a step. An unexpected error ends that part, and the node goes on.
@@ -247,7 +250,7 @@
     const auto handled = out.size();
     RunGuarded(aState, aNow, out, [&] { HandleEvent(aState, event, aNow, out); });
     // A later event must not answer the same call again.
-    RemoveAnsweredCalls(aState, out, handled);
+    RemoveAnsweredCalls(aState, aNow, out, handled);
     // A cell that a newer owner has taken over handles no further events.
     const bool isFenced = !aState.mExited && aState.mCell && aState.mCell->mFenced;
     if (isFenced) {
--- a/modules/by_entry/detail/Calls.cpp
+++ b/modules/by_entry/detail/Calls.cpp
@@ -8,6 +8,7 @@
 
 #include "by_cell/HandleRequests.h"
 #include "by_cell/detail/Emit.h"
+#include "by_cell/detail/TeamRates.h"
 #include "by_entry/detail/Authentication.h"
 #include "by_entry/detail/Links.h"
 #include "by_entry/detail/Load.h"
@@ -23,6 +24,9 @@
 
 /// Minimum time between two reports of dropped requests.
 constexpr Time kDropReportInterval = Time::FromMilliseconds(1000);
+/// An answer that comes later than this is logged; a takeover takes longer, and most answers far
+/// less.
+constexpr Time kSlowAnswer = Time::FromMilliseconds(500);
 
 void
 Answer(std::uint64_t aCall, JobReply::Fields aReply, Effects& aOut)
@@ -204,7 +208,36 @@
 }
 
 void
-HandleReply(EntryState& aState, const JobReply& aReply, Effects& aOut)
+CloseCall(EntryState& aState, const JobReply& aReply, Time aNow, Effects& aOut)
+{
+  const auto it = aState.mCalls.find(aReply.Call());
+  if (it == aState.mCalls.end()) {
+    return;
+  }
+  const auto& call = it->second;
+  const auto waited = aNow - call.mArrived;
+  const auto unlogged =
+    waited < kSlowAnswer ? std::nullopt : CountForLog(aState.mLoad.mSlowAnswers, aNow);
+  if (unlogged) {
+    Log(aOut,
+        "call.slow",
+        call.mRequest.Job(),
+        absl::StrCat("kind=",
+                     std::string(ToString(call.mRequest.Kind())),
+                     " waited_ms=",
+                     waited.Milliseconds(),
+                     " outcome=",
+                     std::string(ToString(aReply.Outcome())),
+                     " handed_to_epoch=",
+                     call.mForwardedTo.value_or(0),
+                     " unlogged=",
+                     *unlogged));
+  }
+  aState.mCalls.erase(it);
+}
+
+void
+HandleReply(EntryState& aState, const JobReply& aReply, Time aNow, Effects& aOut)
 {
   const auto it = aState.mCalls.find(aReply.Call());
   if (it == aState.mCalls.end()) {
@@ -218,7 +251,7 @@
     call.mPossibleRuns -= std::min(call.mPossibleRuns, std::uint32_t{ 1 });
     return;
   }
-  aState.mCalls.erase(it);
+  CloseCall(aState, aReply, aNow, aOut);
   Emit(aOut, ReplyToCaller::Create({ .mReply = aReply }).value());
 }
 
--- a/modules/by_entry/detail/Calls.h
+++ b/modules/by_entry/detail/Calls.h
@@ -13,10 +13,14 @@
 void
 HandleCall(EntryState& aState, const JobCall& aCall, Time aNow, Effects& aOut);
 
+/// Removes a call that is answered, and logs it if its caller has waited for long.
+void
+CloseCall(EntryState& aState, const JobReply& aReply, Time aNow, Effects& aOut);
+
 /// Passes the owner's answer on to the caller; does nothing if the call is no longer open. A
 /// request that a node refused because it is not the owner waits for the next one.
 void
-HandleReply(EntryState& aState, const JobReply& aReply, Effects& aOut);
+HandleReply(EntryState& aState, const JobReply& aReply, Time aNow, Effects& aOut);
 
 /// Forwards all waiting requests to the owner if it can be reached.
 void
--- a/modules/by_entry/detail/Links.cpp
+++ b/modules/by_entry/detail/Links.cpp
@@ -261,7 +261,7 @@
   aState.mOwnerHeardAt = aNow;
   const auto& body = aEvent.Message().Body();
   if (const auto* reply = std::get_if<JobReply>(&body)) {
-    HandleReply(aState, *reply, aOut);
+    HandleReply(aState, *reply, aNow, aOut);
   } else if (const auto* query = std::get_if<RequestAdvice>(&body)) {
     // A query has no side effects, so the epoch of the owner that sent it is not checked.
     Emit(aOut, *query);
--- a/tests/by_entry/CallsTest.cpp
+++ b/tests/by_entry/CallsTest.cpp
@@ -255,6 +255,49 @@
 /// them, so that it never caught up.
 TEST_GROUP(Calls){};
 
+/// A question about a job that was answered late left no trace in any log.
+TEST(Calls, AnswerThatComesLateIsLogged)
+{
+  Member member;
+  const auto answerAfter = [&](std::uint64_t aCall, std::int64_t aMilliseconds) {
+    member.SendCall(aCall, JobCallKind::Show, kJobPath);
+    member.Take<LogLine>();
+    member.Advance(Time::FromMilliseconds(aMilliseconds));
+    member.Reply(aCall, JobCallOutcome::Shown, 0);
+    std::vector<std::string> details;
+    for (const auto& line : member.Take<LogLine>()) {
+      if (line.Event() == "call.slow") {
+        STRCMP_EQUAL(kJob, line.Subject().c_str());
+        details.push_back(line.Detail());
+      }
+    }
+    return details;
+  };
+  CHECK(answerAfter(1, 400).empty());
+  const auto slow = answerAfter(2, 600);
+  CHECK_EQUAL(1, slow.size());
+  STRCMP_CONTAINS("waited_ms=600 outcome=shown handed_to_epoch=3", slow.front().c_str());
+}
+
+TEST(Calls, LinesOnLateAnswersAreBounded)
+{
+  constexpr std::uint64_t kCalls = 200;
+  constexpr std::size_t kMaxLines = 20;
+  Member member;
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    member.SendCall(call, JobCallKind::Show, kJobPath);
+  }
+  member.Take<LogLine>();
+  member.Advance(Time::FromMilliseconds(600));
+  for (std::uint64_t call = 1; call <= kCalls; ++call) {
+    member.Reply(call, JobCallOutcome::Shown, 0);
+  }
+  CHECK(member.mState.mCalls.empty());
+  const auto lines = member.Take<LogLine>().size();
+  CHECK(lines > 0);
+  CHECK(lines <= kMaxLines);
+}
+
 TEST(Calls, ForwardedRequestSaysHowLongItsCallerStillWaits)
 {
   Member member;
