--- a/modules/by_cell/RefusalLog.h
+++ b/modules/by_cell/LogLimit.h
@@ -8,7 +8,7 @@
 namespace by {
 
 /// Bounds the log lines about events of one kind, such as a team's refused submissions.
-struct RefusalLog
+struct LogLimit
 {
   /// When the present second of the log began; zero before the first line.
   Time mSince{};
@@ -16,8 +16,8 @@
   std::uint32_t mLines{ 0 };
   std::uint64_t mUnlogged{ 0 };
 
-  friend bool operator==(const RefusalLog&, const RefusalLog&) = default;
-  friend auto operator<=>(const RefusalLog&, const RefusalLog&) = default;
+  friend bool operator==(const LogLimit&, const LogLimit&) = default;
+  friend auto operator<=>(const LogLimit&, const LogLimit&) = default;
 };
 
 } // namespace by
--- a/modules/by_cell/TeamRateRow.h
+++ b/modules/by_cell/TeamRateRow.h
@@ -3,7 +3,7 @@
 #include <compare>
 #include <cstdint>
 
-#include "by_cell/RefusalLog.h"
+#include "by_cell/LogLimit.h"
 #include "by_core/Time.h"
 #include "by_queueing/RefusedBacklog.h"
 #include "by_queueing/TeamDemand.h"
@@ -28,7 +28,7 @@
   /// The submissions since mOverSince that were accepted in excess, and that were refused.
   std::uint64_t mExcessCount{ 0 };
   std::uint64_t mRefusedCount{ 0 };
-  RefusalLog mLog;
+  LogLimit mLog;
 
   friend bool operator==(const TeamRateRow&, const TeamRateRow&) = default;
   friend auto operator<=>(const TeamRateRow&, const TeamRateRow&) = default;
--- a/modules/by_cell/detail/TeamRates.cpp
+++ b/modules/by_cell/detail/TeamRates.cpp
@@ -242,7 +242,7 @@
 }
 
 std::optional<std::uint64_t>
-CountForLog(RefusalLog& aLog, Time aNow)
+CountForLog(LogLimit& aLog, Time aNow)
 {
   if (aLog.mSince == Time() || aNow >= aLog.mSince + kLogPeriod) {
     aLog.mSince = aNow;
--- a/modules/by_cell/detail/TeamRates.h
+++ b/modules/by_cell/detail/TeamRates.h
@@ -49,6 +49,6 @@
 /// Counts a refusal for the log.
 /// @returns how many earlier refusals had no line, if this one gets a line.
 std::optional<std::uint64_t>
-CountForLog(RefusalLog& aLog, Time aNow);
+CountForLog(LogLimit& aLog, Time aNow);
 
 } // namespace by::detail
--- a/modules/by_entry/LoadState.h
+++ b/modules/by_entry/LoadState.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "by_cell/RefusalLog.h"
+#include "by_cell/LogLimit.h"
 #include "by_core/Time.h"
 #include "by_schema/TeamLoad.h"
 
@@ -33,7 +33,7 @@
   std::uint64_t mDroppedRequests{ 0 };
   Time mNextDropReport{};
   /// Bounds the log lines about answers that took long.
-  RefusalLog mSlowAnswers;
+  LogLimit mSlowAnswers;
 };
 
 } // namespace by
--- a/modules/by_entry/TeamLimitRow.h
+++ b/modules/by_entry/TeamLimitRow.h
@@ -3,7 +3,7 @@
 #include <compare>
 #include <cstdint>
 
-#include "by_cell/RefusalLog.h"
+#include "by_cell/LogLimit.h"
 #include "by_queueing/TeamRate.h"
 
 namespace by {
@@ -17,7 +17,7 @@
   std::int64_t mCredit{ 0 };
   /// The number of refusals, which spreads the times at which callers come back.
   std::uint64_t mRefusals{ 0 };
-  RefusalLog mLog;
+  LogLimit mLog;
 
   friend bool operator==(const TeamLimitRow&, const TeamLimitRow&) = default;
   friend auto operator<=>(const TeamLimitRow&, const TeamLimitRow&) = default;
