review: end a script that could not run with 2

An error that was not foreseen ended a script with 1, as Python does, which stands for a broken rule. A case whose rule was broken now ends with a status of its own, and run.sh makes 1 of that one and 2 of all others. A signal ends the processes of a case too.

Shown with an import that fails, an error in the play and SIGTERM: 2 each, and no process left.

--- a/review/lab/rig.py
+++ b/review/lab/rig.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections import Counter, defaultdict
 from types import SimpleNamespace
 
@@ -38,6 +39,8 @@
 ANSWER_S = 0.0068
 # A call over a new connection to another zone takes two round trips of 2.8 ms.
 WORKER_ANSWER_S = 0.0056
+# The status with which a case ends whose rule was broken; no error of Python has it.
+BROKEN = 3
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -422,11 +425,17 @@
 
 
 def run(make, play, limit_s=115):
-    """Plays a case: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Plays a case: ends with BROKEN if the rule was broken, 0 if it held, any other status if it could not run.
+
+    run.sh makes 1 of BROKEN and 2 of any other status; Python itself ends with 1 after an error.
+    """
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 8192)), hard))
 
     async def whole():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         rig = make()
         try:
             await rig.begin()
@@ -434,10 +443,12 @@
             for line in rig.watch.broken[:10]:
                 print(line)
             rig.record.write(f"result: {'broken' if rig.watch.broken else 'held'}")
-            return 1 if rig.watch.broken else 0
-        except (CannotRun, asyncio.TimeoutError) as error:
-            print(f"could not run: {error or 'out of time'}")
-            rig.record.write(f"could not run: {error or 'out of time'}")
+            return BROKEN if rig.watch.broken else 0
+        except BaseException as error:
+            if not isinstance(error, (CannotRun, asyncio.TimeoutError)):
+                traceback.print_exc()
+            print(f"could not run: {error or type(error).__name__}")
+            rig.record.write(f"could not run: {error or type(error).__name__}")
             return 2
         finally:
             await rig.close()
